--- /dev/null
+++ b/cmake/cornelloom_targets.cmake
@@ -0,0 +1,74 @@
+# Helpers that turn a folder of sources into a library, programs or tests.
+
+set(CORNELLOOM_WARNINGS -Wall -Wextra -Wpedantic -Wshadow -Wnon-virtual-dtor -Woverloaded-virtual)
+
+# cornelloom_add_library(<name> DEPENDS <targets>): src/<name>/ becomes target cornelloom_<name>.
+function(cornelloom_add_library name)
+    cmake_parse_arguments(arg "" "" "DEPENDS" ${ARGN})
+    file(GLOB sources CONFIGURE_DEPENDS "${PROJECT_SOURCE_DIR}/src/${name}/*.cpp"
+         "${PROJECT_SOURCE_DIR}/src/${name}/internal/*.cpp")
+    if(sources)
+        add_library(cornelloom_${name} STATIC ${sources})
+        target_compile_options(cornelloom_${name} PRIVATE ${CORNELLOOM_WARNINGS})
+        set(scope PUBLIC)
+    else()
+        add_library(cornelloom_${name} INTERFACE)
+        set(scope INTERFACE)
+    endif()
+    target_include_directories(cornelloom_${name} ${scope}
+        $<BUILD_INTERFACE:${PROJECT_SOURCE_DIR}/src> $<INSTALL_INTERFACE:include/cornelloom>)
+    target_link_libraries(cornelloom_${name} ${scope} ${arg_DEPENDS})
+endfunction()
+
+# cornelloom_add_programs(<folder> DEPENDS <targets>): each *.cpp directly in the folder is a program;
+# <folder>/internal/*.cpp is shared by all of them.
+function(cornelloom_add_programs folder)
+    cmake_parse_arguments(arg "" "" "DEPENDS" ${ARGN})
+    file(GLOB mains CONFIGURE_DEPENDS "${PROJECT_SOURCE_DIR}/${folder}/*.cpp")
+    file(GLOB shared CONFIGURE_DEPENDS "${PROJECT_SOURCE_DIR}/${folder}/internal/*.cpp")
+    set(shared_target "")
+    if(shared)
+        set(shared_target cornelloom_${folder}_shared)
+        add_library(${shared_target} STATIC ${shared})
+        target_include_directories(${shared_target} PUBLIC "${PROJECT_SOURCE_DIR}")
+        target_compile_options(${shared_target} PRIVATE ${CORNELLOOM_WARNINGS})
+        target_link_libraries(${shared_target} PUBLIC ${arg_DEPENDS})
+    endif()
+    foreach(main IN LISTS mains)
+        get_filename_component(program "${main}" NAME_WE)
+        add_executable(${program} "${main}")
+        target_compile_options(${program} PRIVATE ${CORNELLOOM_WARNINGS})
+        target_include_directories(${program} PRIVATE "${PROJECT_SOURCE_DIR}")
+        target_link_libraries(${program} PRIVATE ${shared_target} ${arg_DEPENDS})
+    endforeach()
+endfunction()
+
+# One test program for each folder of tests/, grouped as the sources are.
+function(cornelloom_add_tests)
+    find_package(Catch2 2 REQUIRED)
+    find_package(rapidcheck REQUIRED)
+    add_library(cornelloom_test_main STATIC "${PROJECT_SOURCE_DIR}/tests/test_main.cpp")
+    target_link_libraries(cornelloom_test_main PUBLIC Catch2::Catch2 rapidcheck)
+    foreach(name IN ITEMS kernel decide coord config rollout transport client cli daemon)
+        file(GLOB sources CONFIGURE_DEPENDS "${PROJECT_SOURCE_DIR}/tests/${name}/*.cpp")
+        if(NOT sources)
+            continue()
+        endif()
+        add_executable(test_${name} ${sources})
+        target_compile_options(test_${name} PRIVATE ${CORNELLOOM_WARNINGS})
+        target_compile_definitions(test_${name} PRIVATE
+            CORNELLOOM_SOURCE_DIR="${PROJECT_SOURCE_DIR}")
+        target_include_directories(test_${name} PRIVATE "${PROJECT_SOURCE_DIR}")
+        target_link_libraries(test_${name} PRIVATE cornelloom_test_main cornelloom_${name}
+            cornelloom_json_deps PkgConfig::lua)
+        add_test(NAME ${name} COMMAND test_${name})
+        # A fixed seed: the same verdict in every run.
+        set_tests_properties(${name} PROPERTIES ENVIRONMENT "RC_PARAMS=seed=20261202")
+    endforeach()
+endfunction()
+
+# Headers, libraries, a CMake package and pkg-config files.
+function(cornelloom_install)
+    install(DIRECTORY "${PROJECT_SOURCE_DIR}/src/" DESTINATION "${CMAKE_INSTALL_INCLUDEDIR}/cornelloom"
+            FILES_MATCHING PATTERN "*.hpp" PATTERN "internal" EXCLUDE)
+endfunction()
--- /dev/null
+++ b/src/transport/http.hpp
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "kernel/clock.hpp"
+#include "kernel/result.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace cornelloom::transport {
+
+/// An IP number and a port. Names are not resolved.
+struct endpoint {
+    std::string address;
+    std::uint16_t port = 0;
+    auto operator<=>(const endpoint&) const = default;
+};
+
+/// `127.0.0.1:8080`; an error names what is wrong with the text.
+[[nodiscard]] kernel::result<endpoint> parse_endpoint(std::string_view text);
+[[nodiscard]] std::string to_string(const endpoint& where);
+
+struct http_header {
+    std::string name;
+    std::string value;
+};
+
+struct http_request {
+    std::string method = "GET";
+    std::string path = "/"; ///< Without the query.
+    std::string query;      ///< Without the question mark, not decoded.
+    std::vector<http_header> headers;
+    std::string body;
+};
+
+struct http_response {
+    int status = 200;
+    std::vector<http_header> headers;
+    std::string body;
+};
+
+/// The first header of that name, compared without case.
+[[nodiscard]] std::optional<std::string_view> find_header(const std::vector<http_header>& headers,
+                                                          std::string_view name);
+
+/// The decoded value of `name` in a query string.
+[[nodiscard]] std::optional<std::string> find_query(std::string_view query, std::string_view name);
+
+/// Answers one request; runs on a thread of its own and may wait (long polls).
+using http_handler = std::function<http_response(const http_request&)>;
+
+} // namespace cornelloom::transport
