--- a/src/coord/internal/json.hpp
+++ b/src/coord/internal/json.hpp
@@ -4,6 +4,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <exception>
 #include <optional>
 #include <string_view>
 
@@ -16,7 +17,7 @@
     using value_type = decltype(convert(std::declval<const json&>()));
     try {
         return std::optional<value_type>(convert(json::parse(text)));
-    } catch (const json::exception&) {
+    } catch (const std::exception&) {
         return std::optional<value_type>();
     }
 }
