--- a/src/coord/configuration_apply.cpp
+++ b/src/coord/configuration_apply.cpp
@@ -123,7 +123,13 @@
                      const platform_outcome& outcome, kernel::time_point now) {
     // A body is named by its content: that it exists already is as good as having written it.
     const bool there = std::holds_alternative<call_done>(outcome) ||
+                       std::holds_alternative<call_object>(outcome) ||
                        std::holds_alternative<call_conflict>(outcome);
+    if (std::holds_alternative<call_unknown>(outcome)) {
+        issue(state, out, call_kind::configuration_read,
+              get_object{{std::string(configuration_body_kind), state.unwritten.begin()->first}});
+        return;
+    }
     if (!there) {
         on_failure(state, outcome, now);
         return;
--- a/src/coord/coord.hpp
+++ b/src/coord/coord.hpp
@@ -10,3 +10,4 @@
 #include "coord/lease.hpp"
 #include "coord/membership.hpp"
 #include "coord/platform.hpp"
+#include "coord/platform_trouble.hpp"
--- a/src/coord/internal/claims_step.hpp
+++ b/src/coord/internal/claims_step.hpp
@@ -320,7 +320,7 @@
         }
         state_.failures = 0;
         if (state_.commit) {
-            settle_doubt(found, version);
+            settle_doubt(std::move(found), version);
         } else {
             begin_seal(std::move(found), version);
         }
@@ -328,13 +328,17 @@
 
     /// The answer to a write was lost: the head tells whether it landed. If it did not, the same
     /// bytes are written again with the same expected version; at most one of the two can land.
-    void settle_doubt(const claims_head& found, std::uint64_t version) {
+    void settle_doubt(claims_head found, std::uint64_t version) {
         const auto& next = state_.commit->next;
         if (found == next) {
             committed(version);
         } else if (version == state_.version) {
             state_.commit->in_doubt = false;
             write_head();
+        } else if (state_.phase == claims_phase::sealing) {
+            // Nothing of this holder's own is at stake yet: seal what is there now.
+            state_.commit.reset();
+            begin_seal(std::move(found), version);
         } else {
             close(true);
         }
@@ -362,13 +366,7 @@
             committed(done->version);
         } else if (std::holds_alternative<call_conflict>(outcome) ||
                    std::holds_alternative<call_unknown>(outcome)) {
-            if (state_.phase == claims_phase::sealing) {
-                // Nothing of this holder's own is at stake yet: read and try again.
-                state_.commit.reset();
-                state_.phase = claims_phase::reading_head;
-            } else {
-                state_.commit->in_doubt = true;
-            }
+            state_.commit->in_doubt = true;
             read_head();
         } else {
             failed(outcome);
