Configuration: build clean of warnings, also under clang-tidy

Cause: missing initializers warned, and a default initializer of an incomplete vector was an error under clang-tidy. Change: nodes are built by a function. Conclusion: linter clean, tests green.

--- a/src/config/internal/json_tree.cpp
+++ b/src/config/internal/json_tree.cpp
@@ -58,6 +58,13 @@
     line_counter* lines_;
 };
 
+json_node node_of(json_kind kind, std::string text = {}) {
+    json_node node;
+    node.kind = kind;
+    node.text = std::move(text);
+    return node;
+}
+
 /// Builds the tree from the parser's events. The names are those that nlohmann_json calls.
 class tree_builder {
 public:
@@ -66,9 +73,13 @@
     tree_builder(std::string_view file, const line_counter& lines, kernel::findings& faults)
         : file_(file), lines_(&lines), faults_(&faults) {}
 
-    bool null() { return put({.kind = json_kind::null}); }
+    bool null() { return put(node_of(json_kind::null)); }
 
-    bool boolean(bool value) { return put({.kind = json_kind::boolean, .boolean = value}); }
+    bool boolean(bool value) {
+        auto node = node_of(json_kind::boolean);
+        node.boolean = value;
+        return put(std::move(node));
+    }
 
     bool number_integer(std::int64_t value) { return put_integer(value); }
 
@@ -81,12 +92,12 @@
     }
 
     bool number_float(double value, const std::string& written) {
-        return put({.kind = json_kind::number, .number = value, .text = written});
+        auto node = node_of(json_kind::number, written);
+        node.number = value;
+        return put(std::move(node));
     }
 
-    bool string(std::string& value) {
-        return put({.kind = json_kind::text, .text = std::move(value)});
-    }
+    bool string(std::string& value) { return put(node_of(json_kind::text, std::move(value))); }
 
     bool binary(json::binary_t&) { return false; }
 
@@ -136,10 +147,10 @@
     };
 
     bool put_integer(std::int64_t value) {
-        return put({.kind = json_kind::integer,
-                    .number = static_cast<double>(value),
-                    .integer = value,
-                    .text = std::to_string(value)});
+        auto node = node_of(json_kind::integer, std::to_string(value));
+        node.number = static_cast<double>(value);
+        node.integer = value;
+        return put(std::move(node));
     }
 
     bool put(json_node value) {
@@ -166,7 +177,7 @@
                          fmt::format("at most {} levels", max_depth));
             return false;
         }
-        stack_.push_back({place({.kind = kind}), {}});
+        stack_.push_back({place(node_of(kind)), {}});
         return true;
     }
 
--- a/src/config/internal/json_tree.hpp
+++ b/src/config/internal/json_tree.hpp
@@ -21,9 +21,9 @@
     bool boolean = false;
     double number = 0;        ///< Of both number kinds.
     std::int64_t integer = 0; ///< Of `integer` only.
-    std::string text{};       ///< Of `text`; of a number, as written.
-    std::vector<json_node> items{};
-    std::vector<json_member> members{};
+    std::string text;         ///< Of `text`; of a number, as written.
+    std::vector<json_node> items;
+    std::vector<json_member> members;
 };
 
 struct json_member {
