--- a/cmake/cornelloom_targets.cmake
+++ b/cmake/cornelloom_targets.cmake
@@ -2,13 +2,19 @@
 
 set(CORNELLOOM_WARNINGS -Wall -Wextra -Wpedantic -Wshadow -Wnon-virtual-dtor -Woverloaded-virtual)
 
-# cornelloom_add_library(<name> DEPENDS <targets>): src/<name>/ becomes target cornelloom_<name>.
+# cornelloom_add_library(<name> [PLUGINS] DEPENDS <targets>): src/<name>/ becomes target
+# cornelloom_<name>. PLUGINS makes an object library: a linker leaves out members of a static library
+# that nothing refers to, and a plug-in that registers itself is just that.
 function(cornelloom_add_library name)
-    cmake_parse_arguments(arg "" "" "DEPENDS" ${ARGN})
+    cmake_parse_arguments(arg "PLUGINS" "" "DEPENDS" ${ARGN})
+    set(kind STATIC)
+    if(arg_PLUGINS)
+        set(kind OBJECT)
+    endif()
     file(GLOB sources CONFIGURE_DEPENDS "${PROJECT_SOURCE_DIR}/src/${name}/*.cpp"
          "${PROJECT_SOURCE_DIR}/src/${name}/internal/*.cpp")
     if(sources)
-        add_library(cornelloom_${name} STATIC ${sources})
+        add_library(cornelloom_${name} ${kind} ${sources})
         target_compile_options(cornelloom_${name} PRIVATE ${CORNELLOOM_WARNINGS})
         set(scope PUBLIC)
     else()
@@ -49,7 +55,7 @@
     find_package(rapidcheck REQUIRED)
     add_library(cornelloom_test_main STATIC "${PROJECT_SOURCE_DIR}/tests/test_main.cpp")
     target_link_libraries(cornelloom_test_main PUBLIC Catch2::Catch2 rapidcheck)
-    foreach(name IN ITEMS kernel decide coord config rollout transport client cli daemon)
+    foreach(name IN ITEMS kernel decide coord config rollout transport client cli targets daemon)
         file(GLOB sources CONFIGURE_DEPENDS "${PROJECT_SOURCE_DIR}/tests/${name}/*.cpp")
         if(NOT sources)
             continue()
