--- /dev/null
+++ b/src/transport/http.cpp
@@ -0,0 +1,103 @@
+#include "transport/http.hpp"
+
+#include "transport/internal/http_message.hpp"
+
+#include <boost/asio/ip/address.hpp>
+
+#include <algorithm>
+#include <charconv>
+
+namespace cornelloom::transport {
+
+namespace {
+
+constexpr int hexadecimal = 16;
+
+kernel::error bad_endpoint(std::string_view text, std::string_view problem) {
+    return {kernel::error_code::invalid_input,
+            "endpoint '" + std::string(text) + "': " + std::string(problem) +
+                ", allowed is IP-NUMBER:PORT such as 127.0.0.1:8080 or [::1]:8080"};
+}
+
+/// Decodes `%XX` and `+`. A percent sign without two digits stands for itself.
+std::string decode(std::string_view text) {
+    std::string decoded;
+    decoded.reserve(text.size());
+    for (std::size_t i = 0; i < text.size(); ++i) {
+        if (text[i] == '+') {
+            decoded += ' ';
+            continue;
+        }
+        unsigned char byte = 0;
+        if (text[i] == '%' && i + 2 < text.size()) {
+            const char* first = text.data() + i + 1;
+            const auto [end, failure] = std::from_chars(first, first + 2, byte, hexadecimal);
+            if (failure == std::errc{} && end == first + 2) {
+                decoded += static_cast<char>(byte);
+                i += 2;
+                continue;
+            }
+        }
+        decoded += text[i];
+    }
+    return decoded;
+}
+
+} // namespace
+
+kernel::result<endpoint> parse_endpoint(std::string_view text) {
+    const auto colon = text.rfind(':');
+    if (colon == std::string_view::npos) {
+        return bad_endpoint(text, "has no port");
+    }
+    auto address = text.substr(0, colon);
+    const auto digits = text.substr(colon + 1);
+    const bool bracketed = address.starts_with('[') && address.ends_with(']');
+    if (bracketed) {
+        address = address.substr(1, address.size() - 2);
+    }
+    boost::system::error_code failure;
+    const auto number = boost::asio::ip::make_address(std::string(address), failure);
+    if (failure || number.is_v6() != bracketed) {
+        return bad_endpoint(text, "is not an IP number");
+    }
+    std::uint16_t port = 0;
+    const char* end = digits.data() + digits.size();
+    const auto [rest, bad] = std::from_chars(digits.data(), end, port);
+    if (bad != std::errc{} || rest != end) {
+        return bad_endpoint(text, "has a port that is not a number up to 65535");
+    }
+    return endpoint{number.to_string(), port};
+}
+
+std::string to_string(const endpoint& where) {
+    const bool v6 = where.address.find(':') != std::string::npos;
+    return (v6 ? "[" + where.address + "]" : where.address) + ":" + std::to_string(where.port);
+}
+
+std::optional<std::string_view> find_header(const std::vector<http_header>& headers,
+                                            std::string_view name) {
+    const auto found = std::ranges::find_if(headers, [&](const auto& header) {
+        return internal::equal_without_case(header.name, name);
+    });
+    if (found == headers.end()) {
+        return std::nullopt;
+    }
+    return found->value;
+}
+
+std::optional<std::string> find_query(std::string_view query, std::string_view name) {
+    while (!query.empty()) {
+        const auto end = query.find('&');
+        const auto pair = query.substr(0, end);
+        const auto equals = pair.find('=');
+        if (decode(pair.substr(0, equals)) == name) {
+            return equals == std::string_view::npos ? std::string{}
+                                                    : decode(pair.substr(equals + 1));
+        }
+        query = end == std::string_view::npos ? std::string_view{} : query.substr(end + 1);
+    }
+    return std::nullopt;
+}
+
+} // namespace cornelloom::transport
--- /dev/null
+++ b/src/transport/transport.hpp
@@ -0,0 +1,8 @@
+#pragma once
+
+/// All of the transport library: HTTP to callers, targets, the platform and operators; UDP and
+/// streams between daemons. It takes no decisions.
+
+#include "transport/http.hpp"
+#include "transport/http_client.hpp"
+#include "transport/http_server.hpp"
