--- a/src/rollout/work.cpp
+++ b/src/rollout/work.cpp
@@ -177,6 +177,20 @@
     return start_attempt(open, index, now);
 }
 
+std::optional<work_item> start_again(step& open, slot_index index, kernel::time_point now) {
+    if (open.state != step_state::open || index >= open.slots.size() || now >= open.deadline ||
+        open.slots[index].state != slot_state::wanted) {
+        return std::nullopt;
+    }
+    return start_attempt(open, index, now);
+}
+
+void defer_slot(step& open, slot_index index, kernel::time_point until) {
+    if (index < open.slots.size()) {
+        open.slots[index].not_before = until;
+    }
+}
+
 void on_placed(step& open, const attempt_ref& ref, const kernel::target_id& engine,
                kernel::time_point now) {
     if (const auto found = find_attempt(open, ref); found.at != nullptr) {
--- a/src/rollout/work.hpp
+++ b/src/rollout/work.hpp
@@ -60,6 +60,14 @@
 [[nodiscard]] std::optional<work_item> start_hedge(step& open, slot_index slot,
                                                    kernel::time_point now);
 
+/// Submits a wanted slot now, whatever its pause: for a caller that decides about retries itself and
+/// keeps the slot from `next_work` meanwhile with `defer_slot`.
+[[nodiscard]] std::optional<work_item> start_again(step& open, slot_index slot,
+                                                   kernel::time_point now);
+
+/// Keeps a wanted slot from `next_work` until then.
+void defer_slot(step& open, slot_index slot, kernel::time_point until);
+
 void on_placed(step& open, const attempt_ref& ref, const kernel::target_id& engine,
                kernel::time_point now);
 
