--- a/src/rollout/delivery.cpp
+++ b/src/rollout/delivery.cpp
@@ -172,6 +172,7 @@
     on_time(open, now);
     pull_answer answer;
     answer.epoch = open.epoch;
+    answer.order = request.order;
     if (!is_overtaken(open, request)) {
         open.last_pull = std::max(open.last_pull, request.order);
         observe_version(open, request.trainer_version.value_or(0), now);
@@ -195,18 +196,4 @@
            });
 }
 
-std::vector<slot_index> commit(trainer_view& view, const pull_answer& answer) {
-    std::vector<slot_index> added;
-    if (answer.epoch < view.epoch) {
-        return added; // From an owner that was deposed.
-    }
-    view.epoch = answer.epoch;
-    for (const auto& one : answer.samples) {
-        if (view.committed.try_emplace(one.slot, one).second) {
-            added.push_back(one.slot);
-        }
-    }
-    return added;
-}
-
 } // namespace cornelloom::rollout
--- a/src/rollout/delivery.hpp
+++ b/src/rollout/delivery.hpp
@@ -39,6 +39,7 @@
 
 struct pull_answer {
     owner_epoch epoch = 0;
+    std::uint64_t order = 0; ///< Of the pull that this answers.
     std::vector<delivered_sample> samples;
     std::vector<failed_slot> failed;
     bool complete = false; ///< The trainer has everything that it will get.
@@ -56,14 +57,4 @@
 /// Whether a pull would be answered with samples or an end now.
 [[nodiscard]] bool has_news(const step& open, kernel::time_point now);
 
-/// What the trainer's side does with an answer: nothing from an older epoch, no slot twice.
-struct trainer_view {
-    step_key key;
-    owner_epoch epoch = 0;
-    std::map<slot_index, delivered_sample> committed;
-};
-
-/// Commits the samples of an answer; returns the slots that were new.
-[[nodiscard]] std::vector<slot_index> commit(trainer_view& view, const pull_answer& answer);
-
 } // namespace cornelloom::rollout
--- a/src/rollout/recovery.cpp
+++ b/src/rollout/recovery.cpp
@@ -198,7 +198,9 @@
             take_partial(open, one);
         }
     }
-    on_collect_failed(open, host);
+    if (!answer.next_slot) {
+        on_collect_failed(open, host);
+    }
 }
 
 void on_collect_failed(step& open, const kernel::host_id& host) {
--- a/src/rollout/recovery.hpp
+++ b/src/rollout/recovery.hpp
@@ -48,7 +48,8 @@
                                                 std::span<const kernel::host_id> hosts_to_ask,
                                                 kernel::time_point now, kernel::wall_time wall_now);
 
-/// A host said what it holds. Heard also after the collection has ended.
+/// A host said what it holds. Heard also after the collection has ended. When the answer names a
+/// next slot, the host is asked again from there.
 void on_collected(step& open, const kernel::host_id& host, const collect_answer& answer,
                   kernel::time_point now);
 
--- a/src/rollout/replica.cpp
+++ b/src/rollout/replica.cpp
@@ -104,8 +104,14 @@
     of.epoch = std::max(of.epoch, request.epoch);
     answer.account_epoch = of.account_epoch;
     answer.account = of.account;
-    for (const auto& [slot, one] : of.samples) {
-        answer.samples.push_back(one);
+    std::size_t bytes = 0;
+    for (auto at = of.samples.lower_bound(request.from_slot); at != of.samples.end(); ++at) {
+        if (bytes >= max_collect_bytes) {
+            answer.next_slot = at->first;
+            break;
+        }
+        answer.samples.push_back(at->second);
+        bytes += bytes_of(at->second);
     }
     return answer;
 }
@@ -143,15 +149,25 @@
     }
 }
 
-collect_answer hand_over(const step& open) {
-    collect_answer answer{open.request.key, open.epoch, open.tokens, {}};
-    for (slot_index i = 0; i < open.slots.size(); ++i) {
+collect_answer hand_over(const step& open, slot_index from_slot) {
+    collect_answer answer;
+    answer.key = open.request.key;
+    answer.account_epoch = open.epoch;
+    answer.account = open.tokens;
+    std::size_t bytes = 0;
+    for (auto i = from_slot; i < open.slots.size(); ++i) {
+        if (bytes >= max_collect_bytes) {
+            answer.next_slot = i;
+            break;
+        }
+        const auto before = answer.samples.size();
         const auto& at = open.slots[i];
         if (at.state == slot_state::finished) {
             answer.samples.push_back({i, at.body, at.score, true});
         } else {
             add_partial(at, i, answer.samples);
         }
+        bytes += answer.samples.size() > before ? bytes_of(answer.samples.back()) : 0;
     }
     return answer;
 }
--- a/src/rollout/replica.hpp
+++ b/src/rollout/replica.hpp
@@ -47,13 +47,19 @@
 struct collect_request {
     step_key key;
     owner_epoch epoch = 0;
+    slot_index from_slot = 0; ///< Where an earlier answer left off.
 };
 
+/// Text of an answer to a collection; the rest is asked for with the next one. Half of what the
+/// transport takes as one body.
+inline constexpr std::size_t max_collect_bytes = 2U << 20U;
+
 struct collect_answer {
     step_key key;
     owner_epoch account_epoch = 0; ///< Of the owner whose account this is; 0: none known.
     token_account account;
     std::vector<held_sample> samples;
+    std::optional<slot_index> next_slot; ///< There is more: ask again from this slot.
 };
 
 /// What a host holds for one step that it does not own.
@@ -89,7 +95,7 @@
 void on_hold_failed(step& open, slot_index slot, const attempt_id& origin, bool any_host_reachable,
                     kernel::time_point now);
 
-/// Everything this owner has for its step, partial text included, for a new owner or at shutdown.
-[[nodiscard]] collect_answer hand_over(const step& open);
+/// What this owner has for its step, partial text included, for a new owner or at shutdown.
+[[nodiscard]] collect_answer hand_over(const step& open, slot_index from_slot = 0);
 
 } // namespace cornelloom::rollout
--- /dev/null
+++ b/tests/rollout/world.cpp
@@ -0,0 +1,475 @@
+#include "tests/rollout/world.hpp"
+
+#include <algorithm>
+#include <numeric>
+#include <string>
+
+namespace cornelloom::rollout_test {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::uint32_t samples_per_group = 3;
+
+std::string letters(weight_version version, token_count tokens) {
+    return std::string(tokens, static_cast<char>('a' + version % 26));
+}
+
+kernel::host_id host_name(std::size_t host) {
+    return kernel::host_id{"host-" + std::to_string(host)};
+}
+
+step* owned(world& all, const stream& one) {
+    auto* open = all.hosts[one.owner].owned.get();
+    return open != nullptr && open->epoch == one.epoch ? open : nullptr;
+}
+
+void start_stream(world& all, std::size_t host, const work_item& item, std::uint32_t choice) {
+    const auto engine = choice % engine_count;
+    auto& open = *all.hosts[host].owned;
+    const attempt_ref ref{item.slot, item.attempt};
+    on_placed(open, ref, kernel::target_id{std::to_string(engine)}, all.now);
+    all.streams.push_back({host, open.epoch, ref, engine, item.so_far_tokens, 0});
+    if (item.so_far.size() != item.so_far_tokens) {
+        all.broken_promises.emplace_back("resumed text has another length than its tokens");
+    }
+}
+
+void drop_stream(world& all, std::size_t index) {
+    all.streams.erase(all.streams.begin() + static_cast<std::ptrdiff_t>(index));
+}
+
+/// The promises about one sample, seen from the trainer at the moment of delivery.
+void check_sample(world& all, const delivered_sample& one, weight_version newest) {
+    const auto& output = one.body->output;
+    const auto fail = [&](std::string_view what) {
+        all.broken_promises.push_back("slot " + std::to_string(one.slot) + ": " +
+                                      std::string(what) + " " + output.text);
+    };
+    std::string truth;
+    for (const auto& span : output.spans) {
+        truth += letters(span.version, span.tokens);
+    }
+    if (truth != output.text) {
+        fail("spans name other versions than made the text");
+    }
+    if (output.text.size() != answer_length(one.slot)) {
+        fail("not whole");
+    }
+    if (is_stale(output.spans, newest, pool_bound)) {
+        fail("older than the bound");
+    }
+    if (!all.rules.scoring_service.empty() && !one.score) {
+        fail("without its score");
+    }
+}
+
+void take_answer(world& all, const pull_answer& answer) {
+    for (const auto slot : commit(all.trainer, answer)) {
+        check_sample(all, all.trainer.committed.at(slot), all.newest);
+    }
+}
+
+void run_cancels(world& all, std::size_t host, const step_effects& effects, bool lost) {
+    auto& open = *all.hosts[host].owned;
+    for (const auto& order : effects.cancel) {
+        const auto it = std::ranges::find(all.streams, order.ref, &stream::ref);
+        if (it == all.streams.end() || lost) {
+            continue; // The engine goes on: its tokens are waste.
+        }
+        constexpr token_count on_the_way = 2;
+        const auto made = it->made + on_the_way;
+        all.generated += on_the_way;
+        all.streams.erase(it);
+        on_cancelled(open, order.ref, made);
+        on_cancelled(open, order.ref, made); // Doubled.
+    }
+}
+
+void run_holds(world& all, std::size_t host, const step_effects& effects, std::uint32_t trouble) {
+    auto& open = *all.hosts[host].owned;
+    const auto other = (host + 1 + trouble % (host_count - 1)) % host_count;
+    for (const auto& one : effects.hold) {
+        if ((trouble & 2U) != 0) {
+            on_hold_failed(open, one.slot, one.body->origin, (trouble & 4U) != 0, all.now);
+            continue;
+        }
+        const hold_request request{open.request.key,
+                                   open.epoch,
+                                   open.request.deadline,
+                                   open.tokens,
+                                   {one.slot, one.body, std::nullopt, true}};
+        // Through the codec, as between real hosts.
+        const auto answer =
+            hold(all.hosts[other].replicas, decode_hold_request(encode(request)).value());
+        if (answer.outcome == hold_outcome::deposed) {
+            supersede_step(open, answer.epoch, all.now);
+        } else if ((trouble & 8U) == 0) {
+            on_held(open, one.slot, one.body->origin, host_name(other));
+        }
+    }
+    for (const auto& one : effects.release) {
+        for (auto& each : all.hosts) {
+            release(each.replicas, {open.request.key, open.epoch, {one.slot}, false});
+        }
+    }
+}
+
+void run_scores(world& all, std::size_t host, const step_effects& effects, std::uint32_t trouble) {
+    auto& open = *all.hosts[host].owned;
+    for (const auto& one : effects.score) {
+        if ((trouble & 16U) != 0) {
+            on_score_failed(open, one.slot, one.body->origin, all.now);
+        } else {
+            on_score(open, one.slot, one.body->origin, 0.5, all.now);
+        }
+    }
+}
+
+bool has_all(const world& all) {
+    return all.trainer.committed.size() ==
+           std::accumulate(all.stored.samples.begin(), all.stored.samples.end(), 0U);
+}
+
+std::size_t newest_owner(world& all) {
+    std::size_t found = host_count;
+    for (std::size_t i = 0; i < host_count; ++i) {
+        const auto& open = all.hosts[i].owned;
+        if (open && open->epoch == all.last_epoch) {
+            found = i;
+        }
+    }
+    return found;
+}
+
+} // namespace
+
+token_count answer_length(slot_index slot) {
+    return 3 + slot % 5;
+}
+
+world::world(release_mode release, bool scored) {
+    rules.pool = kernel::pool_id{"leaf"};
+    rules.release = release;
+    rules.staleness_bound = pool_bound;
+    rules.scoring_service = scored ? "judge" : "";
+    step_request request;
+    request.key = {kernel::trainer_id{"notes"}, step_id{"7"}};
+    request.pool = rules.pool;
+    request.groups = {{"lot 1", samples_per_group}, {"lot 2", samples_per_group}};
+    request.deadline.unix_ms = 1'000'000'000;
+    request.trainer_version = newest;
+    engines.fill(first_version);
+    trainer.key = request.key;
+    checkpoint = trainer;
+    hosts[0].owned =
+        std::make_unique<step>(open_step(request, rules, last_epoch, now, {0}).value());
+    chunks = chunks_of(request);
+    stored = manifest_of(*hosts[0].owned, {}, {});
+}
+
+void submit(world& all, std::size_t host, std::size_t limit, std::uint32_t choice) {
+    if (auto& open = all.hosts[host].owned) {
+        for (const auto& item : next_work(*open, all.now, limit)) {
+            start_stream(all, host, item, choice++);
+        }
+    }
+}
+
+void generate(world& all, std::size_t index, bool says_version) {
+    auto& one = all.streams[index];
+    const auto wanted = answer_length(one.ref.slot);
+    const auto tokens = std::min<token_count>(2, wanted - std::min(wanted, one.position));
+    const auto version = all.engines[one.engine];
+    const auto text = letters(version, tokens);
+    one.position += tokens;
+    one.made += tokens;
+    auto* open = owned(all, one);
+    if (open == nullptr) {
+        drop_stream(all, index); // The reader died: the engine sees the connection close.
+        return;
+    }
+    all.generated += tokens;
+    const auto said = says_version ? std::optional(version) : std::nullopt;
+    const auto verdict = on_piece(*open, one.ref, {text, tokens, said, {}}, all.now);
+    if (verdict == piece_verdict::stop) {
+        const auto ref = one.ref;
+        const auto made = one.made;
+        drop_stream(all, index);
+        on_cancelled(*open, ref, made);
+        return;
+    }
+    if (one.position >= wanted) {
+        on_done(*open, one.ref, all.now);
+        on_done(*open, one.ref, all.now); // Doubled.
+        drop_stream(all, index);
+    }
+}
+
+void break_stream(world& all, std::size_t index, break_cause cause) {
+    const auto one = all.streams[index];
+    drop_stream(all, index);
+    if (auto* open = owned(all, one)) {
+        on_broken(*open, one.ref, cause, all.now);
+        on_broken(*open, one.ref, cause, all.now); // Doubled.
+    }
+}
+
+void crash_engine(world& all, std::size_t engine) {
+    for (auto i = all.streams.size(); i-- > 0;) {
+        if (all.streams[i].engine == engine) {
+            break_stream(all, i, break_cause::crashed);
+        }
+    }
+}
+
+void swap_engine(world& all, std::size_t engine, weight_version version) {
+    all.engines[engine] = version;
+}
+
+void announce_version(world& all, std::uint32_t told_hosts) {
+    ++all.newest;
+    for (std::size_t i = 0; i < host_count; ++i) {
+        if (all.hosts[i].owned && (told_hosts >> i & 1U) != 0) {
+            observe_version(*all.hosts[i].owned, all.newest, all.now);
+        }
+    }
+}
+
+void hedge(world& all, std::size_t host, slot_index slot, std::uint32_t choice) {
+    if (auto& open = all.hosts[host].owned) {
+        if (const auto item = start_hedge(*open, slot, all.now)) {
+            start_stream(all, host, *item, choice);
+        }
+    }
+}
+
+void pull_from(world& all, std::size_t host, fate outcome) {
+    auto& open = all.hosts[host].owned;
+    if (!open) {
+        return;
+    }
+    const auto request = next_pull(all.trainer, ++all.pulls, all.newest);
+    const auto coded = decode_pull_request(request.key.id, encode(request)).value();
+    const auto given = pull(*open, coded, all.now);
+    if (!given) {
+        return;
+    }
+    const auto answer = decode_pull_answer(encode(given.value())).value();
+    for (const auto& one : answer.samples) {
+        check_sample(all, one, all.newest);
+        if (all.trainer.committed.contains(one.slot)) {
+            all.broken_promises.emplace_back("a held slot was given again");
+        }
+    }
+    if (outcome == fate::late) {
+        all.late_answers.push_back(answer);
+    }
+    if (outcome == fate::arrives || outcome == fate::doubled) {
+        take_answer(all, answer);
+    }
+    if (outcome == fate::doubled) {
+        take_answer(all, answer);
+    }
+}
+
+void deliver_late_answer(world& all) {
+    if (!all.late_answers.empty()) {
+        const auto answer = all.late_answers.front();
+        all.late_answers.pop_front();
+        take_answer(all, answer);
+    }
+}
+
+void restart_trainer(world& all) {
+    all.trainer = all.checkpoint;
+    all.late_answers.clear(); // Its connections are gone.
+}
+
+void kill_host(world& all, std::size_t host) {
+    all.hosts[host] = {};
+}
+
+void take_over(world& all, std::size_t host, std::uint32_t silent) {
+    std::vector<kernel::host_id> asked;
+    for (std::size_t i = 0; i < host_count; ++i) {
+        asked.push_back(host_name(i));
+    }
+    const auto epoch = ++all.last_epoch;
+    auto taken =
+        recover_step(all.stored, all.chunks, all.rules, epoch, asked, all.now, {0}).value();
+    all.stored.epoch = epoch;
+    for (std::size_t i = 0; i < host_count; ++i) {
+        collect_answer answer = collect(all.hosts[i].replicas, {taken.request.key, epoch, 0});
+        const bool heard = (silent >> i & 1U) == 0;
+        if (const auto& old = all.hosts[i].owned; old && heard) {
+            // Another owner hears of its end, and gives what it has.
+            on_collected(taken, host_name(i), hand_over(*old), all.now);
+            supersede_step(*old, epoch, all.now);
+        }
+        if (heard) {
+            const auto coded = decode_collect_answer(encode(answer)).value();
+            on_collected(taken, host_name(i), coded, all.now);
+        } else {
+            all.late_collections.push_back({host, epoch, i, std::move(answer)});
+        }
+    }
+    run_effects(all, 0);
+    all.hosts[host].owned = std::make_unique<step>(std::move(taken));
+}
+
+void deliver_late_collection(world& all) {
+    if (all.late_collections.empty()) {
+        return;
+    }
+    const auto late = all.late_collections.front();
+    all.late_collections.pop_front();
+    auto& open = all.hosts[late.owner].owned;
+    if (open && open->epoch == late.epoch) {
+        on_collected(*open, host_name(late.from), late.answer, all.now);
+    }
+}
+
+void run_effects(world& all, std::uint32_t trouble) {
+    for (std::size_t i = 0; i < host_count; ++i) {
+        if (!all.hosts[i].owned) {
+            continue;
+        }
+        const auto effects = take_effects(*all.hosts[i].owned);
+        run_cancels(all, i, effects, (trouble & 1U) != 0);
+        run_holds(all, i, effects, trouble);
+        run_scores(all, i, effects, trouble);
+    }
+}
+
+void pass_time(world& all, kernel::duration span) {
+    all.now += span;
+    for (auto& each : all.hosts) {
+        if (each.owned) {
+            on_time(*each.owned, all.now);
+        }
+    }
+}
+
+namespace {
+
+void stir_engines(world& all, std::uint32_t kind, std::uint32_t choice) {
+    const auto some_stream = all.streams.empty() ? 0 : choice % all.streams.size();
+    switch (kind) {
+    case 0:
+        break_stream(all, some_stream, static_cast<break_cause>(choice % 3));
+        break;
+    case 1:
+        crash_engine(all, choice % engine_count);
+        break;
+    case 2:
+        swap_engine(all, choice % engine_count,
+                    std::max(all.newest, first_version + choice / 4 % 3) - choice / 4 % 3);
+        break;
+    case 3:
+        generate(all, some_stream, false);
+        break;
+    default:
+        generate(all, some_stream, true);
+    }
+}
+
+void stir_hosts(world& all, std::uint32_t kind, std::uint32_t choice) {
+    const auto host = choice % host_count;
+    switch (kind) {
+    case 0:
+        kill_host(all, host);
+        break;
+    case 1:
+        take_over(all, host, choice / host_count);
+        break;
+    case 2:
+        deliver_late_collection(all);
+        break;
+    case 3:
+        announce_version(all, choice);
+        break;
+    case 4:
+        pass_time(all, 700ms);
+        break;
+    case 5:
+        hedge(all, host, choice / 8 % 6, choice);
+        break;
+    default:
+        run_effects(all, choice);
+    }
+}
+
+void stir_trainer(world& all, std::uint32_t kind, std::uint32_t choice) {
+    switch (kind) {
+    case 0:
+        deliver_late_answer(all);
+        break;
+    case 1:
+        all.checkpoint = all.trainer;
+        break;
+    case 2:
+        restart_trainer(all);
+        break;
+    default:
+        pull_from(all, choice % host_count, static_cast<fate>(choice / host_count % 4));
+    }
+}
+
+} // namespace
+
+void stir(world& all, std::uint32_t action) {
+    const auto choice = action / 64;
+    const auto kind = action / 4 % 16;
+    switch (action % 4) {
+    case 0:
+        submit(all, choice % host_count, 1 + kind % 4, choice);
+        break;
+    case 1:
+        if (!all.streams.empty()) {
+            stir_engines(all, kind, choice);
+        }
+        break;
+    case 2:
+        stir_hosts(all, kind, choice);
+        break;
+    default:
+        stir_trainer(all, kind % 8, choice);
+    }
+    check_accounts(all);
+}
+
+bool run_to_completion(world& all) {
+    if (newest_owner(all) == host_count) {
+        take_over(all, 0, 0);
+    }
+    const auto owner = newest_owner(all);
+    all.engines.fill(all.newest);
+    constexpr int most_rounds = 200;
+    for (int round = 0; round < most_rounds && !has_all(all); ++round) {
+        pass_time(all, 1s);
+        submit(all, owner, 6, 0);
+        for (auto i = all.streams.size(); i-- > 0;) {
+            generate(all, i, true);
+        }
+        run_effects(all, 0);
+        pull_from(all, owner, fate::arrives);
+        check_accounts(all);
+    }
+    return has_all(all);
+}
+
+void check_accounts(world& all) {
+    for (const auto& each : all.hosts) {
+        if (!each.owned) {
+            continue;
+        }
+        const auto faults = check(*each.owned);
+        for (const auto& fault : faults.items()) {
+            all.broken_promises.push_back(to_string(fault));
+        }
+    }
+}
+
+} // namespace cornelloom::rollout_test
