--- a/src/daemon/step_directory.cpp
+++ b/src/daemon/step_directory.cpp
@@ -2,12 +2,11 @@
 
 #include "daemon/answer.hpp"
 #include "daemon/events.hpp"
-#include "kernel/hash.hpp"
+#include "daemon/step_scoring.hpp"
 #include "rollout/codec.hpp"
 
 #include <algorithm>
 #include <ranges>
-#include <thread>
 
 namespace cornelloom::daemon {
 
@@ -18,26 +17,14 @@
 using kernel::refusal_reason;
 using kernel::run_state;
 
-// A dead owner idles its trainer until the lease runs out, so the term is short; 12 trainers renew
-// with eight writes a second, of several hundred that the platform takes.
-constexpr lease_terms step_terms{.term = 5s, .margin = 1s, .renew_every = 1500ms};
-constexpr kernel::duration owner_wait = 1500ms;
-constexpr kernel::duration owner_poll = 10ms;
 constexpr kernel::duration come_back_soon = 300ms;
-constexpr kernel::duration idle_lease_time = 10min;
 constexpr kernel::duration keep_ended_steps = 60s;
 constexpr kernel::duration default_pull_wait = 10s;
 constexpr kernel::duration longest_pull_wait = 60s;
-constexpr kernel::duration forward_slack = 2s;
+// The owner may wait for its lease before it answers.
+constexpr kernel::duration forward_slack = 4s;
+constexpr std::int64_t hand_over_expiry_ms = 30 * 60 * 1000;
 constexpr int ok = 200;
-constexpr int conflict = 409;
-
-constexpr const char* manifest_kind = "step-manifest";
-constexpr const char* chunk_kind = "step-chunk";
-
-std::string manifest_name(const rollout::step_key& key) {
-    return kernel::digest_hex(rollout::to_string(key));
-}
 
 transport::http_response refuse(context& shared, refusal_reason reason, std::string detail,
                                 kernel::duration retry_after = {},
@@ -84,9 +71,37 @@
 
 } // namespace
 
-std::string step_directory::lease_name(const kernel::pool_id& pool,
-                                       const kernel::trainer_id& trainer) {
-    return "step." + pool.str() + "." + trainer.str();
+step_directory::step_directory(const step_surroundings& parts)
+    : parts_(parts), ownership_(
+                         parts, [this](const auto& lease) { return running_epoch_of(lease); },
+                         [this](const auto& lease, auto fence) { raise_epochs(lease, fence); }),
+      storage_(parts) {}
+
+std::optional<std::uint64_t> step_directory::running_epoch_of(const std::string& lease) const {
+    std::optional<std::uint64_t> largest;
+    for (const auto& [key, one] : snapshot_steps()) {
+        if (step_ownership::lease_name(one.pool, key.trainer) == lease) {
+            const auto epoch = one.runner->with_step([](const auto& open) { return open.epoch; });
+            largest = std::max(largest.value_or(0), epoch);
+        }
+    }
+    return largest;
+}
+
+// Held before and got back: the steps go on under the new number.
+void step_directory::raise_epochs(const std::string& lease, std::uint64_t fence) {
+    for (const auto& [key, one] : snapshot_steps()) {
+        if (step_ownership::lease_name(one.pool, key.trainer) == lease) {
+            one.runner->with_step(
+                [fence](auto& open) { open.epoch = std::max(open.epoch, fence); });
+        }
+    }
+}
+
+std::vector<std::pair<rollout::step_key, step_directory::owned_step>>
+step_directory::snapshot_steps() const {
+    const std::lock_guard lock(mutex_);
+    return {steps_.begin(), steps_.end()};
 }
 
 transport::http_response step_directory::handle(const step_call& call) {
@@ -109,7 +124,7 @@
         pulling = std::move(decoded.value());
         trainer = pulling.key.trainer;
     }
-    const auto owner = find_owner(lease_name(call.pool, trainer));
+    const auto owner = ownership_.find(step_ownership::lease_name(call.pool, trainer));
     if (owner.other) {
         if (call.forwarded) {
             return refuse(shared, refusal_reason::not_owner, "the step moved to another host",
@@ -132,82 +147,13 @@
     return refuse(shared, refusal_reason::malformed, "no such call");
 }
 
-step_directory::ownership step_directory::look_up_owner(const std::string& name) const {
-    if (const auto fence = parts_.leases.held_fence(name)) {
-        return {fence, std::nullopt};
-    }
-    const auto& self = parts_.shared.settings.host;
-    const auto seen = parts_.leases.holder(name);
-    if (seen && !seen->released && seen->host != self && parts_.others.is_live(seen->host)) {
-        return {std::nullopt, seen->host};
-    }
-    // During an outage of the platform the lease cannot be read; gossip still tells who held it.
-    const auto hint = parts_.members.find_item({std::string(owner_item_kind), name});
-    if (!seen && hint && hint->payload != self.str() &&
-        parts_.others.is_live(kernel::host_id(hint->payload))) {
-        return {std::nullopt, kernel::host_id(hint->payload)};
-    }
-    // An owner whose renewals fail while nobody else has taken the lease goes on: the trainer
-    // takes nothing from an older epoch, so a second owner can waste work but not double a sample.
-    const std::lock_guard lock(mutex_);
-    for (const auto& [key, one] : steps_) {
-        if (lease_name(one.pool, key.trainer) == name) {
-            const auto epoch = one.runner->with_step([](const auto& open) { return open.epoch; });
-            if (!seen || seen->fence <= epoch) {
-                return {epoch, std::nullopt};
-            }
-        }
-    }
-    return {};
-}
-
-step_directory::ownership step_directory::find_owner(const std::string& name) {
-    auto& clock = parts_.shared.clock;
-    const auto until = clock.now() + owner_wait;
-    {
-        const std::lock_guard lock(mutex_);
-        last_use_[name] = clock.now();
-    }
-    want_lease(name);
-    while (true) {
-        const auto owner = look_up_owner(name);
-        if (owner.fence || owner.other || clock.now() >= until) {
-            return owner;
-        }
-        std::this_thread::sleep_for(owner_poll);
-    }
-}
-
-void step_directory::want_lease(const std::string& name) {
-    if (parts_.shared.draining) {
-        return;
-    }
-    parts_.leases.want(
-        name, step_terms, [this, name](coord::lease_change change, std::uint64_t fence) {
-            if (change != coord::lease_change::acquired) {
-                return;
-            }
-            parts_.members.publish({std::string(owner_item_kind), name, fence,
-                                    parts_.shared.settings.host.str(), idle_lease_time});
-            const std::lock_guard lock(mutex_);
-            for (const auto& [key, one] : steps_) {
-                if (lease_name(one.pool, key.trainer) == name) {
-                    // Held before and got back: the steps go on under the new number.
-                    one.runner->with_step(
-                        [fence](auto& open) { open.epoch = std::max(open.epoch, fence); });
-                }
-            }
-        });
-}
-
 transport::http_response step_directory::forward(const step_call& call,
                                                  const kernel::host_id& to) const {
     const nlohmann::json message{{"verb", to_string(call.verb)},
                                  {"pool", call.pool.str()},
                                  {"step", call.step.str()},
                                  {"body", call.body}};
-    const auto timeout =
-        owner_wait + forward_slack + (call.verb == step_verb::pull ? pull_wait(call.body) : 0s);
+    const auto timeout = forward_slack + (call.verb == step_verb::pull ? pull_wait(call.body) : 0s);
     const auto reply = parts_.others.call(to, "/steps", dump(message), timeout);
     if (!reply) {
         // Opening and pulling are idempotent: the trainer may ask again wherever it likes.
@@ -248,19 +194,14 @@
             return refuse(shared, refusal_reason::malformed, same.error().detail);
         }
     } else {
-        const auto rules = rules_of(call.pool);
-        if (!rules) {
-            return refuse(shared, refusal_reason::no_such_pool, call.pool.str());
-        }
-        const auto now = shared.clock.now();
-        const auto wall = shared.clock.wall_now();
-        auto opened = rollout::open_step(request, *rules, fence, now, wall);
-        if (!opened) {
-            return refuse(shared, refusal_reason::malformed, opened.error().detail);
+        auto made = make_step(call.pool, fence, request);
+        if (!made) {
+            const bool missing = made.error().code == kernel::error_code::not_found;
+            return refuse(shared,
+                          missing ? refusal_reason::no_such_pool : refusal_reason::malformed,
+                          made.error().detail);
         }
-        runner = adopt(call.pool, std::move(opened.value()), {});
-        runner->with_step([&](const auto& step) { store_manifest(runner, step); });
-        kernel::log(events::step_opened, {{"step", rollout::to_string(request.key)}});
+        runner = made.value();
     }
     runner->pump();
     return runner->with_step([](const auto& step) {
@@ -270,6 +211,36 @@
     });
 }
 
+kernel::result<std::shared_ptr<step_runner>>
+step_directory::make_step(const kernel::pool_id& pool, std::uint64_t fence,
+                          const rollout::step_request& request) {
+    const auto rules = rules_of(pool);
+    if (!rules) {
+        return kernel::error{kernel::error_code::not_found, pool.str()};
+    }
+    auto& clock = parts_.shared.clock;
+    auto opened = rollout::open_step(request, *rules, fence, clock.now(), clock.wall_now());
+    if (!opened) {
+        return opened.error();
+    }
+    std::vector<kernel::host_id> to_ask;
+    if (ownership_.is_recent_takeover(step_ownership::lease_name(pool, request.key.trainer))) {
+        to_ask = parts_.others.others();
+    }
+    if (!to_ask.empty()) {
+        // An earlier owner may have died in this very step: what it had paid for is still held.
+        opened = storage_.reopen(opened.value(), to_ask);
+        if (!opened) {
+            return opened.error();
+        }
+    }
+    kernel::log(events::step_opened, {{"step", rollout::to_string(request.key)}});
+    storage_.store(opened.value());
+    auto runner = adopt(pool, std::move(opened.value()));
+    collect(runner, to_ask);
+    return runner;
+}
+
 transport::http_response step_directory::pull(const step_call& call, std::uint64_t fence,
                                               const rollout::pull_request& request) {
     auto& shared = parts_.shared;
@@ -310,108 +281,53 @@
     return it == steps_.end() ? nullptr : it->second.runner;
 }
 
-std::shared_ptr<step_runner> step_directory::adopt(const kernel::pool_id& pool, rollout::step open,
-                                                   const std::vector<std::string>& chunks) {
+std::shared_ptr<step_runner> step_directory::adopt(const kernel::pool_id& pool,
+                                                   rollout::step open) {
     const auto key = open.request.key;
     const std::lock_guard lock(mutex_);
     if (const auto it = steps_.find(key); it != steps_.end()) {
         return it->second.runner;
     }
-    const auto slot = std::make_shared<std::weak_ptr<step_runner>>();
+    const auto self = std::make_shared<std::weak_ptr<step_runner>>();
     const step_services services{
-        .hold =
-            [this, slot](const rollout::hold_request& request) {
-                parts_.replicas.send_hold(request, *slot);
-            },
-        .release =
-            [this](const kernel::host_id& host, const rollout::release_request& request) {
-                parts_.replicas.send_release(host, request);
-            },
-        .score =
-            [this, slot, pool](const rollout::step_key&, const rollout::score_wanted& wanted) {
-                score_sample(parts_, pool, wanted, *slot);
-            }};
+        .hold = [this, self](const auto& request) { parts_.replicas.send_hold(request, *self); },
+        .release = [this](const auto& host,
+                          const auto& request) { parts_.replicas.send_release(host, request); },
+        .score = [this, self,
+                  pool](const auto&,
+                        const auto& wanted) { score_sample(parts_, pool, wanted, *self); }};
     auto runner =
         std::make_shared<step_runner>(parts_.shared, parts_.requests, services, std::move(open));
-    *slot = runner;
-    steps_[key] = {runner, pool, chunks, std::nullopt};
+    *self = runner;
+    steps_[key] = {runner, pool, std::nullopt};
     return runner;
 }
 
-void step_directory::store_manifest(const std::shared_ptr<step_runner>&,
-                                    const rollout::step& open) {
-    const auto chunks = rollout::chunks_of(open.request);
-    std::vector<std::string> digests;
-    std::vector<std::pair<std::string, std::string>> objects;
-    for (const auto& chunk : chunks) {
-        auto text = rollout::encode(chunk);
-        digests.push_back(kernel::digest_hex(text));
-        objects.emplace_back(digests.back(), std::move(text));
-    }
-    const auto hosts = parts_.others.others();
-    auto stored = rollout::encode(rollout::manifest_of(open, digests, hosts));
-    {
-        const std::lock_guard lock(mutex_);
-        if (const auto it = steps_.find(open.request.key); it != steps_.end()) {
-            it->second.chunks = digests;
-        }
-    }
-    // In the background: without its manifest a step is lost only together with its owner, and then
-    // the trainer opens it again.
-    parts_.background.run([this, objects = std::move(objects), stored = std::move(stored),
-                           name = manifest_name(open.request.key)] {
-        for (const auto& [digest, text] : objects) {
-            static_cast<void>(
-                parts_.platform.call(coord::call_kind::step_state,
-                                     coord::put_object{{chunk_kind, digest}, text, std::nullopt}));
-        }
-        static_cast<void>(
-            parts_.platform.call(coord::call_kind::step_state,
-                                 coord::put_object{{manifest_kind, name}, stored, std::nullopt}));
-    });
-}
-
 std::shared_ptr<step_runner> step_directory::recover(const kernel::pool_id& pool,
                                                      const rollout::step_key& key,
                                                      std::uint64_t fence) {
-    const auto read = [this](const char* kind, const std::string& name) {
-        const auto outcome =
-            parts_.platform.call(coord::call_kind::step_state, coord::get_object{{kind, name}});
-        const auto* found = std::get_if<coord::call_object>(&outcome);
-        return found == nullptr ? std::nullopt : std::optional(found->object.value);
-    };
-    const auto text = read(manifest_kind, manifest_name(key));
     const auto rules = rules_of(pool);
-    if (!text || !rules) {
-        return nullptr;
-    }
-    const auto stored = rollout::decode_manifest(*text);
-    if (!stored || stored.value().key != key) {
+    if (!rules) {
         return nullptr;
     }
-    std::vector<rollout::prompt_chunk> chunks;
-    for (const auto& digest : stored.value().chunks) {
-        const auto body = read(chunk_kind, digest);
-        const auto chunk = body ? rollout::decode_prompt_chunk(*body)
-                                : kernel::error{kernel::error_code::not_found, digest};
-        if (!chunk) {
-            return nullptr;
-        }
-        chunks.push_back(chunk.value());
-    }
-    auto& shared = parts_.shared;
     const auto hosts = parts_.others.others();
-    auto recovered = rollout::recover_step(stored.value(), chunks, *rules, fence, hosts,
-                                           shared.clock.now(), shared.clock.wall_now());
+    auto recovered = storage_.load(key, *rules, fence, hosts);
     if (!recovered) {
         return nullptr;
     }
     kernel::log(events::step_recovered, {{"step", rollout::to_string(key)}, {"epoch", fence}});
-    auto runner = adopt(pool, std::move(recovered.value()), stored.value().chunks);
+    auto runner = adopt(pool, std::move(*recovered));
+    collect(runner, hosts);
+    return runner;
+}
+
+void step_directory::collect(const std::shared_ptr<step_runner>& runner,
+                             std::span<const kernel::host_id> hosts) const {
+    const auto request = runner->with_step(
+        [](const auto& open) { return rollout::collect_request{open.request.key, open.epoch}; });
     for (const auto& host : hosts) {
-        parts_.replicas.send_collect(host, {key, fence}, runner);
+        parts_.replicas.send_collect(host, request, runner);
     }
-    return runner;
 }
 
 void step_directory::observe_version(const kernel::pool_id& pool, rollout::weight_version version) {
@@ -428,65 +344,59 @@
 }
 
 void step_directory::tick() {
-    std::vector<std::pair<rollout::step_key, owned_step>> all;
-    {
-        const std::lock_guard lock(mutex_);
-        all.assign(steps_.begin(), steps_.end());
+    ownership_.tick();
+    for (const auto& [key, one] : snapshot_steps()) {
+        tick_one(key, one);
     }
-    const auto now = parts_.shared.clock.now();
-    for (auto& [key, one] : all) {
-        const auto seen = parts_.leases.holder(lease_name(one.pool, key.trainer));
-        const auto epoch = one.runner->with_step([](const auto& open) { return open.epoch; });
-        if (seen && seen->host != parts_.shared.settings.host && seen->fence > epoch) {
-            one.runner->supersede(seen->fence);
-        }
-        one.runner->pump();
-        const auto state = one.runner->with_step([](const auto& open) { return open.state; });
-        if (!is_over(state)) {
-            continue;
-        }
-        const std::lock_guard lock(mutex_);
-        const auto it = steps_.find(key);
-        if (it != steps_.end() && !it->second.over_since) {
-            it->second.over_since = now;
-        } else if (it != steps_.end() && now - *it->second.over_since > keep_ended_steps) {
-            const auto ended = it->second;
-            steps_.erase(it);
-            forget(key, ended);
-        }
+}
+
+void step_directory::tick_one(const rollout::step_key& key, const owned_step& one) {
+    const auto lease = step_ownership::lease_name(one.pool, key.trainer);
+    const auto epoch = one.runner->with_step([](const auto& open) { return open.epoch; });
+    if (const auto newer = ownership_.superseded_by(lease, epoch)) {
+        one.runner->supersede(*newer);
     }
-    std::vector<std::string> idle;
+    one.runner->pump();
+    if (!is_over(one.runner->with_step([](const auto& open) { return open.state; }))) {
+        return;
+    }
+    const auto now = parts_.shared.clock.now();
     {
         const std::lock_guard lock(mutex_);
-        for (const auto& [name, used] : last_use_) {
-            if (now - used > idle_lease_time) {
-                idle.push_back(name);
-            }
+        auto& stored = steps_[key];
+        if (!stored.over_since) {
+            stored.over_since = now;
         }
-        std::ranges::for_each(idle, [this](const auto& name) { last_use_.erase(name); });
+        if (now - *stored.over_since < keep_ended_steps) {
+            return;
+        }
+        steps_.erase(key);
     }
-    std::ranges::for_each(idle, [this](const auto& name) { parts_.leases.give_back(name); });
-}
-
-void step_directory::forget(const rollout::step_key& key, const owned_step& what) {
     kernel::log(events::step_closed, {{"step", rollout::to_string(key)}});
-    const auto faults =
-        what.runner->with_step([](const auto& open) { return rollout::check(open); });
-    for (const auto& fault : faults.items()) {
-        kernel::log(events::step_unbalanced, {{"finding", kernel::to_string(fault)}});
-    }
-    parts_.background.run([this, name = manifest_name(key), chunks = what.chunks] {
-        static_cast<void>(
-            parts_.platform.call(coord::call_kind::step_state,
-                                 coord::delete_object{{manifest_kind, name}, std::nullopt}));
-        for (const auto& digest : chunks) {
-            static_cast<void>(
-                parts_.platform.call(coord::call_kind::step_state,
-                                     coord::delete_object{{chunk_kind, digest}, std::nullopt}));
+    one.runner->with_step([this](const auto& ended) {
+        for (const auto& fault : rollout::check(ended).items()) {
+            kernel::log(events::step_unbalanced, {{"finding", kernel::to_string(fault)}});
+        }
+        if (ended.state != rollout::step_state::superseded) {
+            storage_.remove(ended);
         }
     });
 }
 
+// The next owner finds these copies when it collects; what a slow host does not take in time is
+// made again.
+void step_directory::hand_over() {
+    for (const auto& [key, one] : snapshot_steps()) {
+        const auto all = one.runner->with_step(
+            [](const auto& open) { return std::pair(rollout::hand_over(open), open.epoch); });
+        const auto until = parts_.shared.clock.wall_now().unix_ms + hand_over_expiry_ms;
+        for (const auto& held : all.first.samples) {
+            parts_.replicas.send_hold({key, all.second, {until}, all.first.account, held},
+                                      one.runner);
+        }
+    }
+}
+
 std::vector<step_directory::view> step_directory::list() const {
     const std::lock_guard lock(mutex_);
     std::vector<view> all;
--- a/src/daemon/step_directory.hpp
+++ b/src/daemon/step_directory.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "daemon/lease_runner.hpp"
-#include "daemon/replica_keeper.hpp"
+#include "daemon/step_ownership.hpp"
+#include "daemon/step_storage.hpp"
 
 #include <map>
 #include <mutex>
@@ -19,23 +19,11 @@
     bool forwarded = false; ///< Came from another host, and is not passed on again.
 };
 
-/// The parts of the daemon that steps need.
-struct step_surroundings {
-    context& shared;
-    request_runner& requests;
-    lease_runner& leases;
-    membership_runner& members;
-    platform_runner& platform;
-    peers& others;
-    replica_keeper& replicas;
-    tasks& background;
-};
-
 /// The steps that this host owns, and the way to those that others own. A trainer's steps have one
 /// owner, by a lease; calls that reach another host are passed on. Thread-safe.
 class step_directory {
 public:
-    explicit step_directory(const step_surroundings& parts) : parts_(parts) {}
+    explicit step_directory(const step_surroundings& parts);
 
     [[nodiscard]] transport::http_response handle(const step_call& call);
 
@@ -60,26 +48,13 @@
 
     [[nodiscard]] std::vector<view> list() const;
 
-    [[nodiscard]] static std::string lease_name(const kernel::pool_id& pool,
-                                                const kernel::trainer_id& trainer);
-    static constexpr std::string_view owner_item_kind = "step-owner";
-
 private:
     struct owned_step {
         std::shared_ptr<step_runner> runner;
         kernel::pool_id pool;
-        std::vector<std::string> chunks; ///< Digests, for the removal of the manifest.
         std::optional<kernel::time_point> over_since;
     };
 
-    struct ownership {
-        std::optional<std::uint64_t> fence;
-        std::optional<kernel::host_id> other;
-    };
-
-    [[nodiscard]] ownership look_up_owner(const std::string& name) const;
-    [[nodiscard]] ownership find_owner(const std::string& name);
-    void want_lease(const std::string& name);
     [[nodiscard]] transport::http_response forward(const step_call& call,
                                                    const kernel::host_id& to) const;
     [[nodiscard]] transport::http_response open(const step_call& call, std::uint64_t fence,
@@ -88,18 +63,25 @@
                                                 const rollout::pull_request& request);
     [[nodiscard]] transport::http_response cancel(const rollout::step_key& key);
     [[nodiscard]] std::shared_ptr<step_runner> find(const rollout::step_key& key) const;
+    [[nodiscard]] kernel::result<std::shared_ptr<step_runner>>
+    make_step(const kernel::pool_id& pool, std::uint64_t fence,
+              const rollout::step_request& request);
     [[nodiscard]] std::shared_ptr<step_runner>
     recover(const kernel::pool_id& pool, const rollout::step_key& key, std::uint64_t fence);
-    std::shared_ptr<step_runner> adopt(const kernel::pool_id& pool, rollout::step open,
-                                       const std::vector<std::string>& chunks);
-    void store_manifest(const std::shared_ptr<step_runner>& runner, const rollout::step& open);
-    void forget(const rollout::step_key& key, const owned_step& what);
+    std::shared_ptr<step_runner> adopt(const kernel::pool_id& pool, rollout::step open);
+    void collect(const std::shared_ptr<step_runner>& runner,
+                 std::span<const kernel::host_id> hosts) const;
+    void tick_one(const rollout::step_key& key, const owned_step& one);
+    [[nodiscard]] std::vector<std::pair<rollout::step_key, owned_step>> snapshot_steps() const;
+    [[nodiscard]] std::optional<std::uint64_t> running_epoch_of(const std::string& lease) const;
+    void raise_epochs(const std::string& lease, std::uint64_t fence);
     [[nodiscard]] std::optional<rollout::pool_rules> rules_of(const kernel::pool_id& pool) const;
 
     step_surroundings parts_;
+    step_ownership ownership_;
+    step_storage storage_;
     mutable std::mutex mutex_;
     std::map<rollout::step_key, owned_step> steps_;
-    std::map<std::string, kernel::time_point> last_use_; ///< Of lease names.
 };
 
 } // namespace cornelloom::daemon
--- a/src/daemon/step_runner.cpp
+++ b/src/daemon/step_runner.cpp
@@ -138,10 +138,10 @@
         return false;
     }
     it->second.tokens += static_cast<rollout::token_count>(next.tokens);
-    const rollout::stream_piece piece{.text = next.text,
-                                      .tokens = static_cast<rollout::token_count>(next.tokens),
-                                      .version =
-                                          static_cast<rollout::weight_version>(next.version)};
+    const rollout::stream_piece piece{next.text,
+                                      static_cast<rollout::token_count>(next.tokens),
+                                      static_cast<rollout::weight_version>(next.version),
+                                      {}};
     const auto verdict = rollout::on_piece(step_, it->second.ref, piece, shared_.clock.now());
     if (verdict == rollout::piece_verdict::stop) {
         after_change(lock);
