decide: the single decisions behind the facade

Cause: the thin scheduler decided nothing. Change: admission, fair queue, rendezvous subsets, placement, adaptive limits, retry and hedge budgets, quarantine, health, staleness and swaps, each in its own header, and the scheduler that joins them.

--- a/src/decide/decide.hpp
+++ b/src/decide/decide.hpp
@@ -3,6 +3,17 @@
 /// All of the decide library: pure decisions under load and faults. Embedders use the scheduler;
 /// the single decisions can be used and tested alone.
 
+#include "decide/admission.hpp"
+#include "decide/fair_queue.hpp"
+#include "decide/health.hpp"
+#include "decide/hedge.hpp"
+#include "decide/limit.hpp"
+#include "decide/placement.hpp"
 #include "decide/policy.hpp"
+#include "decide/quarantine.hpp"
+#include "decide/retry.hpp"
 #include "decide/scheduler.hpp"
+#include "decide/staleness.hpp"
+#include "decide/subset.hpp"
+#include "decide/target_load.hpp"
 #include "decide/types.hpp"
--- /dev/null
+++ b/src/decide/fair_queue.hpp
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "kernel/clock.hpp"
+#include "kernel/identifiers.hpp"
+
+#include <compare>
+#include <cstdint>
+#include <list>
+#include <map>
+#include <optional>
+#include <unordered_map>
+
+namespace cornelloom::decide {
+
+/// Order within a caller: earliest deadline first, then order of arrival.
+struct queue_key {
+    kernel::time_point deadline;
+    std::uint64_t sequence = 0;
+    auto operator<=>(const queue_key&) const = default;
+};
+
+/// The waiting work of one caller, with its cost in tokens.
+struct caller_queue {
+    std::map<queue_key, double> items;
+    std::list<kernel::caller_id>::iterator place; ///< In the ring.
+    double weight = 1;
+    double deficit = 0;   ///< Cost that the caller may still spend in this round.
+    bool granted = false; ///< Whether this round's quantum was added.
+    double cost = 0;      ///< Of all items.
+};
+
+/// Deficit round robin by cost between callers, earliest deadline first within a caller.
+///
+/// Load: one caller with thousands of long samples beside callers with a few. Harm prevented: a
+/// first-in-first-out queue serves callers in proportion to what they pile up. The quantum is the
+/// largest cost waiting, so each visit serves at least one item of a caller of weight 1 and a
+/// caller is never ahead of its share by more than two such items. Every operation is at most
+/// logarithmic in the caller's items.
+struct fair_queue {
+    std::unordered_map<kernel::caller_id, caller_queue> callers;
+    std::list<kernel::caller_id> ring; ///< Callers with waiting work; the front is served.
+    double quantum = 1;
+    std::size_t size = 0;
+    double cost = 0;
+};
+
+struct queue_head {
+    kernel::caller_id caller;
+    queue_key key;
+    double cost = 0;
+};
+
+void push(fair_queue& queue, const kernel::caller_id& caller, double weight, queue_key key,
+          double cost);
+
+/// Takes an item out without charging its caller: it left, expired, or can't be placed yet.
+bool remove(fair_queue& queue, const kernel::caller_id& caller, queue_key key);
+
+/// The item to serve next, if any; it stays until `take` or `remove`.
+[[nodiscard]] std::optional<queue_head> head(fair_queue& queue);
+
+/// Takes the item that `head` gave and charges its caller.
+void take(fair_queue& queue, const queue_head& item);
+
+[[nodiscard]] std::size_t size_of(const fair_queue& queue, const kernel::caller_id& caller);
+[[nodiscard]] double cost_of(const fair_queue& queue, const kernel::caller_id& caller);
+
+} // namespace cornelloom::decide
--- /dev/null
+++ b/src/decide/health.cpp
@@ -0,0 +1,66 @@
+#include "decide/health.hpp"
+
+#include <algorithm>
+
+namespace cornelloom::decide {
+
+namespace {
+
+constexpr std::uint32_t most_doublings = 16;
+
+double seconds(kernel::duration length) {
+    return std::chrono::duration<double>(length).count();
+}
+
+} // namespace
+
+bool is_ejected(const target_health& health, kernel::time_point now) {
+    return now < health.ejected_until;
+}
+
+double traffic_share(const target_health& health, const health_policy& rules,
+                     kernel::time_point now) {
+    if (!health.starting || now >= health.returned + rules.slow_start) {
+        return 1;
+    }
+    const double elapsed = std::max(0.0, seconds(now - health.returned));
+    const double progress = elapsed / std::max(seconds(rules.slow_start), 1e-9);
+    return rules.slow_start_share + (1 - rules.slow_start_share) * progress;
+}
+
+void on_good_answer(target_health& health, const health_policy& rules, kernel::time_point now) {
+    health.consecutive_failures = 0;
+    if (health.starting && now >= health.returned + rules.slow_start) {
+        health.starting = false;
+        health.ejections = 0;
+    }
+}
+
+bool on_bad_answer(target_health& health, const health_policy& rules) {
+    ++health.consecutive_failures;
+    return health.consecutive_failures >= rules.consecutive_failures;
+}
+
+void eject(target_health& health, const health_policy& rules, kernel::time_point now) {
+    const auto doublings = std::min(health.ejections, most_doublings);
+    const auto length = rules.base_ejection * (std::int64_t{1} << doublings);
+    health.ejected_until = now + std::min(length, rules.max_ejection);
+    health.returned = health.ejected_until;
+    health.starting = true;
+    ++health.ejections;
+    // One more failure after the return ejects again.
+    health.consecutive_failures = rules.consecutive_failures - 1;
+}
+
+bool observe_failure(zone_observations& zone, const health_policy& rules, std::uint32_t target,
+                     kernel::time_point now) {
+    std::erase_if(zone.failures, [&](const auto& seen) {
+        return seen.target == target || seen.at + rules.observer_window < now;
+    });
+    zone.failures.push_back({target, now});
+    const auto failed = static_cast<double>(zone.failures.size());
+    return zone.failures.size() >= 2 &&
+           failed > rules.observer_share * static_cast<double>(zone.targets);
+}
+
+} // namespace cornelloom::decide
--- /dev/null
+++ b/src/decide/internal/records.cpp
@@ -0,0 +1,149 @@
+#include "decide/internal/state.hpp"
+
+#include "kernel/hash.hpp"
+
+#include <algorithm>
+
+namespace cornelloom::decide {
+
+namespace {
+
+// Reading a token in costs about this part of generating one.
+constexpr double read_cost = 0.1;
+
+// An answer that outgrows its estimate is expected to need this many more.
+constexpr double least_generated = 16;
+
+void leave_group(request_record& record) {
+    auto& groups = record.where->groups;
+    const auto it = groups.find(record.work.group);
+    if (record.work.group.empty() || it == groups.end()) {
+        return;
+    }
+    it->second.open.erase(record.sequence);
+    if (it->second.open.empty()) {
+        groups.erase(it);
+    }
+}
+
+void leave_waiting(scheduler_state& state, request_record& record) {
+    if (record.phase == request_phase::queued) {
+        auto& queue = record.where->queues.at(index_of(record.work.priority));
+        remove(queue, record.work.caller, key_of(record));
+    }
+    if (record.phase == request_phase::delayed) {
+        state.delayed.erase({record.not_before, record.sequence, &record});
+    }
+}
+
+} // namespace
+
+double cost_of(const request& work, std::uint32_t kept_tokens) {
+    if (work.kind == target_kind::service) {
+        return 1;
+    }
+    const auto size = size_of(work, kept_tokens);
+    return std::max(1.0, size.generate + read_cost * size.read);
+}
+
+answer_size size_of(const request& work, std::uint32_t kept_tokens) {
+    if (work.kind == target_kind::service) {
+        return {};
+    }
+    const double left = static_cast<double>(work.output_tokens) - kept_tokens;
+    return {.read = static_cast<double>(work.prompt_tokens) + kept_tokens,
+            .generate = std::max(left, least_generated)};
+}
+
+request_record* find(scheduler_state& state, const kernel::request_id& id) {
+    const auto it = state.requests.find(id);
+    return it == state.requests.end() ? nullptr : it->second.get();
+}
+
+sending* find(request_record& record, std::uint32_t attempt) {
+    const auto it = std::ranges::find(record.sendings, attempt, &sending::number);
+    return it == record.sendings.end() ? nullptr : &*it;
+}
+
+queue_key key_of(const request_record& record) {
+    return {record.work.deadline, record.sequence};
+}
+
+kernel::run_state run_state_of(const request_record& record) {
+    if (record.answered_error) {
+        return kernel::run_state::ran;
+    }
+    // A sending under way may have left this host already, whatever becomes of it.
+    const bool sent =
+        record.maybe_sent || !record.sendings.empty() || record.work.attempts_made > 0;
+    return sent ? kernel::run_state::unknown : kernel::run_state::not_run;
+}
+
+std::uint64_t digest_of(const request& work) {
+    return work.digest != 0 ? work.digest : kernel::hash64(work.id.str());
+}
+
+void enqueue(scheduler_state& state, request_record& record) {
+    record.phase = request_phase::queued;
+    auto& queue = record.where->queues.at(index_of(record.work.priority));
+    push(queue, record.work.caller, policy_of(state.rules, record.work.caller.str()).weight,
+         key_of(record), cost_of(record.work, record.kept_tokens));
+}
+
+void delay(scheduler_state& state, request_record& record, kernel::time_point until) {
+    record.phase = request_phase::delayed;
+    record.not_before = until;
+    state.delayed.insert({until, record.sequence, &record});
+}
+
+void check_hedge_at(scheduler_state& state, request_record& record, kernel::time_point at) {
+    if (record.has_hedge_check) {
+        state.hedge_checks.erase({record.hedge_check, record.sequence, &record});
+    }
+    record.hedge_check = at;
+    record.has_hedge_check = true;
+    state.hedge_checks.insert({at, record.sequence, &record});
+}
+
+void end_sending(scheduler_state& state, request_record& record, std::uint32_t attempt) {
+    const auto* ended = find(record, attempt);
+    if (ended == nullptr) {
+        return;
+    }
+    auto& load = state.targets[ended->target];
+    --load.in_flight;
+    --state.in_flight;
+    if (record.work.priority == priority_class::interactive) {
+        --load.interactive_in_flight;
+    }
+    if (ended->suspect) {
+        --load.suspects;
+    }
+    std::erase_if(record.sendings, [&](const auto& each) { return each.number == attempt; });
+}
+
+void forget(scheduler_state& state, request_record& record, actions& out) {
+    while (!record.sendings.empty()) {
+        const auto& each = record.sendings.back();
+        out.cancellations.push_back(
+            {record.work.id, state.targets[each.target].config.id, each.number, each.tokens});
+        end_sending(state, record, each.number);
+    }
+    leave_waiting(state, record);
+    leave_group(record);
+    if (record.has_hedge_check) {
+        state.hedge_checks.erase({record.hedge_check, record.sequence, &record});
+    }
+    state.deadlines.erase({record.work.deadline, record.sequence, &record});
+    state.by_sequence.erase(record.sequence);
+    state.requests.erase(kernel::request_id(record.work.id));
+}
+
+void refuse(scheduler_state& state, request_record& record, kernel::refusal_reason reason,
+            kernel::duration retry_after, std::string detail, actions& out) {
+    out.refusals.push_back(
+        {record.work.id, {reason, run_state_of(record), retry_after, std::move(detail)}});
+    forget(state, record, out);
+}
+
+} // namespace cornelloom::decide
--- /dev/null
+++ b/src/decide/internal/stragglers.cpp
@@ -0,0 +1,169 @@
+#include "decide/internal/state.hpp"
+
+#include <algorithm>
+
+namespace cornelloom::decide {
+
+namespace {
+
+// Until the next look at a sending that is no straggler yet, as a share of its prediction.
+constexpr double recheck_share = 0.25;
+constexpr kernel::duration least_recheck = 50ms;
+
+// Below so many tokens a stream's own speed says little.
+constexpr std::uint32_t telling_tokens = 16;
+
+// Weight of a late sending as an observation of its target: nothing came yet, but it is slow.
+constexpr double late_gain = 0.1;
+
+double seconds(kernel::duration length) {
+    return std::chrono::duration<double>(length).count();
+}
+
+kernel::duration from_seconds(double length) {
+    return std::chrono::duration_cast<kernel::duration>(std::chrono::duration<double>(length));
+}
+
+double group_done(const request_record& record) {
+    const auto it = record.where->groups.find(record.work.group);
+    if (record.work.group.empty() || it == record.where->groups.end()) {
+        return 0;
+    }
+    const auto& group = it->second;
+    const double known = static_cast<double>(group.done) + static_cast<double>(group.open.size());
+    const double size = std::max(static_cast<double>(group.size), known);
+    return size > 0 ? group.done / size : 0;
+}
+
+// By the stream's own speed; without tokens, as long again as it has taken already.
+double remaining_here(const sending& running, kernel::time_point now) {
+    const double elapsed = seconds(now - running.sent);
+    if (running.tokens < telling_tokens) {
+        return std::max(running.predicted - elapsed, elapsed);
+    }
+    const double speed = running.tokens / std::max(elapsed, 1e-3);
+    return std::max(running.size.generate - running.tokens, 1.0) / speed;
+}
+
+// A copy goes on from the tokens that the first one has sent so far.
+void keep_running_tokens(request_record& record, const sending& running) {
+    record.kept_tokens = running.resumed + running.tokens;
+    record.kept_version = running.oldest_version;
+}
+
+placement place_copy(scheduler_state& state, const request_record& record, const sending& running,
+                     kernel::time_point now) {
+    auto query = query_of(state, record, now);
+    std::vector<std::uint32_t> avoid = record.avoid;
+    avoid.push_back(running.target);
+    query.avoid = avoid;
+    query.size = size_of(record.work, running.resumed + running.tokens);
+    return choose(state.targets, record.where->subset, query, state.rules, now, state.random);
+}
+
+straggler_view view_of(const request_record& record, const sending& running, const placement& where,
+                       kernel::time_point now) {
+    straggler_view view;
+    view.elapsed = seconds(now - running.sent);
+    view.expected = running.predicted;
+    view.remaining_here = remaining_here(running, now);
+    view.remaining_there = where.seconds;
+    view.group_done = group_done(record);
+    return view;
+}
+
+bool is_candidate(const scheduler_state& state, const request_record& record) {
+    const auto& rules = state.rules;
+    const auto attempts = record.work.attempts_made + record.attempts;
+    return rules.hedge.enabled && record.work.idempotent && record.sendings.size() == 1 &&
+           attempts < rules.retry.max_attempts;
+}
+
+// Plain services have no progress to judge by: late is a multiple of the usual time.
+bool service_is_late(const scheduler_state& state, const request_record& record,
+                     const sending& running, kernel::time_point now) {
+    const double usual = record.where->service_seconds * state.rules.hedge.service_factor;
+    return seconds(now - running.sent) >= usual;
+}
+
+bool worth_it(const scheduler_state& state, const request_record& record, const sending& running,
+              const placement& where, kernel::time_point now) {
+    if (record.work.kind == target_kind::service) {
+        return service_is_late(state, record, running, now);
+    }
+    return copy_pays(view_of(record, running, where, now), state.rules.hedge);
+}
+
+void note_late(scheduler_state& state, const sending& running, kernel::time_point now) {
+    const double ratio = seconds(now - running.sent) / std::max(running.nominal, 1e-6);
+    auto& load = state.targets[running.target];
+    if (ratio > current_slowness(load, now)) {
+        observe_ratio(load, ratio, late_gain, now);
+    }
+}
+
+bool try_copy(scheduler_state& state, request_record& record, kernel::time_point now,
+              actions& out) {
+    const auto running = record.sendings.front();
+    const auto where = place_copy(state, record, running, now);
+    if (where.outcome != placement_outcome::placed ||
+        !worth_it(state, record, running, where, now)) {
+        return false;
+    }
+    const double cost = cost_of(record.work, running.resumed + running.tokens);
+    if (!spend(record.where->hedges, cost)) {
+        return false;
+    }
+    keep_running_tokens(record, running);
+    record.cause = retry_reason::straggler;
+    send(state, record, where, dispatch_kind::hedge, now, out);
+    return true;
+}
+
+void look_again(scheduler_state& state, request_record& record, kernel::time_point now) {
+    const auto& running = record.sendings.front();
+    const auto pause = std::max(from_seconds(running.predicted * recheck_share), least_recheck);
+    check_hedge_at(state, record, now + pause);
+}
+
+} // namespace
+
+void hedge_due(scheduler_state& state, kernel::time_point now, actions& out) {
+    while (!state.hedge_checks.empty() && state.hedge_checks.begin()->at <= now) {
+        auto& record = *state.hedge_checks.begin()->record;
+        state.hedge_checks.erase(state.hedge_checks.begin());
+        record.has_hedge_check = false;
+        if (!is_candidate(state, record)) {
+            continue;
+        }
+        note_late(state, record.sendings.front(), now);
+        if (!try_copy(state, record, now, out)) {
+            look_again(state, record, now);
+        }
+    }
+}
+
+void note_group_progress(scheduler_state& state, const request_record& record,
+                         kernel::time_point now) {
+    const auto it = record.where->groups.find(record.work.group);
+    if (record.work.group.empty() || it == record.where->groups.end()) {
+        return;
+    }
+    auto& group = it->second;
+    ++group.done;
+    group.open.erase(record.sequence);
+    if (group_done(record) < state.rules.hedge.group_done) {
+        return;
+    }
+    // The rest of the group is waited for now: look at its members at once.
+    for (const auto sequence : group.open) {
+        auto& member = *state.by_sequence.at(sequence);
+        const auto soon = now + state.rules.hedge.min_elapsed;
+        const bool later = !member.has_hedge_check || soon < member.hedge_check;
+        if (later && is_candidate(state, member)) {
+            check_hedge_at(state, member, soon);
+        }
+    }
+}
+
+} // namespace cornelloom::decide
--- a/src/decide/policy.hpp
+++ b/src/decide/policy.hpp
@@ -114,6 +114,9 @@
     pool_policy default_pool;
     std::map<std::string, pool_policy, std::less<>> pools;
     bool predict_deadlines = true; ///< Refuse at once what cannot finish in time.
+    /// Predictions are noisy: refused is what misses its deadline even at this share of the
+    /// predicted time.
+    double deadline_certainty = 0.7;
 };
 
 [[nodiscard]] const caller_policy& policy_of(const policy& rules, std::string_view caller);
--- /dev/null
+++ b/src/decide/quarantine.cpp
@@ -0,0 +1,121 @@
+#include "decide/quarantine.hpp"
+
+#include <algorithm>
+
+namespace cornelloom::decide {
+
+namespace {
+
+// Beyond the time that it had run before: scheduling on the new target may be slower.
+constexpr kernel::duration proof_margin = 3s;
+
+void blame(crash_record& record, std::uint64_t target, kernel::duration ran,
+           kernel::time_point now) {
+    if (std::ranges::find(record.targets, target) == record.targets.end()) {
+        record.targets.push_back(target);
+    }
+    record.last = now;
+    record.longest_run = std::max(record.longest_run, ran);
+}
+
+void make_room(crash_ledger& ledger, const quarantine_policy& rules) {
+    while (ledger.digests.size() >= std::max<std::size_t>(rules.max_entries, 1)) {
+        const auto oldest = std::ranges::min_element(
+            ledger.digests, {}, [](const auto& entry) { return entry.second.last; });
+        ledger.digests.erase(oldest);
+    }
+}
+
+crash_record& record_of(crash_ledger& ledger, const quarantine_policy& rules,
+                        std::uint64_t digest) {
+    if (!ledger.digests.contains(digest)) {
+        make_room(ledger, rules);
+    }
+    return ledger.digests[digest];
+}
+
+// Nobody is named by this crash: each starts, or starts again, with this one target.
+void suspect_all(crash_ledger& ledger, const quarantine_policy& rules, std::uint64_t target,
+                 const std::vector<crash_suspect>& in_flight, kernel::time_point now) {
+    for (const auto& each : in_flight) {
+        auto& record = record_of(ledger, rules, each.digest);
+        record.targets.clear();
+        blame(record, target, each.ran, now);
+    }
+}
+
+} // namespace
+
+std::uint64_t judge_crash(crash_ledger& ledger, const quarantine_policy& rules,
+                          std::uint64_t target, const std::vector<crash_suspect>& in_flight,
+                          kernel::time_point now) {
+    const auto unproven = std::ranges::count_if(in_flight, &crash_suspect::unproven);
+    if (unproven == 0) {
+        suspect_all(ledger, rules, target, in_flight, now);
+        return 0;
+    }
+    if (unproven > 1) {
+        return 0;
+    }
+    const auto& culprit = *std::ranges::find_if(in_flight, &crash_suspect::unproven);
+    auto& record = record_of(ledger, rules, culprit.digest);
+    blame(record, target, culprit.ran, now);
+    if (record.targets.size() < rules.crashes) {
+        return 0;
+    }
+    record.quarantined_until = now + rules.lifetime;
+    return culprit.digest;
+}
+
+kernel::duration quarantined_for(const crash_ledger& ledger, std::uint64_t digest,
+                                 kernel::time_point now) {
+    const auto it = ledger.digests.find(digest);
+    if (it == ledger.digests.end() || it->second.quarantined_until <= now) {
+        return {};
+    }
+    return it->second.quarantined_until - now;
+}
+
+bool is_suspect(const crash_ledger& ledger, const quarantine_policy& rules, std::uint64_t digest,
+                kernel::time_point now) {
+    const auto it = ledger.digests.find(digest);
+    return it != ledger.digests.end() && !it->second.targets.empty() &&
+           now < it->second.last + rules.suspicion;
+}
+
+kernel::duration proof_time(const crash_ledger& ledger, std::uint64_t digest) {
+    const auto it = ledger.digests.find(digest);
+    return it == ledger.digests.end() ? proof_margin : it->second.longest_run + proof_margin;
+}
+
+void quarantine(crash_ledger& ledger, const quarantine_policy& rules, std::uint64_t digest,
+                kernel::duration remaining, kernel::time_point now) {
+    auto& record = record_of(ledger, rules, digest);
+    const auto until = now + std::min(remaining, rules.lifetime);
+    record.quarantined_until = std::max(record.quarantined_until, until);
+    record.last = now;
+}
+
+void clear_suspicion(crash_ledger& ledger, std::uint64_t digest) {
+    ledger.digests.erase(digest);
+}
+
+void forgive(crash_ledger& ledger, kernel::time_point from) {
+    std::erase_if(ledger.digests, [&](const auto& entry) {
+        return entry.second.last >= from && entry.second.quarantined_until < from;
+    });
+}
+
+void expire(crash_ledger& ledger, const quarantine_policy& rules, kernel::time_point now) {
+    std::erase_if(ledger.digests, [&](const auto& entry) {
+        const auto& record = entry.second;
+        return record.quarantined_until <= now && record.last + rules.suspicion <= now;
+    });
+}
+
+std::size_t quarantined_count(const crash_ledger& ledger, kernel::time_point now) {
+    return static_cast<std::size_t>(std::ranges::count_if(
+        ledger.digests, [&](const auto& entry) { return entry.second.quarantined_until > now; }));
+}
+
+} // namespace cornelloom::decide
--- a/src/decide/scheduler.cpp
+++ b/src/decide/scheduler.cpp
@@ -1,292 +1,285 @@
 #include "decide/scheduler.hpp"
 
+#include "decide/internal/state.hpp"
+
 #include <algorithm>
-#include <deque>
-#include <unordered_map>
 
 namespace cornelloom::decide {
 
 namespace {
 
-struct attempt_state {
-    std::uint32_t number = 0;
-    kernel::target_id target;
-};
+// A target that is missing now may be back when the caller asks again.
+constexpr kernel::duration no_target_retry = 1s;
+constexpr kernel::duration least_retry = 100ms;
+constexpr kernel::duration idle_tick = 50ms;
 
-struct request_record {
-    request work;
-    bool sent = false;
-    std::uint32_t attempts = 0;
-    std::uint32_t kept_tokens = 0;
-    retry_reason cause = retry_reason::none;
-    std::vector<attempt_state> running;
-};
+double seconds(kernel::duration length) {
+    return std::chrono::duration<double>(length).count();
+}
 
-struct target_state {
-    target config;
-    std::uint32_t in_flight = 0;
-    bool leaving = false;
-    bool gone = false;
-};
+kernel::duration from_seconds(double length) {
+    constexpr double longest = 600;
+    return std::chrono::duration_cast<kernel::duration>(
+        std::chrono::duration<double>(std::min(length, longest)));
+}
 
-} // namespace
+kernel::refusal refused(const request& work, kernel::refusal_reason reason,
+                        kernel::duration retry_after, std::string detail = {}) {
+    // An earlier hop may have sent it: this one can't say that it did not run.
+    const auto state =
+        work.attempts_made > 0 ? kernel::run_state::unknown : kernel::run_state::not_run;
+    return {reason, state, retry_after, std::move(detail)};
+}
 
-struct scheduler_state {
-    host self;
-    policy rules;
-    std::unordered_map<kernel::request_id, request_record> requests;
-    std::deque<kernel::request_id> queue;
-    std::unordered_map<kernel::target_id, target_state> targets;
-};
+using check = std::optional<kernel::refusal>;
 
-namespace {
+check check_request(const scheduler_state& state, const request& work, kernel::time_point now) {
+    if (state.requests.contains(work.id)) {
+        return refused(work, kernel::refusal_reason::malformed, {}, "request id is in use");
+    }
+    if (work.deadline <= now) {
+        return refused(work, kernel::refusal_reason::deadline_passed, {});
+    }
+    if (work.attempts_made > 0 && !work.idempotent) {
+        return refused(work, kernel::refusal_reason::outcome_unknown, {},
+                       "not idempotent and sent by an earlier hop");
+    }
+    if (work.attempts_made >= state.rules.retry.max_attempts) {
+        return refused(work, kernel::refusal_reason::retry_budget_spent, least_retry,
+                       "attempts of earlier hops");
+    }
+    const auto left = quarantined_for(state.crashes, digest_of(work), now);
+    if (left > kernel::duration{}) {
+        return refused(work, kernel::refusal_reason::quarantined, left, "crashed several targets");
+    }
+    return std::nullopt;
+}
 
-kernel::run_state run_state_of(const request_record& record) {
-    const bool sent = record.sent || record.work.attempts_made > 0;
-    return sent ? kernel::run_state::unknown : kernel::run_state::not_run;
+check check_destination(const scheduler_state& state, const request& work) {
+    const auto it = state.destinations.find(work.destination);
+    if (it == state.destinations.end() || it->second->kind != work.kind) {
+        const auto reason = work.kind == target_kind::engine
+                                ? kernel::refusal_reason::no_such_pool
+                                : kernel::refusal_reason::no_such_service;
+        return refused(work, reason, {}, work.destination);
+    }
+    return std::nullopt;
 }
 
-bool serves(const target_state& candidate, const request& work) {
-    return !candidate.leaving && !candidate.gone &&
-           candidate.config.version >= work.minimum_version &&
-           candidate.in_flight < candidate.config.capacity &&
-           std::ranges::find(candidate.config.serves, work.destination) !=
-               candidate.config.serves.end();
+// Some target must be able to give tokens that are fresh enough, now or after a planned swap.
+check check_targets(const scheduler_state& state, const destination& where, const request& work,
+                    kernel::time_point now) {
+    const auto oldest =
+        where.kind == target_kind::engine
+            ? oldest_allowed(where.versions, pool_policy_of(state.rules, where.name),
+                             work.minimum_version)
+            : std::uint64_t{0};
+    bool any = false;
+    bool fresh = false;
+    for (const auto index : where.subset) {
+        const auto& load = state.targets[index];
+        const bool here = !load.gone && !load.leaving && !is_ejected(load.health, now);
+        any = any || here;
+        fresh = fresh ||
+                (here && (load.version >= oldest || (load.swap && load.swap->version >= oldest)));
+    }
+    if (!any) {
+        return refused(work, kernel::refusal_reason::no_target, no_target_retry);
+    }
+    if (!fresh) {
+        return refused(work, kernel::refusal_reason::staleness_unreachable, no_target_retry);
+    }
+    return std::nullopt;
 }
 
-target_state* least_loaded(scheduler_state& state, const request& work) {
-    target_state* best = nullptr;
-    for (auto& [id, candidate] : state.targets) {
-        if (serves(candidate, work) && (best == nullptr || candidate.in_flight < best->in_flight)) {
-            best = &candidate;
-        }
+double waiting_before(const destination& where, std::size_t index) {
+    double cost = 0;
+    for (std::size_t i = 0; i < index; ++i) {
+        cost += where.queues.at(i).cost;
     }
-    return best;
+    return cost;
+}
+
+backlog_view backlog_of(const scheduler_state& state, const destination& where,
+                        const request& work) {
+    const auto index = index_of(work.priority);
+    const auto& queue = where.queues.at(index);
+    const bool known = queue.callers.contains(work.caller);
+    return {.ahead = waiting_before(where, index),
+            .in_class = queue.cost,
+            .of_caller = cost_of(queue, work.caller) + (known ? 0 : cost_of(work, 0)),
+            .callers = static_cast<double>(queue.callers.size() + (known ? 0 : 1)),
+            .rate = where.rate,
+            .floor = state.rules.classes.at(index).floor};
 }
 
-attempt_state* find_attempt(request_record& record, std::uint32_t attempt) {
-    const auto it = std::ranges::find(record.running, attempt, &attempt_state::number);
-    return it == record.running.end() ? nullptr : &*it;
+deadline_view view_deadline(const scheduler_state& state, const destination& where,
+                            const request& work, kernel::time_point now) {
+    return {.wait = predicted_wait(backlog_of(state, where, work)),
+            .service = where.seconds_per_cost * cost_of(work, 0),
+            .left = seconds(work.deadline - now)};
 }
 
-void end_attempt(scheduler_state& state, request_record& record, std::uint32_t attempt) {
-    if (const auto* ended = find_attempt(record, attempt)) {
-        --state.targets.at(ended->target).in_flight;
-        std::erase_if(record.running, [&](const auto& a) { return a.number == attempt; });
+check check_queue(const scheduler_state& state, const destination& where, const request& work,
+                  const deadline_view& view) {
+    const auto index = index_of(work.priority);
+    const auto& queue = where.queues.at(index);
+    const auto most = state.rules.classes.at(index).max_queued;
+    const auto drained = std::max(from_seconds(view.wait), least_retry);
+    if (queue.size >= most) {
+        return refused(work, kernel::refusal_reason::queue_full, drained);
+    }
+    if (share_exceeded(size_of(queue, work.caller), queue.size, most,
+                       state.rules.max_caller_share)) {
+        return refused(work, kernel::refusal_reason::share_exceeded, drained);
+    }
+    if (!state.rules.predict_deadlines) {
+        return std::nullopt;
     }
+    if (const auto later = unreachable(view, state.rules.deadline_certainty)) {
+        return refused(work, kernel::refusal_reason::deadline_unreachable, *later);
+    }
+    return std::nullopt;
 }
 
-void forget(scheduler_state& state, const kernel::request_id& id, actions& out) {
-    auto& record = state.requests.at(id);
-    for (const auto& attempt : record.running) {
-        --state.targets.at(attempt.target).in_flight;
-        out.cancellations.push_back({id, attempt.target, attempt.number, 0});
+check check_rate(scheduler_state& state, const request& work, kernel::time_point now) {
+    const auto& rules = policy_of(state.rules, work.caller.str());
+    if (rules.tokens_per_second <= 0) {
+        return std::nullopt;
+    }
+    if (const auto later = charge(state.buckets[work.caller], rules, cost_of(work, 0), now)) {
+        return refused(work, kernel::refusal_reason::rate_limited, *later);
     }
-    std::erase(state.queue, id);
-    state.requests.erase(id);
+    return std::nullopt;
 }
 
-void refuse(scheduler_state& state, const kernel::request_id& id, kernel::refusal_reason reason,
-            actions& out) {
-    const auto run = run_state_of(state.requests.at(id));
-    out.refusals.push_back({id, {reason, run, 1s, ""}});
-    forget(state, id, out);
+void join_group(request_record& record) {
+    if (record.work.group.empty()) {
+        return;
+    }
+    auto& group = record.where->groups[record.work.group];
+    group.size = std::max(group.size, record.work.group_size);
+    group.open.insert(record.sequence);
 }
 
-void send(request_record& record, target_state& to, actions& out) {
-    ++record.attempts;
-    ++to.in_flight;
-    record.sent = true;
-    record.running.push_back({record.attempts, to.config.id});
-    const auto kind = record.attempts == 1      ? dispatch_kind::first
-                      : record.kept_tokens == 0 ? dispatch_kind::retry
-                                                : dispatch_kind::resume;
-    out.dispatches.push_back({record.work.id,
-                              to.config.id,
-                              record.attempts,
-                              kind,
-                              record.cause,
-                              record.work.deadline,
-                              record.kept_tokens,
-                              {},
-                              record.work.attempts_made + record.attempts});
+void admit(scheduler_state& state, request work, destination& where, kernel::time_point now) {
+    auto owned = std::make_unique<request_record>();
+    auto& record = *owned;
+    record.work = std::move(work);
+    record.where = &where;
+    record.sequence = state.next_sequence++;
+    record.submitted = now;
+    state.by_sequence.emplace(record.sequence, &record);
+    state.deadlines.insert({record.work.deadline, record.sequence, &record});
+    state.requests.emplace(record.work.id, std::move(owned));
+    join_group(record);
+    if (record.work.priority == priority_class::interactive) {
+        where.last_interactive = now;
+        where.had_interactive = true;
+    }
+    enqueue(state, record);
 }
 
 } // namespace
 
-scheduler::scheduler(host self, policy rules, std::uint64_t /*seed*/)
+scheduler::scheduler(host self, policy rules, std::uint64_t seed)
     : state(std::make_unique<scheduler_state>()) {
     state->self = std::move(self);
     state->rules = std::move(rules);
+    state->random.seed(seed);
 }
 
 scheduler::~scheduler() = default;
 scheduler::scheduler(scheduler&&) noexcept = default;
 scheduler& scheduler::operator=(scheduler&&) noexcept = default;
 
-void set_targets(scheduler& all, std::span<const target> targets, std::span<const host> /*hosts*/,
-                 kernel::time_point /*now*/) {
-    std::ranges::for_each(all.state->targets, [](auto& entry) { entry.second.gone = true; });
-    for (const auto& config : targets) {
-        auto& known = all.state->targets[config.id];
-        known.config = config;
-        known.gone = false;
-    }
-}
-
-void set_policy(scheduler& all, policy rules) {
-    all.state->rules = std::move(rules);
-}
-
 admission submit(scheduler& all, request work, kernel::time_point now) {
-    if (work.deadline <= now) {
-        return kernel::refusal{kernel::refusal_reason::deadline_passed,
-                               work.attempts_made > 0 ? kernel::run_state::unknown
-                                                      : kernel::run_state::not_run,
-                               {},
-                               ""};
-    }
-    const auto id = work.id;
-    const auto deadline = work.deadline;
-    const auto limit = all.state->rules.classes.at(index_of(work.priority)).max_queued;
-    if (all.state->queue.size() >= limit) {
-        return kernel::refusal{kernel::refusal_reason::queue_full, kernel::run_state::not_run, 1s,
-                               ""};
-    }
-    all.state->requests[id].work = std::move(work);
-    all.state->queue.push_back(id);
-    return admitted{deadline};
-}
-
-actions next_dispatches(scheduler& all, kernel::time_point /*now*/) {
-    actions out;
     auto& state = *all.state;
-    std::deque<kernel::request_id> waiting;
-    for (const auto& id : state.queue) {
-        auto& record = state.requests.at(id);
-        if (auto* to = least_loaded(state, record.work)) {
-            send(record, *to, out);
-        } else {
-            waiting.push_back(id);
-        }
+    if (auto fault = check_request(state, work, now)) {
+        return *std::move(fault);
     }
-    state.queue = std::move(waiting);
-    return out;
-}
-
-actions tick(scheduler& all, kernel::time_point now) {
-    std::vector<kernel::request_id> late;
-    for (const auto& [id, record] : all.state->requests) {
-        if (record.work.deadline <= now) {
-            late.push_back(id);
-        }
+    if (auto fault = check_destination(state, work)) {
+        return *std::move(fault);
     }
-    actions expired;
-    for (const auto& id : late) {
-        refuse(*all.state, id, kernel::refusal_reason::deadline_passed, expired);
+    auto& where = *state.destinations.at(work.destination);
+    if (auto fault = check_targets(state, where, work, now)) {
+        return *std::move(fault);
     }
-    auto out = next_dispatches(all, now);
-    out.cancellations = std::move(expired.cancellations);
-    out.refusals = std::move(expired.refusals);
-    return out;
-}
-
-void on_first_byte(scheduler& /*all*/, const kernel::request_id& /*request*/,
-                   std::uint32_t /*attempt*/, kernel::time_point /*now*/) {}
-
-void on_progress(scheduler& /*all*/, const kernel::request_id& /*request*/,
-                 std::uint32_t /*attempt*/, std::uint32_t /*tokens*/,
-                 std::uint64_t /*oldest_version*/, kernel::time_point /*now*/) {}
-
-completion_result on_complete(scheduler& all, const kernel::request_id& request,
-                              std::uint32_t attempt, const completion& /*answer*/,
-                              kernel::time_point /*now*/) {
-    completion_result result;
-    const auto it = all.state->requests.find(request);
-    if (it == all.state->requests.end() || find_attempt(it->second, attempt) == nullptr) {
-        result.decision = verdict::discard_duplicate;
-        return result;
+    refresh_rate(state, where, now);
+    const auto view = view_deadline(state, where, work, now);
+    if (auto fault = check_queue(state, where, work, view)) {
+        return *std::move(fault);
+    }
+    // Last, so that a request refused for another reason costs its caller nothing.
+    if (auto fault = check_rate(state, work, now)) {
+        return *std::move(fault);
     }
-    end_attempt(*all.state, it->second, attempt);
-    forget(*all.state, request, result.follow_up);
-    return result;
+    admit(state, std::move(work), where, now);
+    return admitted{now + from_seconds(view.wait + view.service)};
 }
 
-actions on_failure(scheduler& all, const kernel::request_id& request, std::uint32_t attempt,
-                   const failure& what, kernel::time_point /*now*/) {
+actions next_dispatches(scheduler& all, kernel::time_point now) {
     actions out;
-    const auto it = all.state->requests.find(request);
-    if (it == all.state->requests.end() || find_attempt(it->second, attempt) == nullptr) {
-        return out;
-    }
-    auto& record = it->second;
-    end_attempt(*all.state, record, attempt);
-    const bool ran = what.kind != failure_kind::not_sent && what.kind != failure_kind::overloaded;
-    record.sent = ran || record.kept_tokens > 0;
-    record.kept_tokens += what.tokens;
-    if (record.attempts >= all.state->rules.retry.max_attempts ||
-        (ran && !record.work.idempotent)) {
-        refuse(*all.state, request, kernel::refusal_reason::target_failed, out);
-        return out;
-    }
-    all.state->queue.push_back(request);
+    dispatch_all(*all.state, now, out);
     return out;
 }
 
-actions on_cancelled(scheduler& all, const kernel::request_id& request,
-                     kernel::time_point /*now*/) {
+actions tick(scheduler& all, kernel::time_point now) {
     actions out;
-    if (all.state->requests.contains(request)) {
-        forget(*all.state, request, out);
-    }
+    auto& state = *all.state;
+    expire_requests(state, now, out);
+    sweep(state, now);
+    hedge_due(state, now, out);
+    dispatch_all(state, now, out);
     return out;
 }
 
-void on_load_report(scheduler& all, const load_report& report, kernel::time_point /*now*/) {
-    const auto it = all.state->targets.find(report.target);
-    if (it != all.state->targets.end()) {
-        it->second.config.version = report.version;
-    }
-}
-
-void on_cache_event(scheduler& /*all*/, const cache_event& /*event*/, kernel::time_point /*now*/) {}
-
-void on_leaving(scheduler& all, const kernel::target_id& target, kernel::time_point /*now*/) {
-    const auto it = all.state->targets.find(target);
-    if (it != all.state->targets.end()) {
-        it->second.leaving = true;
+kernel::time_point next_deadline(const scheduler& all, kernel::time_point now) {
+    const auto& state = *all.state;
+    auto next = now + idle_tick;
+    for (const auto* times : {&state.deadlines, &state.delayed, &state.hedge_checks}) {
+        if (!times->empty()) {
+            next = std::min(next, times->begin()->at);
+        }
     }
-}
-
-void on_swap_planned(scheduler& /*all*/, const swap_plan& /*plan*/, kernel::time_point /*now*/) {}
-
-void on_new_version(scheduler& /*all*/, std::string_view /*pool*/, std::uint64_t /*version*/,
-                    kernel::time_point /*now*/) {}
-
-void on_quarantine(scheduler& /*all*/, const quarantine_notice& /*notice*/,
-                   kernel::time_point /*now*/) {}
-
-kernel::time_point next_deadline(const scheduler& /*all*/, kernel::time_point now) {
-    return now + 50ms;
+    return std::max(next, now);
 }
 
 scheduler_counts counts(const scheduler& all) {
+    const auto& state = *all.state;
     scheduler_counts out;
-    out.requests = all.state->requests.size();
-    for (const auto& [id, target] : all.state->targets) {
-        out.in_flight += target.in_flight;
-        out.targets_leaving += target.leaving ? 1 : 0;
+    for (const auto& [name, where] : state.destinations) {
+        for (std::size_t i = 0; i < priority_class_count; ++i) {
+            out.queued.at(i) += where->queues.at(i).size;
+        }
     }
+    out.delayed = state.delayed.size();
+    out.in_flight = state.in_flight;
+    out.requests = state.requests.size();
+    for (const auto& [digest, record] : state.crashes.digests) {
+        out.quarantined += record.quarantined_until > kernel::time_point{} ? 1 : 0;
+    }
+    out.targets_leaving =
+        static_cast<std::size_t>(std::ranges::count_if(state.targets, &target_load::leaving));
     return out;
 }
 
-std::vector<target_view> view_targets(const scheduler& all, kernel::time_point /*now*/) {
+std::vector<target_view> view_targets(const scheduler& all, kernel::time_point now) {
+    const auto& state = *all.state;
     std::vector<target_view> out;
-    for (const auto& [id, target] : all.state->targets) {
-        out.push_back({.id = id,
-                       .in_flight = target.in_flight,
-                       .leaving = target.leaving,
-                       .version = target.config.version});
+    for (const auto& load : state.targets) {
+        if (load.gone) {
+            continue;
+        }
+        out.push_back({.id = load.config.id,
+                       .in_flight = load.in_flight,
+                       .limit = load.limit.value,
+                       .allowance = allowance(load, state.rules, now),
+                       .share = traffic_share(load.health, state.rules.health, now),
+                       .slowness = current_slowness(load, now),
+                       .ejected = is_ejected(load.health, now),
+                       .leaving = load.leaving,
+                       .version = load.version});
     }
     return out;
 }
--- a/src/decide/scheduler.hpp
+++ b/src/decide/scheduler.hpp
@@ -3,6 +3,7 @@
 #include "decide/policy.hpp"
 #include "decide/types.hpp"
 
+#include <array>
 #include <memory>
 #include <span>
 #include <string_view>
@@ -89,12 +90,11 @@
 
 /// Counts for metrics and for `status`.
 struct scheduler_counts {
-    std::size_t queued[priority_class_count] = {};
+    std::array<std::size_t, priority_class_count> queued{};
     std::size_t delayed = 0;   ///< Waiting for a retry, a version or a target apart from suspects.
     std::size_t in_flight = 0; ///< Sendings, hedges included.
     std::size_t requests = 0;  ///< Admitted and without a final answer.
     std::size_t quarantined = 0;
-    std::size_t targets_ejected = 0;
     std::size_t targets_leaving = 0;
 };
 
@@ -107,6 +107,7 @@
     double limit = 0;     ///< Adaptive, over all hosts.
     double allowance = 0; ///< This host's part of it.
     double share = 1;     ///< Under 1: slow start.
+    double slowness = 1;  ///< Over 1: slower than configured.
     bool ejected = false;
     bool leaving = false;
     std::uint64_t version = 0;
