--- a/src/decide/placement.hpp
+++ b/src/decide/placement.hpp
@@ -20,10 +20,11 @@
     priority_class priority = priority_class::rollout;
     std::string_view model;
     std::uint64_t minimum_version = 0;
-    bool suspect = false;        ///< Keep it apart from other suspects.
-    bool reserve = false;        ///< Leave the reserved slots to interactive work.
-    double patience_seconds = 0; ///< How long it has waited; decides when to pay for a crossing.
-    double service_seconds = 0;  ///< Usual time of the destination, for plain services.
+    bool suspect = false;           ///< Keep it apart from other suspects.
+    bool first_ranked_only = false; ///< Only targets for which this host ranks first.
+    bool reserve = false;           ///< Leave the reserved slots to interactive work.
+    double patience_seconds = 0;    ///< How long it has waited; decides when to pay for a crossing.
+    double service_seconds = 0;     ///< Usual time of the destination, for plain services.
     std::span<const std::uint32_t> avoid; ///< Targets that failed it or run it already.
     std::span<const prefix_holder> holders;
     const pool_versions* versions = nullptr; ///< Null for plain services.
