--- a/cmake/cornelloom_targets.cmake
+++ b/cmake/cornelloom_targets.cmake
@@ -16,6 +16,8 @@
     if(sources)
         add_library(cornelloom_${name} ${kind} ${sources})
         target_compile_options(cornelloom_${name} PRIVATE ${CORNELLOOM_WARNINGS})
+        target_compile_definitions(cornelloom_${name} PRIVATE
+            CORNELLOOM_VERSION="${PROJECT_VERSION}")
         set(scope PUBLIC)
     else()
         add_library(cornelloom_${name} INTERFACE)
--- a/src/client/operator_client.cpp
+++ b/src/client/operator_client.cpp
@@ -91,11 +91,11 @@
     }
     const auto answer = json::parse(got.value(), nullptr, false);
     const auto generation = internal::unsigned_member(answer, "generation");
-    if (!generation || !answer.contains("set")) {
-        return internal::not_understood("the answer names no generation or no set");
+    if (!generation) {
+        return internal::not_understood("the answer names no generation");
     }
-    const auto& set = answer["set"];
-    return configuration_in_force{*generation, line_of(set)};
+    // Before the first apply, in generation 0, there is no set.
+    return configuration_in_force{*generation, line_of(answer.value("set", json::object()))};
 }
 
 answered<apply_answer> operator_client::apply(const apply_request& request) {
