--- a/src/daemon/platform_runner.hpp
+++ b/src/daemon/platform_runner.hpp
@@ -2,6 +2,7 @@
 
 #include "coord/platform.hpp"
 #include "daemon/context.hpp"
+#include "transport/http_client.hpp"
 
 #include <condition_variable>
 #include <deque>
@@ -12,14 +13,15 @@
 
 namespace cornelloom::daemon {
 
-/// Makes one call to the platform and waits for its outcome.
-using platform_transport = std::function<coord::platform_outcome(const coord::platform_operation&,
-                                                                 kernel::duration timeout)>;
+/// Makes one call to the platform and waits for its answer; the control, if any, ends it early.
+/// Holds the budget and the counters.
+using platform_transport =
+    std::function<coord::platform_answer(const coord::platform_call&, transport::call_control*)>;
 
 using platform_continuation = std::function<void(const coord::platform_answer&)>;
 
-/// Makes the platform calls of all state machines of this host: one budget, by priority, on a few
-/// threads; watches on a thread of their own, since they wait. Thread-safe.
+/// Makes the platform calls of all state machines of this host by priority on a few threads;
+/// watches on a thread of their own, since they wait. Thread-safe.
 class platform_runner {
 public:
     platform_runner(context& shared, platform_transport transport);
@@ -46,13 +48,13 @@
 
     void work_loop(bool watches);
     [[nodiscard]] std::optional<job> take(bool watches, std::unique_lock<std::mutex>& lock);
-    void perform(const job& next);
+    void perform(const job& next, transport::call_control* control);
 
     context& shared_;
     platform_transport transport_;
+    transport::call_control watch_control_;
     std::mutex mutex_;
     std::condition_variable changed_;
-    coord::platform_budget budget_;
     std::deque<job> jobs_;
     std::deque<job> watch_jobs_;
     bool stopping_ = false;
