--- a/src/transport/http.cpp
+++ b/src/transport/http.cpp
@@ -19,12 +19,12 @@
                 ", allowed is IP-NUMBER:PORT such as 127.0.0.1:8080 or [::1]:8080"};
 }
 
-/// Decodes `%XX` and `+`. A percent sign without two digits stands for itself.
-std::string decode(std::string_view text) {
+/// Decodes `%XX`, and `+` if it stands for a space.
+std::string decode(std::string_view text, bool plus_is_space) {
     std::string decoded;
     decoded.reserve(text.size());
     for (std::size_t i = 0; i < text.size(); ++i) {
-        if (text[i] == '+') {
+        if (plus_is_space && text[i] == '+') {
             decoded += ' ';
             continue;
         }
@@ -51,7 +51,7 @@
         return bad_endpoint(text, "has no port");
     }
     auto address = text.substr(0, colon);
-    const auto digits = text.substr(colon + 1);
+    const std::string digits{text.substr(colon + 1)};
     const bool bracketed = address.starts_with('[') && address.ends_with(']');
     if (bracketed) {
         address = address.substr(1, address.size() - 2);
@@ -70,6 +70,29 @@
     return endpoint{number.to_string(), port};
 }
 
+std::string encode_path(std::string_view text) {
+    constexpr std::string_view kept = "-._~/:@,";
+    constexpr std::string_view digits = "0123456789ABCDEF";
+    std::string encoded;
+    for (const char c : text) {
+        const bool plain = (c >= '0' && c <= '9') || (c >= 'A' && c <= 'Z') ||
+                           (c >= 'a' && c <= 'z') || kept.find(c) != std::string_view::npos;
+        if (plain) {
+            encoded += c;
+            continue;
+        }
+        const auto byte = static_cast<unsigned char>(c);
+        encoded += '%';
+        encoded += digits[byte >> 4U];
+        encoded += digits[byte & 0xfU];
+    }
+    return encoded;
+}
+
+std::string decode_path(std::string_view text) {
+    return decode(text, false);
+}
+
 std::string to_string(const endpoint& where) {
     const bool v6 = where.address.find(':') != std::string::npos;
     return (v6 ? "[" + where.address + "]" : where.address) + ":" + std::to_string(where.port);
@@ -91,9 +114,9 @@
         const auto end = query.find('&');
         const auto pair = query.substr(0, end);
         const auto equals = pair.find('=');
-        if (decode(pair.substr(0, equals)) == name) {
+        if (decode(pair.substr(0, equals), true) == name) {
             return equals == std::string_view::npos ? std::string{}
-                                                    : decode(pair.substr(equals + 1));
+                                                    : decode(pair.substr(equals + 1), true);
         }
         query = end == std::string_view::npos ? std::string_view{} : query.substr(end + 1);
     }
--- a/src/transport/http.hpp
+++ b/src/transport/http.hpp
@@ -30,16 +30,16 @@
 
 struct http_request {
     std::string method = "GET";
-    std::string path = "/"; ///< Without the query.
-    std::string query;      ///< Without the question mark, not decoded.
-    std::vector<http_header> headers;
-    std::string body;
+    std::string path = "/"; ///< Without the query, not decoded: `%2F` and `/` differ.
+    std::string query{};    ///< Without the question mark, not decoded.
+    std::vector<http_header> headers{};
+    std::string body{};
 };
 
 struct http_response {
     int status = 200;
-    std::vector<http_header> headers;
-    std::string body;
+    std::vector<http_header> headers{};
+    std::string body{};
 };
 
 /// The first header of that name, compared without case.
@@ -49,6 +49,12 @@
 /// The decoded value of `name` in a query string.
 [[nodiscard]] std::optional<std::string> find_query(std::string_view query, std::string_view name);
 
+/// Percent-encodes what may not stand in a path; slashes stay.
+[[nodiscard]] std::string encode_path(std::string_view text);
+
+/// Undoes percent-encoding in a path. A percent sign without two digits stands for itself.
+[[nodiscard]] std::string decode_path(std::string_view text);
+
 /// Answers one request; runs on a thread of its own and may wait (long polls).
 using http_handler = std::function<http_response(const http_request&)>;
 
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -69,15 +69,15 @@
     /// Takes the connections that already stand in the backlog: their requests may have been sent.
     void stop_accepting() {
         error_code failure;
-        acceptor.non_blocking(true, failure);
+        (void)acceptor.non_blocking(true, failure);
         while (!failure) {
             tcp::socket socket(asio::make_strand(loop));
-            acceptor.accept(socket, failure);
+            (void)acceptor.accept(socket, failure);
             if (!failure) {
                 open(std::move(socket));
             }
         }
-        acceptor.close(failure);
+        (void)acceptor.close(failure);
         const std::lock_guard lock(context.mutex);
         for (auto* known : context.sessions) {
             known->stop();
--- a/src/transport/internal/http_exchange.cpp
+++ b/src/transport/internal/http_exchange.cpp
@@ -17,7 +17,7 @@
     }
     boost::asio::post(*state_->context, [socket = state_->socket] {
         boost::system::error_code ignored;
-        socket->close(ignored);
+        (void)socket->close(ignored);
     });
 }
 
@@ -74,7 +74,7 @@
         return failure("connect to " + to_string(to), outcome);
     }
     error_code ignored;
-    socket_.set_option(asio::ip::tcp::no_delay{true}, ignored);
+    (void)socket_.set_option(asio::ip::tcp::no_delay{true}, ignored);
     return boost::outcome_v2::success();
 }
 
@@ -87,7 +87,7 @@
     }
     timed_out_ = true;
     error_code ignored;
-    socket_.close(ignored);
+    (void)socket_.close(ignored);
     context_.restart();
     while (!done && context_.run_one() > 0) {
     }
@@ -95,7 +95,7 @@
 
 kernel::error http_exchange::failure(std::string_view step, const error_code& cause) const {
     const auto code = sent_ ? kernel::error_code::unknown : kernel::error_code::unavailable;
-    std::string detail = std::string(step) + ": ";
+    const std::string detail = std::string(step) + ": ";
     if (timed_out_) {
         return {code, detail + "deadline passed"};
     }
--- /dev/null
+++ b/src/transport/internal/platform_codec.hpp
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "coord/platform.hpp"
+#include "transport/http.hpp"
+
+namespace cornelloom::transport::internal {
+
+/// `invalid_input` for a value that is no UTF-8 or over the platform's limit.
+[[nodiscard]] kernel::result<http_request> to_request(const coord::platform_operation& operation);
+
+[[nodiscard]] bool is_write(const coord::platform_operation& operation);
+
+/// What an answer of the platform means for the operation.
+[[nodiscard]] coord::platform_outcome read_answer(const coord::platform_operation& operation,
+                                                  const http_response& response);
+
+/// What is known when there is no whole or no readable answer.
+[[nodiscard]] coord::platform_outcome lost_answer(const coord::platform_operation& operation);
+
+} // namespace cornelloom::transport::internal
--- a/src/transport/transport.hpp
+++ b/src/transport/transport.hpp
@@ -6,3 +6,4 @@
 #include "transport/http.hpp"
 #include "transport/http_client.hpp"
 #include "transport/http_server.hpp"
+#include "transport/platform_client.hpp"
--- a/tests/transport/http_server_tests.cpp
+++ b/tests/transport/http_server_tests.cpp
@@ -30,7 +30,7 @@
         return caller.read_all();
     }
 
-    std::atomic<int> handled{0};
+    mutable std::atomic<int> handled{0};
     http_server server;
 };
 
@@ -51,7 +51,7 @@
     // A caller sends a request with a negative, doubled or garbled length, and the bytes of a
     // second request behind it. A server that takes the length for 0 runs the first with an empty
     // body and then the second, which nobody sent. Cause: trust in a header that is no number.
-    echo_server echo;
+    const echo_server echo;
     const std::string hidden = "POST /hidden HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n";
     const std::string header =
         GENERATE("Content-Length: -1\r\n", "Content-Length: 4x\r\n", "Content-Length: +4\r\n",
@@ -73,7 +73,7 @@
 }
 
 TEST_CASE("What is no HTTP request is refused", "[transport][server][malformed]") {
-    echo_server echo;
+    const echo_server echo;
     const std::string bytes = GENERATE(
         as<std::string>{}, "FOO\r\n\r\n", "GET /a HTTP/9.9\r\n\r\n", "GET a HTTP/1.1\r\n\r\n",
         "GET /a b HTTP/1.1\r\n\r\n", "GET /\xff\xfe HTTP/1.1\r\n\r\n",
@@ -92,7 +92,7 @@
 TEST_CASE("A chunked request reaches the handler whole", "[transport][server]") {
     // A caller streams its request in chunks. The handler runs with an empty body, and the caller
     // gets an answer to a question it did not ask. Cause: cxxtools knows no chunked requests.
-    echo_server echo;
+    const echo_server echo;
     const std::string header = "Transfer-Encoding: chunked\r\nConnection: close\r\n";
     const auto whole = echo.exchange(post(header, "3\r\nabc\r\n2;x=y\r\nde\r\n0\r\n\r\n"));
     CHECK(whole.ends_with("\r\n\r\n/a:abcde"));
@@ -108,7 +108,7 @@
 TEST_CASE("Headers and bodies over the limit are refused by name", "[transport][server]") {
     // Beyond 4096 bytes of headers cxxtools closes without an answer, and a request line may grow
     // without end: the caller can't know what happened, and the daemon's memory is the caller's.
-    echo_server echo(http_server_limits{.max_body_bytes = 100, .max_header_bytes = 8000});
+    const echo_server echo(http_server_limits{.max_body_bytes = 100, .max_header_bytes = 8000});
     const auto reply_to = [&](const std::string& bytes) { return echo.exchange(bytes); };
     const std::string many(9000, 'x');
     const auto header = reply_to("GET /a HTTP/1.1\r\nX: " + many + "\r\n\r\n");
@@ -132,7 +132,7 @@
 TEST_CASE("Pipelined requests each get their own answer, in order", "[transport][server]") {
     // A caller sends a second request right behind the first. cxxtools hands the second one's
     // bytes to the first one's handler, as part of its body, and never answers the second.
-    echo_server echo;
+    const echo_server echo;
     const auto replies = echo.exchange(post("Content-Length: 4\r\n", "abcd") +
                                        "HEAD /b HTTP/1.1\r\nHost: x\r\n\r\n"
                                        "GET /c%2Fd HTTP/1.1\r\nConnection: close\r\n\r\n");
@@ -145,7 +145,7 @@
 }
 
 TEST_CASE("A caller that hangs up half way leaves nothing behind", "[transport][server]") {
-    echo_server echo;
+    const echo_server echo;
     const std::string part =
         GENERATE("", "POST /a HT", "POST /a HTTP/1.1\r\nContent-Le",
                  "POST /a HTTP/1.1\r\nContent-Length: 10\r\n\r\nabc",
@@ -162,7 +162,7 @@
 TEST_CASE("A sender that drips its request is refused and delays nobody", "[transport][server]") {
     // A caller opens many connections and sends half a request on each. Others must be answered
     // meanwhile, and in the end the half requests are given up.
-    echo_server echo(http_server_limits{.read_timeout = 3s});
+    const echo_server echo(http_server_limits{.read_timeout = 3s});
     std::vector<std::unique_ptr<raw::connection>> slow;
     for (int i = 0; i < 50; ++i) {
         slow.push_back(std::make_unique<raw::connection>(echo.server.port()));
@@ -208,6 +208,7 @@
     waiting_request.path = "/wait";
     std::atomic<int> answered{0};
     std::vector<std::jthread> callers;
+    callers.reserve(41);
     for (int i = 0; i < 40; ++i) {
         callers.emplace_back([&] {
             const auto reply = call(to, waiting_request);
