--- a/src/daemon/claims_runner.cpp
+++ b/src/daemon/claims_runner.cpp
@@ -5,6 +5,7 @@
 #include "kernel/hash.hpp"
 
 #include <algorithm>
+#include <ranges>
 #include <thread>
 
 namespace cornelloom::daemon {
@@ -88,6 +89,13 @@
     }
 }
 
+bool claims_runner::is_closed() const {
+    const std::lock_guard lock(mutex_);
+    return std::ranges::all_of(shards_ | std::views::values, [](const coord::claims& one) {
+        return one.phase == coord::claims_phase::closed;
+    });
+}
+
 std::size_t claims_runner::records() const {
     const std::lock_guard lock(mutex_);
     std::size_t all = 0;
--- a/src/daemon/claims_runner.hpp
+++ b/src/daemon/claims_runner.hpp
@@ -39,6 +39,8 @@
     /// Commits what is known of outcomes, before the leases are given back.
     void close();
 
+    [[nodiscard]] bool is_closed() const;
+
     [[nodiscard]] std::size_t records() const;
 
     static constexpr const char* peer_path = "/claims/call";
--- a/src/daemon/context.hpp
+++ b/src/daemon/context.hpp
@@ -34,8 +34,9 @@
     kernel::metrics metrics;
     trace_log trace;
     kernel::snapshot<active_configuration> configuration;
-    std::string session; ///< Differs in each start of the process.
-    std::atomic<bool> draining{false};
+    std::string session;               ///< Differs in each start of the process.
+    std::atomic<bool> leaving{false};  ///< Not ready any more; still serves.
+    std::atomic<bool> draining{false}; ///< Refuses new work.
     std::atomic<std::uint64_t> next_number{1};
 };
 
--- a/src/daemon/step_runner.cpp
+++ b/src/daemon/step_runner.cpp
@@ -286,6 +286,11 @@
     after_change(lock);
 }
 
+std::size_t step_runner::requests_under_way() const {
+    const std::lock_guard lock(mutex_);
+    return live_.size();
+}
+
 // Wakes pulls and does what the step asks for, without the lock: effects call into the runner,
 // which calls back into observers of this step.
 void step_runner::after_change(std::unique_lock<std::mutex>& lock) {
