--- a/src/daemon/step_directory.cpp
+++ b/src/daemon/step_directory.cpp
@@ -397,6 +397,14 @@
     }
 }
 
+std::size_t step_directory::requests_under_way() const {
+    std::size_t all = 0;
+    for (const auto& [key, one] : snapshot_steps()) {
+        all += one.runner->requests_under_way();
+    }
+    return all;
+}
+
 std::vector<step_directory::view> step_directory::list() const {
     const std::lock_guard lock(mutex_);
     std::vector<view> all;
--- a/src/daemon/step_directory.hpp
+++ b/src/daemon/step_directory.hpp
@@ -36,6 +36,9 @@
     /// Sends everything that this host has of its steps to their replica hosts, and stops.
     void hand_over();
 
+    /// Requests that the steps have with the scheduler.
+    [[nodiscard]] std::size_t requests_under_way() const;
+
     struct view {
         rollout::step_key key;
         rollout::owner_epoch epoch = 0;
--- a/src/daemon/step_runner.hpp
+++ b/src/daemon/step_runner.hpp
@@ -43,6 +43,8 @@
                       const std::optional<rollout::collect_answer>& answer);
     void on_score(const rollout::score_wanted& asked, std::optional<double> score);
 
+    [[nodiscard]] std::size_t requests_under_way() const;
+
     /// Calls into the step under its lock; for handing over, status and manifests.
     template <class Call> auto with_step(Call&& call) {
         const std::lock_guard lock(mutex_);
