Mend three faults that the random search found; the search must meet each fault

Cause: the first search hardly reached a delivery (most runs committed nothing). With weights on submitting, generating and pulling it found: a late answer could commit a sample that had become stale on its way; a sample of a version that nobody announces blocked its group for ever; a sample that was collected after its acknowledgement and then wanted again was never scored. Change: the trainer checks staleness as it commits, by whole groups; an unannounced version waits 10 s and is then made again; a body that is wanted again asks for its score. The test counts what it met and fails when a fault was not met.

--- a/src/rollout/codec.cpp
+++ b/src/rollout/codec.cpp
@@ -129,6 +129,7 @@
 std::string encode(const pull_answer& answer) {
     json message{{"epoch", answer.epoch},
                  {"order", answer.order},
+                 {"staleness_bound", answer.staleness_bound},
                  {"complete", answer.complete},
                  {"state", to_string(answer.state)}};
     auto& samples = message["samples"] = json::array();
@@ -149,6 +150,7 @@
     pull_answer read;
     read.epoch = fields.required<owner_epoch>("epoch");
     read.order = fields.optional<std::uint64_t>("order").value_or(0);
+    read.staleness_bound = fields.required<weight_version>("staleness_bound");
     fields.array("samples", [&](const json& value, const std::string& path) {
         read.samples.push_back(read_sample(value, path, faults));
     });
--- a/src/rollout/codec.hpp
+++ b/src/rollout/codec.hpp
@@ -27,8 +27,8 @@
 [[nodiscard]] kernel::result<pull_request> decode_pull_request(const step_id& step,
                                                                std::string_view json);
 
-/// `{"epoch","order","samples":[{"slot","group","sample","text","spans":[{"tokens","version"}],"score"}],
-/// "failed":[{"slot","reason"}],"complete","state"}`.
+/// `{"epoch","order","staleness_bound","samples":[{"slot","group","sample","text",
+/// "spans":[{"tokens","version"}],"score"}],"failed":[{"slot","reason"}],"complete","state"}`.
 [[nodiscard]] std::string encode(const pull_answer& answer);
 [[nodiscard]] kernel::result<pull_answer> decode_pull_answer(std::string_view json);
 
--- a/src/rollout/delivery.cpp
+++ b/src/rollout/delivery.cpp
@@ -46,7 +46,7 @@
 
 /// A trainer that restarted from a checkpoint no longer has a slot that it once acknowledged. The
 /// body is given again while it is kept; without it, the slot is made again.
-void unacknowledge(step& open, slot_index index) {
+void unacknowledge(step& open, slot_index index, kernel::time_point now) {
     auto& at = open.slots[index];
     if (!at.body) {
         at.state = slot_state::wanted;
@@ -54,12 +54,10 @@
         return;
     }
     take_back(open.tokens, tokens_of(at.body->output.spans));
-    at.state = slot_state::finished;
-    at.replica = replica_state::asked;
-    open.effects.hold.push_back({index, at.body});
+    internal::keep_body(open, index, now);
 }
 
-void apply_held(step& open, std::span<const held_slot> held) {
+void apply_held(step& open, std::span<const held_slot> held, kernel::time_point now) {
     std::vector<const held_slot*> by_slot(open.slots.size());
     for (const auto& one : held) {
         by_slot[one.slot] = &one;
@@ -69,7 +67,7 @@
         if (by_slot[i] != nullptr && state != slot_state::acknowledged) {
             acknowledge(open, i, *by_slot[i]);
         } else if (by_slot[i] == nullptr && state == slot_state::acknowledged) {
-            unacknowledge(open, i);
+            unacknowledge(open, i, now);
             if (open.state == step_state::complete) {
                 open.state = step_state::open;
             }
@@ -89,14 +87,8 @@
     }
 }
 
-/// A version above the newest announced one cannot be judged yet: the announcement may be under
-/// way to this host, or the engine has weights that nobody ordered. The sample waits for it.
-bool is_announced(const step& open, const slot& at) {
-    return newest_version(at.body->output.spans).value_or(0) <= open.newest;
-}
-
 bool is_ready(const step& open, const slot& at) {
-    return at.state == slot_state::finished && is_announced(open, at) &&
+    return at.state == slot_state::finished && internal::is_announced(open, at) &&
            (open.rules.scoring_service.empty() || at.score.has_value()) &&
            !is_stale(at.body->output.spans, open.newest, open.bound);
 }
@@ -173,10 +165,11 @@
     pull_answer answer;
     answer.epoch = open.epoch;
     answer.order = request.order;
+    answer.staleness_bound = open.bound;
     if (!is_overtaken(open, request)) {
         open.last_pull = std::max(open.last_pull, request.order);
         observe_version(open, request.trainer_version.value_or(0), now);
-        apply_held(open, request.held);
+        apply_held(open, request.held, now);
         discard_stale(open);
         internal::complete_if_done(open);
         answer.samples = release(open, request.max_bytes);
--- a/src/rollout/delivery.hpp
+++ b/src/rollout/delivery.hpp
@@ -39,7 +39,8 @@
 
 struct pull_answer {
     owner_epoch epoch = 0;
-    std::uint64_t order = 0; ///< Of the pull that this answers.
+    std::uint64_t order = 0;            ///< Of the pull that this answers.
+    weight_version staleness_bound = 0; ///< In force for this step.
     std::vector<delivered_sample> samples;
     std::vector<failed_slot> failed;
     bool complete = false; ///< The trainer has everything that it will get.
--- a/src/rollout/internal/field_reader.hpp
+++ b/src/rollout/internal/field_reader.hpp
@@ -42,7 +42,7 @@
     }
 
     /// Calls `each(element, path)` for the elements of an array.
-    template <class Each> void array(const char* name, Each&& each) {
+    template <class Each> void array(const char* name, const Each& each) {
         const auto* value = find(name);
         if (value == nullptr || !value->is_array()) {
             fault(name, "is missing or no array", "an array");
--- a/src/rollout/internal/slots.cpp
+++ b/src/rollout/internal/slots.cpp
@@ -69,14 +69,24 @@
     }
 }
 
-void store_body(step& open, slot_index index, sample_ptr body) {
+bool is_announced(const step& open, const slot& at) {
+    return newest_version(at.body->output.spans).value_or(0) <= open.newest;
+}
+
+void store_body(step& open, slot_index index, sample_ptr body, kernel::time_point now) {
     auto& at = open.slots[index];
     at.body = std::move(body);
-    at.state = slot_state::finished;
     at.failures = 0;
+    keep_body(open, index, now);
+}
+
+void keep_body(step& open, slot_index index, kernel::time_point now) {
+    auto& at = open.slots[index];
+    at.state = slot_state::finished;
+    at.finished_at = now;
     at.replica = replica_state::asked;
     open.effects.hold.push_back({index, at.body});
-    if (!open.rules.scoring_service.empty()) {
+    if (!open.rules.scoring_service.empty() && !at.score) {
         at.scoring = score_state::asked;
         open.effects.score.push_back({index, at.group, at.body});
     }
--- a/src/rollout/internal/slots.hpp
+++ b/src/rollout/internal/slots.hpp
@@ -26,6 +26,13 @@
 void complete_if_done(step& open);
 
 /// Makes a whole answer the body of its slot, and asks for its copy and its score.
-void store_body(step& open, slot_index index, sample_ptr body);
+void store_body(step& open, slot_index index, sample_ptr body, kernel::time_point now);
+
+/// The slot's body is to be delivered: asks for its copy, and for its score unless that is known.
+void keep_body(step& open, slot_index index, kernel::time_point now);
+
+/// Whether the newest version of the held body is announced. Above it, the sample cannot be judged:
+/// the announcement may be under way to this host, or the engine has weights that nobody ordered.
+[[nodiscard]] bool is_announced(const step& open, const slot& at);
 
 } // namespace cornelloom::rollout::internal
--- a/src/rollout/recovery.cpp
+++ b/src/rollout/recovery.cpp
@@ -41,7 +41,7 @@
 }
 
 /// A whole answer beats whatever this owner has started for the slot meanwhile.
-void take_whole(step& open, const held_sample& one) {
+void take_whole(step& open, const held_sample& one, kernel::time_point now) {
     auto& at = open.slots[one.slot];
     if (at.state == slot_state::finished || at.state == slot_state::failed) {
         return;
@@ -60,7 +60,7 @@
     }
     internal::give_up_all(open, one.slot, waste_cause::lost);
     finish(open.tokens, tokens);
-    internal::store_body(open, one.slot, one.body);
+    internal::store_body(open, one.slot, one.body, now);
     if (one.score) {
         at.score = one.score;
         at.scoring = score_state::known;
@@ -181,7 +181,7 @@
 }
 
 void on_collected(step& open, const kernel::host_id& host, const collect_answer& answer,
-                  kernel::time_point /*now*/) {
+                  kernel::time_point now) {
     if (!is_running(open) || answer.key != open.request.key) {
         return;
     }
@@ -193,7 +193,7 @@
             continue;
         }
         if (one.whole) {
-            take_whole(open, one);
+            take_whole(open, one, now);
         } else {
             take_partial(open, one);
         }
--- a/src/rollout/step.cpp
+++ b/src/rollout/step.cpp
@@ -76,6 +76,19 @@
     }
 }
 
+/// Guard against an engine with weights of nobody's: its samples would wait for an announcement
+/// that never comes, and their groups with them.
+void drop_unannounced(step& open, kernel::time_point now) {
+    for (slot_index i = 0; i < open.slots.size(); ++i) {
+        auto& at = open.slots[i];
+        const bool waits = at.state == slot_state::finished && !internal::is_announced(open, at);
+        if (waits && now - at.finished_at > open.rules.announcement_wait) {
+            internal::discard_body(open, i, waste_cause::unusable);
+            internal::want_after_failure(open, at, now);
+        }
+    }
+}
+
 void ask_again(step& open, kernel::time_point now) {
     for (slot_index i = 0; i < open.slots.size(); ++i) {
         auto& at = open.slots[i];
@@ -273,6 +286,7 @@
     if (open.state == step_state::collecting && now >= open.collect_until) {
         finish_collecting(open);
     }
+    drop_unannounced(open, now);
     ask_again(open, now);
     if (is_running(open) && now >= open.deadline) {
         end_work(open, waste_cause::cancelled);
--- a/src/rollout/step.hpp
+++ b/src/rollout/step.hpp
@@ -30,6 +30,9 @@
     std::string adapter;                ///< Spans made with another adapter are unusable.
     std::uint32_t max_samples = 512;    ///< In a step.
     std::size_t max_prompt_bytes = 256U << 10U;
+    /// How long a sample of a version that nobody has announced waits for the announcement, which
+    /// spreads to all hosts in seconds. Then the engine had weights that are not of this pool.
+    kernel::duration announcement_wait = std::chrono::seconds{10};
     kernel::duration first_retry = std::chrono::milliseconds{100}; ///< Doubles with each failure.
     kernel::duration longest_retry = std::chrono::seconds{10};
 };
@@ -120,7 +123,8 @@
     kernel::time_point not_before;
     std::uint32_t failures = 0;
     sample_ptr body;
-    bool sent = false; ///< Was part of an answer; the trainer may have it.
+    kernel::time_point finished_at; ///< When `body` was stored here.
+    bool sent = false;              ///< Was part of an answer; the trainer may have it.
     replica_state replica = replica_state::none;
     kernel::host_id replica_host;
     kernel::time_point hold_retry_at;
--- a/src/rollout/trainer.cpp
+++ b/src/rollout/trainer.cpp
@@ -2,14 +2,27 @@
 
 namespace cornelloom::rollout {
 
-pull_request next_pull(trainer_view& view, std::uint64_t order,
-                       std::optional<weight_version> trainer_version) {
+namespace {
+
+std::set<group_index> stale_groups(const trainer_view& view, const pull_answer& answer) {
+    std::set<group_index> stale;
+    for (const auto& one : answer.samples) {
+        if (is_stale(one.body->output.spans, view.newest, answer.staleness_bound)) {
+            stale.insert(one.group);
+        }
+    }
+    return stale;
+}
+
+} // namespace
+
+pull_request next_pull(trainer_view& view, std::uint64_t order) {
     view.order = order;
     pull_request request;
     request.key = view.key;
     request.epoch = view.epoch;
     request.order = order;
-    request.trainer_version = trainer_version;
+    request.trainer_version = view.newest;
     for (const auto& [slot, one] : view.committed) {
         request.held.push_back({slot, one.body->origin});
     }
@@ -22,8 +35,9 @@
         return added;
     }
     view.epoch = answer.epoch;
+    const auto stale = stale_groups(view, answer);
     for (const auto& one : answer.samples) {
-        if (view.committed.try_emplace(one.slot, one).second) {
+        if (!stale.contains(one.group) && view.committed.try_emplace(one.slot, one).second) {
             added.push_back(one.slot);
         }
     }
--- a/src/rollout/work.cpp
+++ b/src/rollout/work.cpp
@@ -227,7 +227,7 @@
     }
     finish(open.tokens, tokens_of(whole.spans));
     internal::store_body(open, ref.slot,
-                         std::make_shared<const sample>(sample{winner.id, std::move(whole)}));
+                         std::make_shared<const sample>(sample{winner.id, std::move(whole)}), now);
 }
 
 void on_broken(step& open, const attempt_ref& ref, break_cause cause, kernel::time_point now) {
--- a/tests/rollout/world.cpp
+++ b/tests/rollout/world.cpp
@@ -67,7 +67,10 @@
 
 void take_answer(world& all, const pull_answer& answer) {
     for (const auto slot : commit(all.trainer, answer)) {
-        check_sample(all, all.trainer.committed.at(slot), all.newest);
+        const auto& one = all.trainer.committed.at(slot);
+        check_sample(all, one, all.newest);
+        ++all.seen.committed;
+        all.seen.mixed_versions += one.body->output.spans.size() > 1 ? 1 : 0;
     }
 }
 
@@ -162,6 +165,7 @@
     request.trainer_version = newest;
     engines.fill(first_version);
     trainer.key = request.key;
+    trainer.newest = newest;
     checkpoint = trainer;
     hosts[0].owned =
         std::make_unique<step>(open_step(request, rules, last_epoch, now, {0}).value());
@@ -230,6 +234,7 @@
 
 void announce_version(world& all, std::uint32_t told_hosts) {
     ++all.newest;
+    all.trainer.newest = all.newest;
     for (std::size_t i = 0; i < host_count; ++i) {
         if (all.hosts[i].owned && (told_hosts >> i & 1U) != 0) {
             observe_version(*all.hosts[i].owned, all.newest, all.now);
@@ -250,15 +255,21 @@
     if (!open) {
         return;
     }
-    const auto request = next_pull(all.trainer, ++all.pulls, all.newest);
+    const auto request = next_pull(all.trainer, ++all.pulls);
     const auto coded = decode_pull_request(request.key.id, encode(request)).value();
+    std::vector<bool> sent;
+    std::ranges::transform(open->slots, std::back_inserter(sent), &slot::sent);
+    const auto acknowledged = open->tokens.delivered;
     const auto given = pull(*open, coded, all.now);
     if (!given) {
+        ++all.seen.other_owner;
         return;
     }
+    all.seen.unacknowledged += open->tokens.delivered < acknowledged ? 1 : 0;
     const auto answer = decode_pull_answer(encode(given.value())).value();
     for (const auto& one : answer.samples) {
         check_sample(all, one, all.newest);
+        all.seen.repeated += sent[one.slot] ? 1 : 0;
         if (all.trainer.committed.contains(one.slot)) {
             all.broken_promises.emplace_back("a held slot was given again");
         }
@@ -284,18 +295,18 @@
 
 void restart_trainer(world& all) {
     all.trainer = all.checkpoint;
+    all.trainer.newest = all.newest;
     all.late_answers.clear(); // Its connections are gone.
 }
 
 void kill_host(world& all, std::size_t host) {
+    note_waste(all, host);
     all.hosts[host] = {};
 }
 
 void take_over(world& all, std::size_t host, std::uint32_t silent) {
-    std::vector<kernel::host_id> asked;
-    for (std::size_t i = 0; i < host_count; ++i) {
-        asked.push_back(host_name(i));
-    }
+    std::vector<kernel::host_id> asked(host_count);
+    std::ranges::generate(asked, [i = std::size_t{0}]() mutable { return host_name(i++); });
     const auto epoch = ++all.last_epoch;
     auto taken =
         recover_step(all.stored, all.chunks, all.rules, epoch, asked, all.now, {0}).value();
@@ -315,7 +326,10 @@
             all.late_collections.push_back({host, epoch, i, std::move(answer)});
         }
     }
-    run_effects(all, 0);
+    ++all.seen.take_overs;
+    all.seen.collected += static_cast<std::size_t>(
+        std::ranges::count(taken.slots, slot_state::finished, &slot::state));
+    note_waste(all, host);
     all.hosts[host].owned = std::make_unique<step>(std::move(taken));
 }
 
@@ -354,66 +368,65 @@
 
 namespace {
 
-void stir_engines(world& all, std::uint32_t kind, std::uint32_t choice) {
-    const auto some_stream = all.streams.empty() ? 0 : choice % all.streams.size();
-    switch (kind) {
-    case 0:
-        break_stream(all, some_stream, static_cast<break_cause>(choice % 3));
-        break;
-    case 1:
-        crash_engine(all, choice % engine_count);
-        break;
-    case 2:
-        swap_engine(all, choice % engine_count,
-                    std::max(all.newest, first_version + choice / 4 % 3) - choice / 4 % 3);
-        break;
-    case 3:
-        generate(all, some_stream, false);
-        break;
-    default:
-        generate(all, some_stream, true);
+/// The newest owner in most cases, else any host.
+std::size_t some_host(world& all, std::uint32_t choice) {
+    const auto owner = newest_owner(all);
+    return owner == host_count || choice % 4 == 0 ? choice / 4 % host_count : owner;
+}
+
+void engine_fault(world& all, std::uint32_t choice) {
+    const auto kind = choice % 4;
+    const auto which = choice / 4;
+    if (kind == 0) {
+        // Mostly the newest weights; now and then older ones, which nobody ordered, or newer ones,
+        // which nobody has announced yet.
+        const auto behind = which / engine_count % 4;
+        const auto version =
+            behind == 3 ? all.newest + 1 : all.newest - std::min(all.newest - 1, behind / 2);
+        swap_engine(all, which % engine_count, version);
+    } else if (kind == 1) {
+        crash_engine(all, which % engine_count);
+    } else if (!all.streams.empty() && kind == 2) {
+        break_stream(all, which % all.streams.size(), static_cast<break_cause>(which / 8 % 3));
+    } else if (!all.streams.empty()) {
+        generate(all, which % all.streams.size(), false);
+    }
+}
+
+void host_fault(world& all, std::uint32_t choice) {
+    const auto which = choice / 8;
+    const auto host = which % host_count;
+    if (all.steady_owner && choice % 8 < 2) {
+        return;
     }
-}
-
-void stir_hosts(world& all, std::uint32_t kind, std::uint32_t choice) {
-    const auto host = choice % host_count;
-    switch (kind) {
+    switch (choice % 8) {
     case 0:
         kill_host(all, host);
         break;
     case 1:
-        take_over(all, host, choice / host_count);
+        take_over(all, host, which / 16 % 3 == 0 ? which / host_count : 0);
         break;
     case 2:
         deliver_late_collection(all);
         break;
     case 3:
-        announce_version(all, choice);
-        break;
-    case 4:
-        pass_time(all, 700ms);
-        break;
-    case 5:
-        hedge(all, host, choice / 8 % 6, choice);
+        announce_version(all, which | 1U << some_host(all, which));
         break;
     default:
-        run_effects(all, choice);
+        hedge(all, some_host(all, which), which / 8 % 6, which);
     }
 }
 
-void stir_trainer(world& all, std::uint32_t kind, std::uint32_t choice) {
-    switch (kind) {
+void trainer_fault(world& all, std::uint32_t choice) {
+    switch (choice % 3) {
     case 0:
         deliver_late_answer(all);
         break;
     case 1:
         all.checkpoint = all.trainer;
         break;
-    case 2:
-        restart_trainer(all);
-        break;
     default:
-        pull_from(all, choice % host_count, static_cast<fate>(choice / host_count % 4));
+        restart_trainer(all);
     }
 }
 
@@ -421,25 +434,47 @@
 
 void stir(world& all, std::uint32_t action) {
     const auto choice = action / 64;
-    const auto kind = action / 4 % 16;
-    switch (action % 4) {
-    case 0:
-        submit(all, choice % host_count, 1 + kind % 4, choice);
-        break;
-    case 1:
-        if (!all.streams.empty()) {
-            stir_engines(all, kind, choice);
-        }
-        break;
-    case 2:
-        stir_hosts(all, kind, choice);
-        break;
-    default:
-        stir_trainer(all, kind % 8, choice);
+    const auto kind = action % 64;
+    if (kind < 12) {
+        submit(all, some_host(all, choice), 1 + choice % 3, choice);
+    } else if (kind < 36 && !all.streams.empty()) {
+        generate(all, choice % all.streams.size(), true);
+    } else if (kind < 42) {
+        run_effects(all, choice % 3 == 0 ? choice / 3 : 0);
+    } else if (kind < 46) {
+        pass_time(all, 700ms);
+    } else if (kind < 52) {
+        pull_from(all, some_host(all, choice), static_cast<fate>(choice / 16 % 4));
+    } else if (kind < 57) {
+        engine_fault(all, choice);
+    } else if (kind < 62) {
+        host_fault(all, choice);
+    } else {
+        trainer_fault(all, choice);
     }
     check_accounts(all);
 }
 
+std::string describe(const world& all) {
+    std::string text = "newest " + std::to_string(all.newest) + ", committed " +
+                       std::to_string(all.trainer.committed.size()) + ", trainer epoch " +
+                       std::to_string(all.trainer.epoch);
+    for (const auto& each : all.hosts) {
+        if (!each.owned) {
+            continue;
+        }
+        const auto& open = *each.owned;
+        text += "\nepoch " + std::to_string(open.epoch) + " " + std::string(to_string(open.state)) +
+                " newest " + std::to_string(open.newest);
+        for (const auto& at : open.slots) {
+            text += "\n  " + std::string(to_string(at.state)) + " attempts " +
+                    std::to_string(at.attempts.size()) + " carried " + at.carried.text + " body " +
+                    (at.body ? at.body->output.text : "none");
+        }
+    }
+    return text;
+}
+
 bool run_to_completion(world& all) {
     if (newest_owner(all) == host_count) {
         take_over(all, 0, 0);
@@ -460,6 +495,13 @@
     return has_all(all);
 }
 
+void note_waste(world& all, std::size_t host) {
+    if (const auto& open = all.hosts[host].owned) {
+        std::ranges::transform(all.seen.wasted, open->tokens.wasted, all.seen.wasted.begin(),
+                               std::plus<>{});
+    }
+}
+
 void check_accounts(world& all) {
     for (const auto& each : all.hosts) {
         if (!each.owned) {
--- a/tests/rollout/world.hpp
+++ b/tests/rollout/world.hpp
@@ -40,6 +40,18 @@
     collect_answer answer;
 };
 
+/// What a run met, so that a test can tell whether its search looked at the faults at all.
+struct sightings {
+    std::size_t committed = 0;
+    std::size_t take_overs = 0;
+    std::size_t collected = 0;      ///< Samples that a new owner got from other hosts.
+    std::size_t mixed_versions = 0; ///< Committed samples with more than one span.
+    std::size_t repeated = 0;       ///< Samples given again because they were not held.
+    std::size_t other_owner = 0;    ///< Pulls that a deposed owner refused.
+    std::size_t unacknowledged = 0; ///< Slots that a restarted trainer no longer had.
+    std::array<token_count, waste_cause_count> wasted{};
+};
+
 struct world {
     explicit world(release_mode release, bool scored);
 
@@ -58,7 +70,9 @@
     std::deque<pull_answer> late_answers;
     std::deque<late_collection> late_collections;
     token_count generated = 0; ///< Tokens that engines made and told an owner of.
+    bool steady_owner = false; ///< The first host lives and keeps the step.
     std::vector<std::string> broken_promises;
+    sightings seen;
 };
 
 [[nodiscard]] token_count answer_length(slot_index slot);
@@ -92,6 +106,12 @@
 /// No more faults: runs until the trainer has everything; false when it never gets there.
 [[nodiscard]] bool run_to_completion(world& all);
 
+/// The state of all owners, to read beside a broken promise.
+[[nodiscard]] std::string describe(const world& all);
+
+/// Adds the waste of a host's step to `seen`.
+void note_waste(world& all, std::size_t host);
+
 /// Balance of every owner's account; faults are added to `broken_promises`.
 void check_accounts(world& all);
 
