--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -69,15 +69,15 @@
     /// Takes the connections that already stand in the backlog: their requests may have been sent.
     void stop_accepting() {
         error_code failure;
-        (void)acceptor.non_blocking(true, failure);
+        failure = acceptor.non_blocking(true, failure);
         while (!failure) {
             tcp::socket socket(asio::make_strand(loop));
-            (void)acceptor.accept(socket, failure);
+            failure = acceptor.accept(socket, failure);
             if (!failure) {
                 open(std::move(socket));
             }
         }
-        (void)acceptor.close(failure);
+        failure = acceptor.close(failure);
         const std::lock_guard lock(context.mutex);
         for (auto* known : context.sessions) {
             known->stop();
--- a/src/transport/internal/http_exchange.cpp
+++ b/src/transport/internal/http_exchange.cpp
@@ -17,7 +17,7 @@
     }
     boost::asio::post(*state_->context, [socket = state_->socket] {
         boost::system::error_code ignored;
-        (void)socket->close(ignored);
+        ignored = socket->close(ignored);
     });
 }
 
@@ -74,7 +74,7 @@
         return failure("connect to " + to_string(to), outcome);
     }
     error_code ignored;
-    (void)socket_.set_option(asio::ip::tcp::no_delay{true}, ignored);
+    ignored = socket_.set_option(asio::ip::tcp::no_delay{true}, ignored);
     return boost::outcome_v2::success();
 }
 
@@ -87,7 +87,7 @@
     }
     timed_out_ = true;
     error_code ignored;
-    (void)socket_.close(ignored);
+    ignored = socket_.close(ignored);
     context_.restart();
     while (!done && context_.run_one() > 0) {
     }
--- a/src/transport/internal/http_session.cpp
+++ b/src/transport/internal/http_session.cpp
@@ -114,7 +114,7 @@
 void http_session::start() {
     boost::asio::post(socket_.get_executor(), [self = shared_from_this()] {
         error_code ignored;
-        (void)self->socket_.set_option(boost::asio::ip::tcp::no_delay{true}, ignored);
+        ignored = self->socket_.set_option(boost::asio::ip::tcp::no_delay{true}, ignored);
         self->wait_for_request();
     });
 }
@@ -307,7 +307,7 @@
     if (phase_ != phase::draining) {
         phase_ = phase::draining;
         error_code ignored;
-        (void)socket_.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+        ignored = socket_.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
         limit_time(drain_timeout);
     }
     socket_.async_read_some(boost::asio::buffer(drained_),
@@ -324,7 +324,7 @@
 void http_session::close() {
     timer_.cancel();
     error_code ignored;
-    (void)socket_.close(ignored);
+    ignored = socket_.close(ignored);
 }
 
 void http_session::limit_time(kernel::duration allowed) {
@@ -343,7 +343,7 @@
             return;
         }
         error_code ignored;
-        (void)self->socket_.cancel(ignored);
+        ignored = self->socket_.cancel(ignored);
     });
 }
 
