--- a/src/client/trainer_client.cpp
+++ b/src/client/trainer_client.cpp
@@ -41,18 +41,17 @@
 json groups_json(const std::vector<prompt_group>& groups) {
     auto list = json::array();
     for (const auto& group : groups) {
-        list.push_back(
-            {{"group", group.group}, {"prompt", group.prompt}, {"samples", group.samples}});
+        list.push_back({{"prompt", group.prompt}, {"samples", group.samples}});
     }
     return list;
 }
 
-json open_json(const step_request& step) {
+json open_json(const step_request& step, kernel::wall_time deadline) {
     return {{"trainer", step.trainer.str()},
             {"step", step.step},
             {"version", step.version},
             {"staleness_bound", step.staleness_bound},
-            {"deadline_ms", duration_cast<milliseconds>(step.deadline).count()},
+            {"deadline_unix_ms", deadline.unix_ms},
             {"groups", groups_json(step.groups)},
             {"sampling",
              {{"max_tokens", step.sampling.max_tokens},
@@ -122,6 +121,17 @@
         return std::max(step.version, versions[step.pool]);
     }
 
+    /// The same for each opening of a step, or its content would differ.
+    kernel::wall_time deadline_of(const step_request& step) {
+        const auto length = duration_cast<milliseconds>(step.deadline).count();
+        const std::lock_guard lock(versions_lock);
+        auto& opened = openings[{step.pool, step.step}];
+        if (opened.unix_ms == 0) {
+            opened = step.opened.unix_ms != 0 ? step.opened : link.wall_now();
+        }
+        return {opened.unix_ms + length};
+    }
+
     /// Takes one answer; returns whether the step is complete, or nothing if it was not understood.
     std::optional<bool> take(const step_request& step, const json& answer, step_progress& progress,
                              step_result& result, const sample_sink& sink);
@@ -132,6 +142,7 @@
     internal::link link;
     std::mutex versions_lock;
     std::map<kernel::pool_id, std::uint64_t> versions; ///< Newest announced.
+    std::map<std::pair<kernel::pool_id, std::string>, kernel::wall_time> openings; ///< By step.
 };
 
 void trainer_client::state::take_sample(const step_request& step, const json& from,
@@ -191,7 +202,7 @@
 trainer_client::~trainer_client() = default;
 
 answered<void> trainer_client::open(const step_request& step) {
-    auto body = internal::dump(open_json(step));
+    auto body = internal::dump(open_json(step, state_->deadline_of(step)));
     if (!body) {
         return internal::malformed("a prompt is not UTF-8");
     }
@@ -218,6 +229,14 @@
         auto body = internal::dump(pull_json(step, progress, order));
         const auto got =
             link.send(json_request("POST", path, body.value_or("")), deadline, pull_rules);
+        if (!got.has_value() && got.error().reason == kernel::refusal_reason::no_such_step) {
+            // Its owner died before the step was stored: opened again it is the same step, and what
+            // other hosts hold of it is collected.
+            if (auto opened = open(step); !opened.has_value()) {
+                return opened.error();
+            }
+            continue;
+        }
         if (!got.has_value()) {
             return got.error();
         }
@@ -255,7 +274,8 @@
 
 answered<void> trainer_client::close(const step_request& step) {
     auto& link = state_->link;
-    const auto got = link.send(json_request("DELETE", steps_path(step) + "/" + step.step, {}),
+    const auto body = json{{"trainer", step.trainer.str()}}.dump();
+    const auto got = link.send(json_request("DELETE", steps_path(step) + "/" + step.step, body),
                                link.now() + std::chrono::minutes{1}, control_rules);
     if (!got.has_value()) {
         return got.error();
--- a/src/client/trainer_client.hpp
+++ b/src/client/trainer_client.hpp
@@ -8,8 +8,8 @@
 
 namespace cornelloom::client {
 
+/// Groups are numbered from 0 in the order in which they are given.
 struct prompt_group {
-    std::uint32_t group = 0;
     std::string prompt;
     std::uint32_t samples = 1;
 };
@@ -28,6 +28,9 @@
     std::uint64_t version = 0;
     std::uint32_t staleness_bound = 0;
     kernel::duration deadline = std::chrono::minutes{19};
+    /// When it was first opened; 0: now. Give it when the step is opened again after a restart of
+    /// the trainer, or the daemons see another deadline and so another step.
+    kernel::wall_time opened;
     std::vector<prompt_group> groups;
     sampling_options sampling;
 };
--- a/tests/client/trainer_tests.cpp
+++ b/tests/client/trainer_tests.cpp
@@ -18,7 +18,7 @@
     step.version = 5;
     step.staleness_bound = 1;
     step.deadline = 60s;
-    step.groups = {{0, "describe the leaf", 2}};
+    step.groups = {{"describe the leaf", 2}};
     return step;
 }
 
