--- a/cmake/cornelloom_targets.cmake
+++ b/cmake/cornelloom_targets.cmake
@@ -26,6 +26,7 @@
     cmake_parse_arguments(arg "" "" "DEPENDS" ${ARGN})
     file(GLOB mains CONFIGURE_DEPENDS "${PROJECT_SOURCE_DIR}/${folder}/*.cpp")
     file(GLOB shared CONFIGURE_DEPENDS "${PROJECT_SOURCE_DIR}/${folder}/internal/*.cpp")
+    list(FILTER shared EXCLUDE REGEX "/bench/internal/policy_")
     set(shared_target "")
     if(shared)
         set(shared_target cornelloom_${folder}_shared)
@@ -43,6 +44,15 @@
     endforeach()
 endfunction()
 
+# bench/internal/policy_*.cpp: built once, for bench_policy and for the tests of decide.
+function(cornelloom_add_decide_fake)
+    file(GLOB sources CONFIGURE_DEPENDS "${PROJECT_SOURCE_DIR}/bench/internal/policy_*.cpp")
+    add_library(cornelloom_decide_fake STATIC ${sources})
+    target_include_directories(cornelloom_decide_fake PUBLIC "${PROJECT_SOURCE_DIR}")
+    target_compile_options(cornelloom_decide_fake PRIVATE ${CORNELLOOM_WARNINGS})
+    target_link_libraries(cornelloom_decide_fake PUBLIC cornelloom_decide cornelloom_json_deps)
+endfunction()
+
 # One test program for each folder of tests/, grouped as the sources are.
 function(cornelloom_add_tests)
     find_package(Catch2 2 REQUIRED)
@@ -61,6 +71,9 @@
         target_include_directories(test_${name} PRIVATE "${PROJECT_SOURCE_DIR}")
         target_link_libraries(test_${name} PRIVATE cornelloom_test_main cornelloom_${name}
             cornelloom_json_deps PkgConfig::lua)
+        if(TARGET cornelloom_${name}_fake)
+            target_link_libraries(test_${name} PRIVATE cornelloom_${name}_fake)
+        endif()
         add_test(NAME ${name} COMMAND test_${name})
         # A fixed seed: the same verdict in every run.
         set_tests_properties(${name} PROPERTIES ENVIRONMENT "RC_PARAMS=seed=20261202")
--- a/src/decide/internal/outcomes.cpp
+++ b/src/decide/internal/outcomes.cpp
@@ -65,7 +65,8 @@
 }
 
 bool attempts_left(const scheduler_state& state, const request_record& record) {
-    return record.work.attempts_made + record.attempts < state.rules.retry.max_attempts;
+    const auto counted = record.work.attempts_made + record.attempts - record.interruptions;
+    return counted < state.rules.retry.max_attempts;
 }
 
 void run_again_if_fresh_is_needed(scheduler_state& state, request_record& record,
@@ -94,6 +95,8 @@
         return retry_reason::crashed;
     case failure_kind::timed_out:
         return retry_reason::timed_out;
+    case failure_kind::interrupted:
+        return retry_reason::interrupted;
     case failure_kind::rejected:
     case failure_kind::broken:
         break;
@@ -121,6 +124,12 @@
     record.answered_error = record.answered_error || kind == failure_kind::rejected;
 }
 
+void avoid(request_record& record, std::uint32_t target) {
+    if (std::ranges::find(record.avoid, target) == record.avoid.end()) {
+        record.avoid.push_back(target);
+    }
+}
+
 void retry_later(scheduler_state& state, request_record& record, const failure& what,
                  kernel::time_point now, actions& out) {
     const auto retries = record.attempts > 0 ? record.attempts - 1 : 0;
@@ -154,6 +163,12 @@
         refuse(state, record, kernel::refusal_reason::outcome_unknown, {}, what.detail, out);
         return;
     }
+    if (what.kind == failure_kind::interrupted) {
+        // Planned work of the operator's own: neither the budget nor the backoff is meant for it.
+        record.cause = retry_reason::interrupted;
+        delay(state, record, now);
+        return;
+    }
     if (!attempts_left(state, record)) {
         refuse(state, record, kernel::refusal_reason::target_failed, failed_retry, what.detail,
                out);
@@ -235,9 +250,11 @@
     const auto failed = *running;
     note_what_was_sent(*record, what.kind);
     keep_tokens(*record, failed, what, state.targets[failed.target].config.id);
-    note_failure(state, failed, what.kind, now, out);
-    if (std::ranges::find(record->avoid, failed.target) == record->avoid.end()) {
-        record->avoid.push_back(failed.target);
+    if (what.kind == failure_kind::interrupted) {
+        ++record->interruptions;
+    } else {
+        note_failure(state, failed, what.kind, now, out);
+        avoid(*record, failed.target);
     }
     end_sending(state, *record, attempt);
     const auto digest = digest_of(record->work);
--- a/src/decide/internal/state.hpp
+++ b/src/decide/internal/state.hpp
@@ -54,9 +54,9 @@
     std::vector<sending> sendings;
     std::vector<std::uint32_t> avoid; ///< Targets that failed it.
     std::uint32_t attempts = 0;
-    std::uint32_t unsent = 0;    ///< Attempts of which no byte left this host.
-    bool maybe_sent = false;     ///< A byte may have reached a target.
-    bool answered_error = false; ///< A target answered whole, with an error.
+    std::uint32_t interruptions = 0; ///< Attempts that a target ended on purpose; not counted.
+    bool maybe_sent = false;         ///< A byte may have reached a target.
+    bool answered_error = false;     ///< A target answered whole, with an error.
     std::uint32_t kept_tokens = 0;
     std::uint64_t kept_version = 0; ///< Oldest of the kept tokens.
     kernel::target_id kv_source;
--- a/src/decide/types.cpp
+++ b/src/decide/types.cpp
@@ -16,8 +16,9 @@
 }
 
 std::string_view to_string(retry_reason reason) {
-    constexpr std::array<std::string_view, 8> names{
-        "none", "not_sent", "overloaded", "broken", "crashed", "timed_out", "stale", "straggler"};
+    constexpr std::array<std::string_view, 9> names{"none",   "not_sent",  "overloaded",
+                                                    "broken", "crashed",   "timed_out",
+                                                    "stale",  "straggler", "interrupted"};
     return names.at(static_cast<std::size_t>(reason));
 }
 
--- a/src/decide/types.hpp
+++ b/src/decide/types.hpp
@@ -104,7 +104,8 @@
     crashed,
     timed_out,
     stale,
-    straggler
+    straggler,
+    interrupted
 };
 
 [[nodiscard]] std::string_view to_string(priority_class priority);
@@ -120,7 +121,7 @@
     retry_reason cause = retry_reason::none;
     kernel::time_point deadline;
     std::uint32_t resume_tokens = 0; ///< Send the first so many tokens already generated along.
-    kernel::target_id kv_source;     ///< Has the exported KV cache of them; empty: nobody.
+    kernel::target_id kv_source{};   ///< Has the exported KV cache of them; empty: nobody.
     std::uint32_t attempts_made = 0; ///< To put into the next hop's request: this one included.
 };
 
@@ -162,12 +163,13 @@
 
 /// How a sending failed. The kind decides what may be said of the request's run state.
 enum class failure_kind : std::uint8_t {
-    not_sent,   ///< No byte left this host (connection refused, no route).
-    overloaded, ///< The target answered that it did not run it.
-    rejected,   ///< The target answered with an error that another target would repeat.
-    broken,     ///< Cut, reset or malformed after a byte was sent; the target still answers.
-    crashed,    ///< Cut after a byte was sent, and the target accepts no connection any more.
-    timed_out,  ///< No whole answer in time.
+    not_sent,    ///< No byte left this host (connection refused, no route).
+    overloaded,  ///< The target answered that it did not run it.
+    rejected,    ///< The target answered with an error that another target would repeat.
+    broken,      ///< Cut, reset or malformed after a byte was sent; the target still answers.
+    crashed,     ///< Cut after a byte was sent, and the target accepts no connection any more.
+    timed_out,   ///< No whole answer in time.
+    interrupted, ///< The target ended it on purpose (a weight swap, a drain): nobody is to blame.
 };
 
 struct failure {
