decide: speeds learned at the load they ran under, and a free target picks cached prefixes

Cause: (1) every target that filled up after a sending looked slow, since the prediction was made for the load at its start; predictions were then up to four times too long, hedges seemed not to pay, and samples were refused as deadline_unreachable. (2) In a busy pool one slot is free at a time, so placement alone kept no group together: reads were as many as without affinity. (2) the free target looks through the next 32 items of the caller whose turn it is for a prefix that it holds (lookahead.cpp).

--- a/src/decide/fair_queue.cpp
+++ b/src/decide/fair_queue.cpp
@@ -74,6 +74,22 @@
     return std::nullopt;
 }
 
+std::size_t upcoming(const fair_queue& queue, const kernel::caller_id& caller,
+                     std::span<queue_head> into) {
+    const auto entry = queue.callers.find(caller);
+    if (entry == queue.callers.end()) {
+        return 0;
+    }
+    std::size_t count = 0;
+    for (const auto& [key, cost] : entry->second.items) {
+        if (count == into.size()) {
+            break;
+        }
+        into[count++] = {caller, key, cost};
+    }
+    return count;
+}
+
 void take(fair_queue& queue, const queue_head& item) {
     const auto entry = queue.callers.find(item.caller);
     if (entry == queue.callers.end()) {
--- a/src/decide/fair_queue.hpp
+++ b/src/decide/fair_queue.hpp
@@ -8,6 +8,7 @@
 #include <list>
 #include <map>
 #include <optional>
+#include <span>
 #include <unordered_map>
 
 namespace cornelloom::decide {
@@ -59,7 +60,11 @@
 /// The item to serve next, if any; it stays until `take` or `remove`.
 [[nodiscard]] std::optional<queue_head> head(fair_queue& queue);
 
-/// Takes the item that `head` gave and charges its caller.
+/// The first items of a caller, in order, as many as `into` has room for; gives their number.
+[[nodiscard]] std::size_t upcoming(const fair_queue& queue, const kernel::caller_id& caller,
+                                   std::span<queue_head> into);
+
+/// Takes the item that `head` gave, or another one of its caller, and charges the caller.
 void take(fair_queue& queue, const queue_head& item);
 
 [[nodiscard]] std::size_t size_of(const fair_queue& queue, const kernel::caller_id& caller);
--- a/src/decide/internal/dispatching.cpp
+++ b/src/decide/internal/dispatching.cpp
@@ -141,22 +141,29 @@
     return ++turn.set_aside < most_set_aside;
 }
 
-bool serve_head(class_turn& turn, const queue_head& item, actions& out) {
+// Puts the item, or one whose prefix the target holds, on the target that was found for it.
+void serve(class_turn& turn, const queue_head& item, const placement& found, actions& out) {
     auto& queue = turn.where.queues.at(turn.index);
+    const auto chosen = prefer_cached(turn.state, turn.where, item, found, turn.now);
+    auto& record = record_of(turn.state, chosen);
+    if (too_late(turn.state, record, found, turn.now)) {
+        refuse(turn.state, record, kernel::refusal_reason::deadline_unreachable,
+               std::chrono::duration_cast<kernel::duration>(
+                   std::chrono::duration<double>(found.seconds)),
+               "cannot finish before the deadline", out);
+        return;
+    }
+    take(queue, chosen);
+    turn.where.served.at(turn.index) += chosen.cost;
+    send(turn.state, record, found, kind_of(record), turn.now, out);
+}
+
+bool serve_head(class_turn& turn, const queue_head& item, actions& out) {
     auto& record = record_of(turn.state, item);
     const auto found = place(turn.state, record, turn.now);
     switch (found.outcome) {
     case placement_outcome::placed:
-        if (too_late(turn.state, record, found, turn.now)) {
-            refuse(turn.state, record, kernel::refusal_reason::deadline_unreachable,
-                   std::chrono::duration_cast<kernel::duration>(
-                       std::chrono::duration<double>(found.seconds)),
-                   "cannot finish before the deadline", out);
-            return true;
-        }
-        take(queue, item);
-        turn.where.served.at(turn.index) += item.cost;
-        send(turn.state, record, found, kind_of(record), turn.now, out);
+        serve(turn, item, found, out);
         return true;
     case placement_outcome::wait_for_swap:
         return put_aside(turn, record, found.wait_until);
@@ -207,9 +214,7 @@
     made.size = size_of(record.work, record.kept_tokens);
     made.cost = cost_of(record.work, record.kept_tokens);
     made.predicted = where.seconds;
-    const double running = estimated_running(load, state.rules.placement, now) + 1;
-    made.nominal = nominal_seconds(load, made.size, running, record.where->service_seconds);
-    made.nominal_token = load.tokens_per_second > 0 ? nominal_seconds(load, {0, 1}, running, 0) : 0;
+    made.running = estimated_running(load, state.rules.placement, now) + 1;
     made.resumed = record.kept_tokens;
     made.oldest_version = record.kept_tokens > 0 ? record.kept_version : 0;
     made.start_version = load.version;
@@ -293,11 +298,12 @@
         return;
     }
     where.rate = 0;
+    where.rate_near = 0;
     double slowest_sum = 0;
     double open = 0;
     for (const auto index : where.subset) {
         const auto& load = state.targets[index];
-        if (!takes_work(load, now) || (load.how_far == distance::remote && open > 0)) {
+        if (!takes_work(load, now)) {
             continue;
         }
         const answer_size one{0, load.tokens_per_second > 0 ? 1.0 : 0.0};
@@ -306,6 +312,7 @@
         where.rate += load.tokens_per_second > 0
                           ? load.tokens_per_second / load.observers / current_slowness(load, now)
                           : allowance(load, state.rules, now) / std::max(each, 1e-6);
+        where.rate_near = load.how_far == distance::remote ? where.rate_near : where.rate;
         slowest_sum += each;
         open += 1;
     }
--- a/src/decide/internal/outcomes.cpp
+++ b/src/decide/internal/outcomes.cpp
@@ -34,18 +34,12 @@
     where.service_seconds += service_gain * (std::min(elapsed, most) - where.service_seconds);
 }
 
-// What the sending would have taken by configured speeds, for the tokens it really generated.
-double nominal_for(const sending& ended, std::uint32_t tokens) {
-    const double excess = ended.size.generate - tokens;
-    return std::max(ended.nominal - excess * ended.nominal_token, ended.nominal_token);
-}
-
 void learn(scheduler_state& state, request_record& record, const sending& ended,
            std::uint32_t tokens, kernel::time_point now) {
     auto& load = state.targets[ended.target];
     const double elapsed = seconds(now - ended.sent);
-    const double nominal = std::max(nominal_for(ended, tokens), 1e-6);
-    const double ratio = elapsed / nominal;
+    const answer_size done{ended.size.read, static_cast<double>(tokens)};
+    const double ratio = elapsed / nominal_so_far(state, record, ended, done, now);
     observe_ratio(load, ratio, answer_gain, now);
     on_answer(load.limit, state.rules.limit, ratio,
               estimated_running(load, state.rules.placement, now), now);
@@ -203,9 +197,10 @@
     prove(state, *record, *running, now);
     const double elapsed = seconds(now - running->first_byte);
     const bool due = now >= running->observed + progress_interval && elapsed > 0;
-    if (due && running->tokens >= telling_tokens && running->nominal_token > 0) {
+    if (due && running->tokens >= telling_tokens && record->work.kind == target_kind::engine) {
         running->observed = now;
-        const double ratio = elapsed / (running->tokens * running->nominal_token);
+        const answer_size done{0, static_cast<double>(running->tokens)};
+        const double ratio = elapsed / nominal_so_far(state, *record, *running, done, now);
         observe_ratio(state.targets[running->target], ratio, progress_gain, now);
     }
 }
--- a/src/decide/internal/state.hpp
+++ b/src/decide/internal/state.hpp
@@ -28,9 +28,8 @@
     bool answering = false;
     bool suspect = false; ///< Counted in the target's suspects.
     double cost = 0;
-    double predicted = 0;     ///< Seconds for the whole of it, when it was sent.
-    double nominal = 0;       ///< The same by configured speeds: what ratios are taken of.
-    double nominal_token = 0; ///< Of it, for each generated token; 0 for a plain service.
+    double predicted = 0; ///< Seconds for the whole of it, when it was sent.
+    double running = 0;   ///< Estimated on its target when it was sent, itself included.
     answer_size size;
     std::uint32_t resumed = 0; ///< Tokens that were sent along.
     std::uint32_t tokens = 0;  ///< Generated here.
@@ -54,6 +53,7 @@
     std::vector<sending> sendings;
     std::vector<std::uint32_t> avoid; ///< Targets that failed it.
     std::uint32_t attempts = 0;
+    std::uint32_t passed_over = 0;   ///< Times that a later item with a cached prefix went first.
     std::uint32_t interruptions = 0; ///< Attempts that a target ended on purpose; not counted.
     bool maybe_sent = false;         ///< A byte may have reached a target.
     bool answered_error = false;     ///< A target answered whole, with an error.
@@ -95,6 +95,7 @@
     pool_versions versions;
     double service_seconds = 0.05; ///< Smoothed time of an answer, for plain services.
     double rate = 0;               ///< Cost per second for this host, refreshed now and then.
+    double rate_near = 0;          ///< Of it, without crossing a region border.
     double seconds_per_cost = 0;
     kernel::time_point rate_at{};
     bool rate_known = false;
@@ -135,6 +136,13 @@
 [[nodiscard]] kernel::run_state run_state_of(const request_record& record);
 [[nodiscard]] std::uint64_t digest_of(const request& work);
 
+/// Seconds that `size` of this sending should have taken by configured speeds, with the load
+/// between its start and now. Judged by the load at its start alone, every target that filled up
+/// meanwhile would look slow.
+[[nodiscard]] double nominal_so_far(const scheduler_state& state, const request_record& record,
+                                    const sending& running, const answer_size& size,
+                                    kernel::time_point now);
+
 void enqueue(scheduler_state& state, request_record& record);
 void delay(scheduler_state& state, request_record& record, kernel::time_point until);
 void check_hedge_at(scheduler_state& state, request_record& record, kernel::time_point at);
@@ -156,6 +164,13 @@
           dispatch_kind kind, kernel::time_point now, actions& out);
 void refresh_rate(const scheduler_state& state, destination& where, kernel::time_point now);
 
+// Lookahead (lookahead.cpp).
+
+/// The item to put on the free target in place of `item`: see lookahead.cpp.
+[[nodiscard]] queue_head prefer_cached(scheduler_state& state, const destination& where,
+                                       const queue_head& item, const placement& found,
+                                       kernel::time_point now);
+
 // Stragglers (stragglers.cpp).
 
 void hedge_due(scheduler_state& state, kernel::time_point now, actions& out);
--- a/src/decide/internal/stragglers.cpp
+++ b/src/decide/internal/stragglers.cpp
@@ -94,8 +94,14 @@
     return copy_pays(view_of(record, running, where, now), state.rules.hedge);
 }
 
-void note_late(scheduler_state& state, const sending& running, kernel::time_point now) {
-    const double ratio = seconds(now - running.sent) / std::max(running.nominal, 1e-6);
+// Nothing whole has come yet and it is over its time already: the target is at least that slow.
+void note_late(scheduler_state& state, const request_record& record, const sending& running,
+               kernel::time_point now) {
+    if (running.tokens >= telling_tokens) {
+        return; // Its progress has been counted.
+    }
+    const double nominal = nominal_so_far(state, record, running, running.size, now);
+    const double ratio = seconds(now - running.sent) / nominal;
     auto& load = state.targets[running.target];
     if (ratio > current_slowness(load, now)) {
         observe_ratio(load, ratio, late_gain, now);
@@ -136,7 +142,7 @@
         if (!is_candidate(state, record)) {
             continue;
         }
-        note_late(state, record.sendings.front(), now);
+        note_late(state, record, record.sendings.front(), now);
         if (!try_copy(state, record, now, out)) {
             look_again(state, record, now);
         }
--- a/src/decide/placement.cpp
+++ b/src/decide/placement.cpp
@@ -98,11 +98,6 @@
     return should_wait(load, query, rules, now) ? fitness::waits : fitness::fits;
 }
 
-double crossing_seconds(const placement_query& query, const placement_policy& rules) {
-    const double tokens = query.size.read + query.size.generate;
-    return rules.crossing_seconds_per_kilotoken * tokens / tokens_per_kilotoken;
-}
-
 // Time and lag in the pool's own weights; a plain service has only time.
 double versions_cost(const target_load& load, const placement_query& query, double time,
                      kernel::time_point now) {
@@ -265,6 +260,11 @@
 
 } // namespace
 
+double crossing_seconds(const answer_size& size, const placement_policy& rules) {
+    const double tokens = size.read + size.generate;
+    return rules.crossing_seconds_per_kilotoken * tokens / tokens_per_kilotoken;
+}
+
 bool takes_work(const target_load& load, kernel::time_point now) {
     const bool swapping = load.swap && load.swap->starts <= now && now < load.swap->ready &&
                           load.version < load.swap->version;
@@ -288,7 +288,7 @@
         time += seconds(placing.zone_penalty);
     }
     if (load.how_far == distance::remote) {
-        time += seconds(placing.region_penalty) + crossing_seconds(query, placing);
+        time += seconds(placing.region_penalty) + crossing_seconds(query.size, placing);
     }
     return versions_cost(load, query, time, now);
 }
@@ -304,7 +304,7 @@
             rest, [&](auto index) { return targets[index].how_far != how_far; });
         const auto tier = rest.first(static_cast<std::size_t>(end - rest.begin()));
         rest = rest.subspan(tier.size());
-        const bool pays = query.patience_seconds >= crossing_seconds(query, rules.placement);
+        const bool pays = query.patience_seconds >= crossing_seconds(query.size, rules.placement);
         if (how_far == distance::remote && nearer_open && !pays) {
             break;
         }
--- a/src/decide/placement.hpp
+++ b/src/decide/placement.hpp
@@ -49,6 +49,9 @@
 /// Whether the target takes new work at all.
 [[nodiscard]] bool takes_work(const target_load& load, kernel::time_point now);
 
+/// Seconds of waiting that sending and answering this across a region border is worth.
+[[nodiscard]] double crossing_seconds(const answer_size& size, const placement_policy& rules);
+
 /// Estimated cost, in seconds, of running the request there; lower is better. Contains predicted
 /// time, the saving by a cached prefix, distance, versions behind, and the price of crossing.
 [[nodiscard]] double score(const target_load& load, std::uint32_t index,
--- a/src/decide/policy.hpp
+++ b/src/decide/policy.hpp
@@ -34,6 +34,10 @@
     std::size_t choices = 2;       ///< Candidates compared; 0: all. See docs/DECISIONS.md.
     double load_bound = 1.25;      ///< Affinity holds while load is below this times the mean.
     double prefix_hit = 0.9;       ///< Belief in a fresh cache hint; events may be missing.
+    /// How many of a caller's next items are looked through for one whose prefix the free target
+    /// holds, and how often an item may be passed over for such a one.
+    std::size_t lookahead = 32;
+    std::uint32_t most_passed_over = 64;
     kernel::duration hint_lifetime = 120s;  ///< A hint older than this is not believed.
     kernel::duration report_lifetime = 5s;  ///< A report's weight halves with each of these.
     kernel::duration zone_penalty = 1ms;    ///< For leaving the zone: a round trip.
--- a/src/decide/scheduler.cpp
+++ b/src/decide/scheduler.cpp
@@ -115,7 +115,13 @@
 
 deadline_view view_deadline(const scheduler_state& state, const destination& where,
                             const request& work, kernel::time_point now) {
-    return {.wait = predicted_wait(backlog_of(state, where, work)),
+    auto backlog = backlog_of(state, where, work);
+    backlog.rate = where.rate_near;
+    const double near = predicted_wait(backlog);
+    backlog.rate = where.rate;
+    // The far targets help once the wait has become longer than the crossing is worth.
+    const double crossing = crossing_seconds(size_of(work, 0), state.rules.placement);
+    return {.wait = std::min(near, std::max(crossing, predicted_wait(backlog))),
             .service = where.seconds_per_cost * cost_of(work, 0),
             .left = seconds(work.deadline - now)};
 }
