--- a/src/decide/internal/outcomes.cpp
+++ b/src/decide/internal/outcomes.cpp
@@ -34,18 +34,12 @@
     where.service_seconds += service_gain * (std::min(elapsed, most) - where.service_seconds);
 }
 
-// What the sending would have taken by configured speeds, for the tokens it really generated.
-double nominal_for(const sending& ended, std::uint32_t tokens) {
-    const double excess = ended.size.generate - tokens;
-    return std::max(ended.nominal - excess * ended.nominal_token, ended.nominal_token);
-}
-
 void learn(scheduler_state& state, request_record& record, const sending& ended,
            std::uint32_t tokens, kernel::time_point now) {
     auto& load = state.targets[ended.target];
     const double elapsed = seconds(now - ended.sent);
-    const double nominal = std::max(nominal_for(ended, tokens), 1e-6);
-    const double ratio = elapsed / nominal;
+    const answer_size done{ended.size.read, static_cast<double>(tokens)};
+    const double ratio = elapsed / nominal_so_far(state, record, ended, done, now);
     observe_ratio(load, ratio, answer_gain, now);
     on_answer(load.limit, state.rules.limit, ratio,
               estimated_running(load, state.rules.placement, now), now);
@@ -65,7 +59,8 @@
 }
 
 bool attempts_left(const scheduler_state& state, const request_record& record) {
-    return record.work.attempts_made + record.attempts < state.rules.retry.max_attempts;
+    const auto counted = record.work.attempts_made + record.attempts - record.interruptions;
+    return counted < state.rules.retry.max_attempts;
 }
 
 void run_again_if_fresh_is_needed(scheduler_state& state, request_record& record,
@@ -94,6 +89,8 @@
         return retry_reason::crashed;
     case failure_kind::timed_out:
         return retry_reason::timed_out;
+    case failure_kind::interrupted:
+        return retry_reason::interrupted;
     case failure_kind::rejected:
     case failure_kind::broken:
         break;
@@ -121,6 +118,12 @@
     record.answered_error = record.answered_error || kind == failure_kind::rejected;
 }
 
+void avoid(request_record& record, std::uint32_t target) {
+    if (std::ranges::find(record.avoid, target) == record.avoid.end()) {
+        record.avoid.push_back(target);
+    }
+}
+
 void retry_later(scheduler_state& state, request_record& record, const failure& what,
                  kernel::time_point now, actions& out) {
     const auto retries = record.attempts > 0 ? record.attempts - 1 : 0;
@@ -154,6 +157,12 @@
         refuse(state, record, kernel::refusal_reason::outcome_unknown, {}, what.detail, out);
         return;
     }
+    if (what.kind == failure_kind::interrupted) {
+        // Planned work of the operator's own: neither the budget nor the backoff is meant for it.
+        record.cause = retry_reason::interrupted;
+        delay(state, record, now);
+        return;
+    }
     if (!attempts_left(state, record)) {
         refuse(state, record, kernel::refusal_reason::target_failed, failed_retry, what.detail,
                out);
@@ -188,9 +197,10 @@
     prove(state, *record, *running, now);
     const double elapsed = seconds(now - running->first_byte);
     const bool due = now >= running->observed + progress_interval && elapsed > 0;
-    if (due && running->tokens >= telling_tokens && running->nominal_token > 0) {
+    if (due && running->tokens >= telling_tokens && record->work.kind == target_kind::engine) {
         running->observed = now;
-        const double ratio = elapsed / (running->tokens * running->nominal_token);
+        const answer_size done{0, static_cast<double>(running->tokens)};
+        const double ratio = elapsed / nominal_so_far(state, *record, *running, done, now);
         observe_ratio(state.targets[running->target], ratio, progress_gain, now);
     }
 }
@@ -235,9 +245,11 @@
     const auto failed = *running;
     note_what_was_sent(*record, what.kind);
     keep_tokens(*record, failed, what, state.targets[failed.target].config.id);
-    note_failure(state, failed, what.kind, now, out);
-    if (std::ranges::find(record->avoid, failed.target) == record->avoid.end()) {
-        record->avoid.push_back(failed.target);
+    if (what.kind == failure_kind::interrupted) {
+        ++record->interruptions;
+    } else {
+        note_failure(state, failed, what.kind, now, out);
+        avoid(*record, failed.target);
     }
     end_sending(state, *record, attempt);
     const auto digest = digest_of(record->work);
