--- a/src/rollout/codec_hosts.cpp
+++ b/src/rollout/codec_hosts.cpp
@@ -141,7 +141,9 @@
 }
 
 std::string encode(const collect_request& request) {
-    json message{{"epoch", request.epoch}, {"from_slot", request.from_slot}};
+    json message{{"epoch", request.epoch},
+                 {"from_slot", request.from_slot},
+                 {"expires", request.expires.unix_ms}};
     internal::write_key(message, request.key);
     return internal::pack(message);
 }
@@ -154,6 +156,7 @@
     read.key = internal::read_key(fields);
     read.epoch = fields.required<owner_epoch>("epoch");
     read.from_slot = fields.required<slot_index>("from_slot");
+    read.expires.unix_ms = fields.required<std::int64_t>("expires");
     return internal::checked(std::move(read), faults);
 }
 
--- a/src/rollout/replica.cpp
+++ b/src/rollout/replica.cpp
@@ -96,12 +96,9 @@
 collect_answer collect(replica_store& store, const collect_request& request) {
     collect_answer answer;
     answer.key = request.key;
-    const auto it = store.steps.find(request.key);
-    if (it == store.steps.end()) {
-        return answer;
-    }
-    auto& of = it->second;
+    auto& of = store.steps[request.key];
     of.epoch = std::max(of.epoch, request.epoch);
+    of.expires = std::max(of.expires, request.expires);
     answer.account_epoch = of.account_epoch;
     answer.account = of.account;
     std::size_t bytes = 0;
--- a/src/rollout/replica.hpp
+++ b/src/rollout/replica.hpp
@@ -47,7 +47,8 @@
 struct collect_request {
     step_key key;
     owner_epoch epoch = 0;
-    slot_index from_slot = 0; ///< Where an earlier answer left off.
+    slot_index from_slot = 0;  ///< Where an earlier answer left off.
+    kernel::wall_time expires; ///< Of the fence, when the host holds nothing yet.
 };
 
 /// Text of an answer to a collection; the rest is asked for with the next one. Half of what the
@@ -81,7 +82,8 @@
 [[nodiscard]] hold_answer hold(replica_store& store, const hold_request& request);
 void release(replica_store& store, const release_request& request);
 
-/// Fences the step: holds of older epochs are refused from now on.
+/// Fences the step, also at a host that holds nothing of it yet: holds of older epochs are refused
+/// from now on, so that a deposed owner learns of its end by its next copy.
 [[nodiscard]] collect_answer collect(replica_store& store, const collect_request& request);
 
 /// Drops steps whose trainer has not come back in time.
--- a/src/rollout/weights.cpp
+++ b/src/rollout/weights.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <functional>
 
 namespace cornelloom::rollout {
 
@@ -156,22 +157,38 @@
 struct candidate {
     engine_state* engine;
     engine_order order;
+    std::size_t left_in_zone = 0;
 };
 
-/// Engines that lack something and may be ordered, idle ones first: a swap there disturbs nobody.
+bool may_be_ordered(const weight_steward& steward, const engine_state& engine, time_point now) {
+    const bool seen = engine.report.as_of >= steward.started;
+    return seen && !engine.pending && !engine.report.loading && engine.not_before <= now;
+}
+
+/// Engines that lack something and may be ordered. Zones with most left to do come first: with the
+/// store as the bound, a zone that was served last would have to finish alone, at the pace that its
+/// serving floor allows. Within a zone idle engines come first: a swap there disturbs nobody.
 std::vector<candidate> candidates(weight_steward& steward, time_point now) {
-    std::vector<candidate> all;
+    std::map<kernel::zone_id, std::vector<candidate>> by_zone;
     for (auto& [id, engine] : steward.engines) {
-        const bool seen = engine.report.as_of >= steward.started;
-        if (!seen || engine.pending || engine.report.loading || engine.not_before > now) {
+        if (!may_be_ordered(steward, engine, now)) {
             continue;
         }
         if (auto order = lacking(steward, engine)) {
-            all.push_back({&engine, std::move(*order)});
+            by_zone[engine.report.zone].push_back({&engine, std::move(*order)});
+        }
+    }
+    std::vector<candidate> all;
+    for (auto& [zone, waiting] : by_zone) {
+        std::ranges::stable_sort(waiting, {},
+                                 [](const candidate& one) { return one.engine->report.running; });
+        auto left = waiting.size();
+        for (auto& one : waiting) {
+            one.left_in_zone = left--;
+            all.push_back(std::move(one));
         }
     }
-    std::ranges::stable_sort(all, {},
-                             [](const candidate& one) { return one.engine->report.running; });
+    std::ranges::stable_sort(all, std::greater{}, &candidate::left_in_zone);
     return all;
 }
 
@@ -257,7 +274,7 @@
     add_credit(steward, now);
     time_out_orders(steward, now);
     auto zones = count_zones(steward);
-    for (auto& [engine, order] : candidates(steward, now)) {
+    for (auto& [engine, order, left] : candidates(steward, now)) {
         auto& zone = zones[engine->report.zone];
         const auto bytes = bytes_of(steward, order.kind);
         const bool takes_away = order.kind != order_kind::load_adapter;
--- a/tests/rollout/world.cpp
+++ b/tests/rollout/world.cpp
@@ -312,7 +312,8 @@
         recover_step(all.stored, all.chunks, all.rules, epoch, asked, all.now, {0}).value();
     all.stored.epoch = epoch;
     for (std::size_t i = 0; i < host_count; ++i) {
-        collect_answer answer = collect(all.hosts[i].replicas, {taken.request.key, epoch, 0});
+        collect_answer answer =
+            collect(all.hosts[i].replicas, {taken.request.key, epoch, 0, taken.request.deadline});
         const bool heard = (silent >> i & 1U) == 0;
         if (const auto& old = all.hosts[i].owned; old && heard) {
             // Another owner hears of its end, and gives what it has.
