--- /dev/null
+++ b/src/decide/scheduler.cpp
@@ -0,0 +1,287 @@
+#include "decide/scheduler.hpp"
+
+#include "decide/internal/state.hpp"
+
+#include <algorithm>
+
+namespace cornelloom::decide {
+
+namespace {
+
+// A target that is missing now may be back when the caller asks again.
+constexpr kernel::duration no_target_retry = 1s;
+constexpr kernel::duration least_retry = 100ms;
+constexpr kernel::duration idle_tick = 50ms;
+
+double seconds(kernel::duration length) {
+    return std::chrono::duration<double>(length).count();
+}
+
+kernel::duration from_seconds(double length) {
+    constexpr double longest = 600;
+    return std::chrono::duration_cast<kernel::duration>(
+        std::chrono::duration<double>(std::min(length, longest)));
+}
+
+kernel::refusal refused(const request& work, kernel::refusal_reason reason,
+                        kernel::duration retry_after, std::string detail = {}) {
+    // An earlier hop may have sent it: this one can't say that it did not run.
+    const auto state =
+        work.attempts_made > 0 ? kernel::run_state::unknown : kernel::run_state::not_run;
+    return {reason, state, retry_after, std::move(detail)};
+}
+
+using check = std::optional<kernel::refusal>;
+
+check check_request(const scheduler_state& state, const request& work, kernel::time_point now) {
+    if (state.requests.contains(work.id)) {
+        return refused(work, kernel::refusal_reason::malformed, {}, "request id is in use");
+    }
+    if (work.deadline <= now) {
+        return refused(work, kernel::refusal_reason::deadline_passed, {});
+    }
+    if (work.attempts_made > 0 && !work.idempotent) {
+        return refused(work, kernel::refusal_reason::outcome_unknown, {},
+                       "not idempotent and sent by an earlier hop");
+    }
+    if (work.attempts_made >= state.rules.retry.max_attempts) {
+        return refused(work, kernel::refusal_reason::retry_budget_spent, least_retry,
+                       "attempts of earlier hops");
+    }
+    const auto left = quarantined_for(state.crashes, digest_of(work), now);
+    if (left > kernel::duration{}) {
+        return refused(work, kernel::refusal_reason::quarantined, left, "crashed several targets");
+    }
+    return std::nullopt;
+}
+
+check check_destination(const scheduler_state& state, const request& work) {
+    const auto it = state.destinations.find(work.destination);
+    if (it == state.destinations.end() || it->second->kind != work.kind) {
+        const auto reason = work.kind == target_kind::engine
+                                ? kernel::refusal_reason::no_such_pool
+                                : kernel::refusal_reason::no_such_service;
+        return refused(work, reason, {}, work.destination);
+    }
+    return std::nullopt;
+}
+
+// Some target must be able to give tokens that are fresh enough, now or after a planned swap.
+check check_targets(const scheduler_state& state, const destination& where, const request& work,
+                    kernel::time_point now) {
+    const auto oldest =
+        where.kind == target_kind::engine
+            ? oldest_allowed(where.versions, pool_policy_of(state.rules, where.name),
+                             work.minimum_version)
+            : std::uint64_t{0};
+    bool any = false;
+    bool fresh = false;
+    for (const auto index : where.subset) {
+        const auto& load = state.targets[index];
+        const bool here = !load.gone && !load.leaving && !is_ejected(load.health, now);
+        any = any || here;
+        fresh = fresh ||
+                (here && (load.version >= oldest || (load.swap && load.swap->version >= oldest)));
+    }
+    if (!any) {
+        return refused(work, kernel::refusal_reason::no_target, no_target_retry);
+    }
+    if (!fresh) {
+        return refused(work, kernel::refusal_reason::staleness_unreachable, no_target_retry);
+    }
+    return std::nullopt;
+}
+
+double waiting_before(const destination& where, std::size_t index) {
+    double cost = 0;
+    for (std::size_t i = 0; i < index; ++i) {
+        cost += where.queues.at(i).cost;
+    }
+    return cost;
+}
+
+backlog_view backlog_of(const scheduler_state& state, const destination& where,
+                        const request& work) {
+    const auto index = index_of(work.priority);
+    const auto& queue = where.queues.at(index);
+    const bool known = queue.callers.contains(work.caller);
+    return {.ahead = waiting_before(where, index),
+            .in_class = queue.cost,
+            .of_caller = cost_of(queue, work.caller) + (known ? 0 : cost_of(work, 0)),
+            .callers = static_cast<double>(queue.callers.size() + (known ? 0 : 1)),
+            .rate = where.rate,
+            .floor = state.rules.classes.at(index).floor};
+}
+
+deadline_view view_deadline(const scheduler_state& state, const destination& where,
+                            const request& work, kernel::time_point now) {
+    return {.wait = predicted_wait(backlog_of(state, where, work)),
+            .service = where.seconds_per_cost * cost_of(work, 0),
+            .left = seconds(work.deadline - now)};
+}
+
+check check_queue(const scheduler_state& state, const destination& where, const request& work,
+                  const deadline_view& view) {
+    const auto index = index_of(work.priority);
+    const auto& queue = where.queues.at(index);
+    const auto most = state.rules.classes.at(index).max_queued;
+    const auto drained = std::max(from_seconds(view.wait), least_retry);
+    if (queue.size >= most) {
+        return refused(work, kernel::refusal_reason::queue_full, drained);
+    }
+    if (share_exceeded(size_of(queue, work.caller), queue.size, most,
+                       state.rules.max_caller_share)) {
+        return refused(work, kernel::refusal_reason::share_exceeded, drained);
+    }
+    if (!state.rules.predict_deadlines) {
+        return std::nullopt;
+    }
+    if (const auto later = unreachable(view, state.rules.deadline_certainty)) {
+        return refused(work, kernel::refusal_reason::deadline_unreachable, *later);
+    }
+    return std::nullopt;
+}
+
+check check_rate(scheduler_state& state, const request& work, kernel::time_point now) {
+    const auto& rules = policy_of(state.rules, work.caller.str());
+    if (rules.tokens_per_second <= 0) {
+        return std::nullopt;
+    }
+    if (const auto later = charge(state.buckets[work.caller], rules, cost_of(work, 0), now)) {
+        return refused(work, kernel::refusal_reason::rate_limited, *later);
+    }
+    return std::nullopt;
+}
+
+void join_group(request_record& record) {
+    if (record.work.group.empty()) {
+        return;
+    }
+    auto& group = record.where->groups[record.work.group];
+    group.size = std::max(group.size, record.work.group_size);
+    group.open.insert(record.sequence);
+}
+
+void admit(scheduler_state& state, request work, destination& where, kernel::time_point now) {
+    auto owned = std::make_unique<request_record>();
+    auto& record = *owned;
+    record.work = std::move(work);
+    record.where = &where;
+    record.sequence = state.next_sequence++;
+    record.submitted = now;
+    state.by_sequence.emplace(record.sequence, &record);
+    state.deadlines.insert({record.work.deadline, record.sequence, &record});
+    state.requests.emplace(record.work.id, std::move(owned));
+    join_group(record);
+    if (record.work.priority == priority_class::interactive) {
+        where.last_interactive = now;
+        where.had_interactive = true;
+    }
+    enqueue(state, record);
+}
+
+} // namespace
+
+scheduler::scheduler(host self, policy rules, std::uint64_t seed)
+    : state(std::make_unique<scheduler_state>()) {
+    state->self = std::move(self);
+    state->rules = std::move(rules);
+    state->random.seed(seed);
+}
+
+scheduler::~scheduler() = default;
+scheduler::scheduler(scheduler&&) noexcept = default;
+scheduler& scheduler::operator=(scheduler&&) noexcept = default;
+
+admission submit(scheduler& all, request work, kernel::time_point now) {
+    auto& state = *all.state;
+    if (auto fault = check_request(state, work, now)) {
+        return *std::move(fault);
+    }
+    if (auto fault = check_destination(state, work)) {
+        return *std::move(fault);
+    }
+    auto& where = *state.destinations.at(work.destination);
+    if (auto fault = check_targets(state, where, work, now)) {
+        return *std::move(fault);
+    }
+    refresh_rate(state, where, now);
+    const auto view = view_deadline(state, where, work, now);
+    if (auto fault = check_queue(state, where, work, view)) {
+        return *std::move(fault);
+    }
+    // Last, so that a request refused for another reason costs its caller nothing.
+    if (auto fault = check_rate(state, work, now)) {
+        return *std::move(fault);
+    }
+    admit(state, std::move(work), where, now);
+    return admitted{now + from_seconds(view.wait + view.service)};
+}
+
+actions next_dispatches(scheduler& all, kernel::time_point now) {
+    actions out;
+    dispatch_all(*all.state, now, out);
+    return out;
+}
+
+actions tick(scheduler& all, kernel::time_point now) {
+    actions out;
+    auto& state = *all.state;
+    expire_requests(state, now, out);
+    sweep(state, now);
+    hedge_due(state, now, out);
+    dispatch_all(state, now, out);
+    return out;
+}
+
+kernel::time_point next_deadline(const scheduler& all, kernel::time_point now) {
+    const auto& state = *all.state;
+    auto next = now + idle_tick;
+    for (const auto* times : {&state.deadlines, &state.delayed, &state.hedge_checks}) {
+        if (!times->empty()) {
+            next = std::min(next, times->begin()->at);
+        }
+    }
+    return std::max(next, now);
+}
+
+scheduler_counts counts(const scheduler& all) {
+    const auto& state = *all.state;
+    scheduler_counts out;
+    for (const auto& [name, where] : state.destinations) {
+        for (std::size_t i = 0; i < priority_class_count; ++i) {
+            out.queued.at(i) += where->queues.at(i).size;
+        }
+    }
+    out.delayed = state.delayed.size();
+    out.in_flight = state.in_flight;
+    out.requests = state.requests.size();
+    for (const auto& [digest, record] : state.crashes.digests) {
+        out.quarantined += record.quarantined_until > kernel::time_point{} ? 1 : 0;
+    }
+    out.targets_leaving =
+        static_cast<std::size_t>(std::ranges::count_if(state.targets, &target_load::leaving));
+    return out;
+}
+
+std::vector<target_view> view_targets(const scheduler& all, kernel::time_point now) {
+    const auto& state = *all.state;
+    std::vector<target_view> out;
+    for (const auto& load : state.targets) {
+        if (load.gone) {
+            continue;
+        }
+        out.push_back({.id = load.config.id,
+                       .in_flight = load.in_flight,
+                       .limit = load.limit.value,
+                       .allowance = allowance(load, state.rules, now),
+                       .share = traffic_share(load.health, state.rules.health, now),
+                       .slowness = current_slowness(load, now),
+                       .ejected = is_ejected(load.health, now),
+                       .leaving = load.leaving,
+                       .version = load.version});
+    }
+    return out;
+}
+
+} // namespace cornelloom::decide
