--- a/src/transport/transport.hpp
+++ b/src/transport/transport.hpp
@@ -7,3 +7,5 @@
 #include "transport/http_client.hpp"
 #include "transport/http_server.hpp"
 #include "transport/platform_client.hpp"
+#include "transport/shared_key.hpp"
+#include "transport/udp_channel.hpp"
