--- a/src/transport/transport.hpp
+++ b/src/transport/transport.hpp
@@ -6,6 +6,7 @@
 #include "transport/http.hpp"
 #include "transport/http_client.hpp"
 #include "transport/http_server.hpp"
+#include "transport/peer_stream.hpp"
 #include "transport/platform_client.hpp"
 #include "transport/shared_key.hpp"
 #include "transport/udp_channel.hpp"
