Membership: random probe order for newcomers, quick repair of missed news

A leaving mark reached the last of 80 hosts after 21.6 s. Change: newcomers take a random place of the round; a few hosts that hear of a suspect probe it next; probes carry the hash of a quiet sender's table and a difference is repaired at once.

--- a/bench/bench_coord.cpp
+++ b/bench/bench_coord.cpp
@@ -8,6 +8,7 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <cmath>
 #include <iostream>
 #include <iterator>
 
@@ -24,7 +25,7 @@
         return T{};
     }
     const auto last = static_cast<double>(sorted.size() - 1);
-    return sorted[static_cast<std::size_t>(last * share + 0.5)];
+    return sorted[static_cast<std::size_t>(std::lround(last * share))];
 }
 
 double in_seconds(kernel::duration span) {
--- a/src/coord/internal/membership_spread.cpp
+++ b/src/coord/internal/membership_spread.cpp
@@ -29,6 +29,28 @@
     }
 }
 
+/// Probes and their answers carry the hash of a sender that has nothing left to tell. If both sides
+/// are quiet and differ, one of them missed news that is no longer sent; without this it would
+/// send work to a leaving host until the next `compare`. Limited, since two hosts that differ for
+/// long, such as over a half-open link, would exchange tables with each probe.
+void membership_machine::repair_if_different(const message_header& header,
+                                             const std::string& from) {
+    const bool probing = header.kind == message_kind::ping || header.kind == message_kind::ack;
+    if (!probing || header.table_hash == 0 || now_ < state_.next_repair || !is_quiet()) {
+        return;
+    }
+    if (header.table_hash != table_hash(state_, now_)) {
+        state_.next_repair = now_ + state_.settings.repair_every;
+        send_table(from, true);
+    }
+}
+
+bool membership_machine::is_quiet() const {
+    return std::ranges::all_of(state_.queue, [](const queued_delta& queued) {
+        return queued.kind == delta_kind::generation;
+    });
+}
+
 void membership_machine::send_table(const std::string& to, bool wanted) {
     ++state_.counts.full_syncs;
     std::vector<member_delta> deltas;
@@ -70,6 +92,10 @@
     made.kind = kind;
     made.sender = state_.self;
     made.configuration = state_.configuration;
+    const bool probing = kind == message_kind::ping || kind == message_kind::ack;
+    if (probing && is_quiet()) {
+        made.table_hash = table_hash(state_, now_);
+    }
     return made;
 }
 
--- a/src/coord/internal/membership_step.cpp
+++ b/src/coord/internal/membership_step.cpp
@@ -97,6 +97,7 @@
         merge(state_, item, out_, now_);
     }
     note_sender(in.header, from);
+    repair_if_different(in.header, from);
     switch (in.header.kind) {
     case message_kind::ping:
         on_ping(in, from);
--- a/src/coord/internal/membership_step.hpp
+++ b/src/coord/internal/membership_step.hpp
@@ -40,6 +40,8 @@
     void join();
     void spread();
     void compare();
+    void repair_if_different(const message_header& header, const std::string& from);
+    [[nodiscard]] bool is_quiet() const;
     void send_table(const std::string& to, bool wanted);
 
     [[nodiscard]] message_header header(message_kind kind) const;
--- a/src/coord/internal/membership_table.cpp
+++ b/src/coord/internal/membership_table.cpp
@@ -28,6 +28,30 @@
     return std::chrono::duration_cast<kernel::duration>(settings.probe_every * periods);
 }
 
+std::size_t draw(membership& state, std::size_t from, std::size_t to) {
+    return std::uniform_int_distribution<std::size_t>(from, to)(state.random);
+}
+
+/// Puts a new member at a random place of this round. Guards against all hosts probing in the
+/// order in which they learnt of each other, which is nearly the same everywhere: the seeds would
+/// be probed by all at once and then by nobody for a whole round, minutes at 370 hosts.
+void probe_later(membership& state, const kernel::host_id& host) {
+    auto& order = state.probe_order;
+    const auto at = draw(state, std::min(state.probe_index, order.size()), order.size());
+    order.insert(order.begin() + static_cast<std::ptrdiff_t>(at), host);
+}
+
+/// A few of the hosts that hear of a suspect probe it next, so that a dead host has several
+/// accusers within about two seconds and a live one is found alive by several.
+void probe_next_by_chance(membership& state, const kernel::host_id& suspect) {
+    constexpr std::size_t expected_probers = 5;
+    if (draw(state, 0, live_count(state)) < expected_probers) {
+        const auto at = std::min(state.probe_index, state.probe_order.size());
+        state.probe_order.insert(state.probe_order.begin() + static_cast<std::ptrdiff_t>(at),
+                                 suspect);
+    }
+}
+
 void change_state(membership& state, member& entry, member_state to, membership_effects& out,
                   kernel::time_point now) {
     const auto from = entry.state;
@@ -92,7 +116,7 @@
     if (gone) {
         return;
     }
-    state.probe_order.push_back(delta.info.id);
+    probe_later(state, delta.info.id);
     enqueue_member(state, delta_kind::member, delta.info.id);
     out.changes.push_back({delta.info.id, member_event::joined});
     if (delta.leaving) {
@@ -172,6 +196,9 @@
     const bool added = counts && suspect.accusers.insert(accuser).second;
     if (first) {
         change_state(state, suspect, member_state::suspect, out, now);
+        if (accuser != state.self) {
+            probe_next_by_chance(state, suspect.info.id);
+        }
     } else if (added) {
         enqueue_member(state, delta_kind::state, suspect.info.id);
     }
--- a/src/coord/internal/membership_wire.hpp
+++ b/src/coord/internal/membership_wire.hpp
@@ -36,7 +36,7 @@
     std::uint64_t sequence = 0;
     kernel::host_id sender;
     configuration_hint configuration;
-    std::uint64_t table_hash = 0; ///< Only `compare`.
+    std::uint64_t table_hash = 0; ///< `compare`; `ping` and `ack` of a quiet sender; else 0.
     kernel::host_id subject;      ///< Only `ping_request`.
     std::string subject_address;
 };
--- a/src/coord/membership.hpp
+++ b/src/coord/membership.hpp
@@ -41,6 +41,8 @@
     kernel::duration remember_dead = std::chrono::hours{24};
     kernel::duration probe_dead_every = std::chrono::seconds{5};
     kernel::duration compare_every = std::chrono::seconds{30};
+    /// The least time between two repairs of this host's table after a probe showed a difference.
+    kernel::duration repair_every = std::chrono::seconds{10};
     /// A longer gap between steps means that this process was paused.
     kernel::duration pause_threshold = std::chrono::seconds{2};
 };
@@ -155,6 +157,7 @@
     kernel::time_point next_gossip{};
     kernel::time_point next_dead_probe{};
     kernel::time_point next_compare{};
+    kernel::time_point next_repair{};
     kernel::time_point last_step{};
     std::mt19937_64 random;
     membership_counts counts;
--- a/tests/coord/membership_tests.cpp
+++ b/tests/coord/membership_tests.cpp
@@ -25,6 +25,18 @@
     CHECK(net.all_see_live(19));
 }
 
+TEST_CASE("A seed that dies soon after the start is found like any other", "[coord][membership]") {
+    // Story: a fleet is started anew and one of its seeds dies a moment later. Every host learnt of
+    // the seeds first; had all probed in the order of learning, nobody would look at the seed
+    // again before each had gone through all others, and requests would go to it for minutes.
+    gossip_net net(80);
+    REQUIRE(net.run_until([&] { return net.all_see_live(80); }, 20s));
+    net.run(5s);
+    net.up[1] = false;
+    CHECK(net.run_until([&] { return net.all_see(1, member_state::dead); }, 20s));
+    CHECK(net.all_see_live(79));
+}
+
 TEST_CASE("A paused host that wakes doubts itself and calls nobody dead", "[coord][membership]") {
     // Story: a host is paused for a minute by its hypervisor and counts as dead. It wakes with a
     // probe that is long overdue, and would call the probed host dead; the pause is its own.
