--- a/src/daemon/peers.hpp
+++ b/src/daemon/peers.hpp
@@ -2,17 +2,14 @@
 
 #include "daemon/membership_runner.hpp"
 #include "kernel/result.hpp"
+#include "transport/peer_stream.hpp"
 
 #include <functional>
 #include <string>
 
 namespace cornelloom::daemon {
 
-/// What another daemon answered.
-struct peer_reply {
-    int status = 200;
-    std::string body;
-};
+using transport::peer_reply;
 
 /// Calls another daemon by its `IP:port`. Errors as of transport::call.
 using peer_transport =
--- a/src/daemon/wire.hpp
+++ b/src/daemon/wire.hpp
@@ -36,6 +36,7 @@
 
 private:
     struct state;
+    context& shared_;
     std::unique_ptr<state> state_;
 };
 
