--- a/src/daemon/replica_keeper.cpp
+++ b/src/daemon/replica_keeper.cpp
@@ -87,20 +87,33 @@
                                   const rollout::collect_request& request,
                                   const std::weak_ptr<step_runner>& owner) {
     tasks_.run([this, host, request, owner] {
-        const auto reply =
-            peers_.call(host, paths::collect, rollout::encode(request), peer_timeout);
-        std::optional<rollout::collect_answer> answer;
-        if (reply && reply.value().status == ok) {
-            if (auto decoded = rollout::decode_collect_answer(reply.value().body)) {
-                answer = std::move(decoded.value());
+        auto next = request;
+        while (true) {
+            const auto answer = ask_for_samples(host, next);
+            const auto step = owner.lock();
+            if (!step) {
+                return;
             }
-        }
-        if (const auto step = owner.lock()) {
             step->on_collected(host, answer);
+            if (!answer || !answer->next_slot) {
+                return;
+            }
+            next.from_slot = *answer->next_slot;
         }
     });
 }
 
+std::optional<rollout::collect_answer>
+replica_keeper::ask_for_samples(const kernel::host_id& host,
+                                const rollout::collect_request& request) const {
+    const auto reply = peers_.call(host, paths::collect, rollout::encode(request), peer_timeout);
+    if (!reply || reply.value().status != ok) {
+        return std::nullopt;
+    }
+    auto decoded = rollout::decode_collect_answer(reply.value().body);
+    return decoded ? std::optional(std::move(decoded.value())) : std::nullopt;
+}
+
 void replica_keeper::tick() {
     const std::lock_guard lock(mutex_);
     rollout::expire(store_, shared_.clock.wall_now());
--- a/src/daemon/replica_keeper.hpp
+++ b/src/daemon/replica_keeper.hpp
@@ -37,6 +37,9 @@
     };
 
 private:
+    [[nodiscard]] std::optional<rollout::collect_answer>
+    ask_for_samples(const kernel::host_id& host, const rollout::collect_request& request) const;
+
     context& shared_;
     peers& peers_;
     tasks& tasks_;
--- a/src/daemon/step_directory.cpp
+++ b/src/daemon/step_directory.cpp
@@ -46,6 +46,11 @@
     return std::clamp<kernel::duration>(wanted, 0s, longest_pull_wait);
 }
 
+struct handed_page {
+    rollout::collect_answer answer;
+    rollout::owner_epoch epoch = 0;
+};
+
 std::string_view to_string(step_verb verb) {
     switch (verb) {
     case step_verb::open:
@@ -323,8 +328,13 @@
 
 void step_directory::collect(const std::shared_ptr<step_runner>& runner,
                              std::span<const kernel::host_id> hosts) const {
-    const auto request = runner->with_step(
-        [](const auto& open) { return rollout::collect_request{open.request.key, open.epoch}; });
+    const auto request = runner->with_step([](const auto& open) {
+        rollout::collect_request asked;
+        asked.key = open.request.key;
+        asked.epoch = open.epoch;
+        asked.expires = open.request.deadline;
+        return asked;
+    });
     for (const auto& host : hosts) {
         parts_.replicas.send_collect(host, request, runner);
     }
@@ -386,13 +396,18 @@
 // The next owner finds these copies when it collects; what a slow host does not take in time is
 // made again.
 void step_directory::hand_over() {
+    const auto until = parts_.shared.clock.wall_now().unix_ms + hand_over_expiry_ms;
     for (const auto& [key, one] : snapshot_steps()) {
-        const auto all = one.runner->with_step(
-            [](const auto& open) { return std::pair(rollout::hand_over(open), open.epoch); });
-        const auto until = parts_.shared.clock.wall_now().unix_ms + hand_over_expiry_ms;
-        for (const auto& held : all.first.samples) {
-            parts_.replicas.send_hold({key, all.second, {until}, all.first.account, held},
-                                      one.runner);
+        std::optional<rollout::slot_index> from = 0;
+        while (from) {
+            const auto page = one.runner->with_step([&](const auto& open) {
+                return handed_page{rollout::hand_over(open, *from), open.epoch};
+            });
+            for (const auto& held : page.answer.samples) {
+                parts_.replicas.send_hold({key, page.epoch, {until}, page.answer.account, held},
+                                          one.runner);
+            }
+            from = page.answer.next_slot;
         }
     }
 }
