decide: limits against peers, and lost races of copies end

Cause: a slow engine's limit grew back since its own baseline followed it; its full batch of slow streams was every policy's tail. Copies ran to the end even when one could not win any more. Change: the limit compares answers with the destination's usual time at a full batch; the copy behind is cancelled once the other leads by tokens and speed; a copy must be predicted 3 times faster (was 1.5). The first step of each trainer no longer counts in idle time: it has nothing to hide behind and was every policy's p99.

--- a/bench/internal/policy_work.cpp
+++ b/bench/internal/policy_work.cpp
@@ -178,7 +178,10 @@
 // The trainer takes a whole step, asks for the next one at once, and trains meanwhile.
 void world::consume(std::size_t trainer) {
     auto& of = trainers_[trainer];
-    outcome_.idle_ms.push_back(seconds(now_ - of.free_since) * 1000);
+    // The first step has nothing to hide behind: it would be every policy's p99.
+    if (of.step > 1) {
+        outcome_.idle_ms.push_back(seconds(now_ - of.free_since) * 1000);
+    }
     for (const auto oldest : of.oldest) {
         const auto behind = version_ - oldest;
         outcome_.staleness.push_back(static_cast<double>(behind));
--- a/src/decide/internal/outcomes.cpp
+++ b/src/decide/internal/outcomes.cpp
@@ -34,6 +34,17 @@
     where.service_seconds += service_gain * (std::min(elapsed, most) - where.service_seconds);
 }
 
+// Time over that of a healthy full batch, against the destination's usual; wrong configured speeds
+// are wrong for all targets and cancel out.
+double against_peers(const target_load& load, destination& where, const answer_size& size,
+                     double elapsed) {
+    const double full = nominal_seconds(load, size, load.config.capacity, where.service_seconds);
+    const double ratio = elapsed / std::max(full, 1e-6);
+    const double most = where.usual_ratio * greatest_service_ratio;
+    where.usual_ratio += service_gain * (std::min(ratio, most) - where.usual_ratio);
+    return ratio / std::max(where.usual_ratio, 0.1);
+}
+
 void learn(scheduler_state& state, request_record& record, const sending& ended,
            std::uint32_t tokens, kernel::time_point now) {
     auto& load = state.targets[ended.target];
@@ -41,7 +52,7 @@
     const answer_size done{ended.size.read, static_cast<double>(tokens)};
     const double ratio = elapsed / nominal_so_far(state, record, ended, done, now);
     observe_ratio(load, ratio, answer_gain, now);
-    on_answer(load.limit, state.rules.limit, ratio,
+    on_answer(load.limit, state.rules.limit, against_peers(load, *record.where, done, elapsed),
               estimated_running(load, state.rules.placement, now), now);
     on_good_answer(load.health, state.rules.health, now);
     if (record.work.kind == target_kind::service) {
--- a/src/decide/internal/state.hpp
+++ b/src/decide/internal/state.hpp
@@ -94,6 +94,7 @@
     bool had_interactive = false;
     pool_versions versions;
     double service_seconds = 0.05; ///< Smoothed time of an answer, for plain services.
+    double usual_ratio = 1;        ///< Smoothed time of answers over that of a full batch.
     double rate = 0;               ///< Cost per second for this host, refreshed now and then.
     double rate_near = 0;          ///< Of it, without crossing a region border.
     double seconds_per_cost = 0;
--- a/src/decide/internal/stragglers.cpp
+++ b/src/decide/internal/stragglers.cpp
@@ -132,6 +132,46 @@
     check_hedge_at(state, record, now + pause);
 }
 
+constexpr kernel::duration race_interval = 250ms;
+constexpr kernel::duration telling_time = 1500ms;
+constexpr double lead_share = 0.05;
+constexpr double faster = 1.2;
+
+double whole_tokens(const sending& running) {
+    return running.resumed + running.tokens;
+}
+
+double speed_of(const sending& running, kernel::time_point now) {
+    return running.tokens / std::max(seconds(now - running.sent), 1e-3);
+}
+
+bool has_lead(const sending& leader, const sending& other, kernel::time_point now) {
+    const double margin = std::max<double>(telling_tokens, lead_share * whole_tokens(other));
+    return whole_tokens(leader) >= whole_tokens(other) + margin &&
+           speed_of(leader, now) >= faster * speed_of(other, now);
+}
+
+// Two copies run to the end only if neither shows that it is faster: the one behind costs tokens
+// and a slot, and can't win any more.
+void end_lost_race(scheduler_state& state, request_record& record, kernel::time_point now,
+                   actions& out) {
+    const auto& first = record.sendings.front();
+    const auto& copy = record.sendings.back();
+    const bool telling = now - copy.sent >= telling_time && copy.tokens >= telling_tokens;
+    const sending* loser = !telling                     ? nullptr
+                           : has_lead(copy, first, now) ? &first
+                           : has_lead(first, copy, now) ? &copy
+                                                        : nullptr;
+    if (loser == nullptr) {
+        check_hedge_at(state, record, now + race_interval);
+        return;
+    }
+    out.cancellations.push_back(
+        {record.work.id, state.targets[loser->target].config.id, loser->number, loser->tokens});
+    end_sending(state, record, loser->number);
+    look_again(state, record, now);
+}
+
 } // namespace
 
 void hedge_due(scheduler_state& state, kernel::time_point now, actions& out) {
@@ -139,6 +179,10 @@
         auto& record = *state.hedge_checks.begin()->record;
         state.hedge_checks.erase(state.hedge_checks.begin());
         record.has_hedge_check = false;
+        if (record.sendings.size() == 2) {
+            end_lost_race(state, record, now, out);
+            continue;
+        }
         if (!is_candidate(state, record)) {
             continue;
         }
--- a/src/decide/limit.cpp
+++ b/src/decide/limit.cpp
@@ -6,9 +6,8 @@
 
 namespace {
 
-// About a hundred answers move the baseline by two thirds: slower than any single overload.
-constexpr double baseline_gain = 0.01;
-constexpr double least_baseline = 0.1;
+// One straggling answer of six times the usual length doesn't count as overload.
+constexpr double ratio_gain = 0.2;
 
 } // namespace
 
@@ -25,9 +24,8 @@
 
 void on_answer(adaptive_limit& limit, const limit_policy& rules, double ratio, double in_use,
                kernel::time_point now) {
-    const bool overloaded = ratio > rules.tolerance * limit.baseline;
-    limit.baseline += baseline_gain * (ratio - limit.baseline);
-    limit.baseline = std::max(limit.baseline, least_baseline);
+    limit.ratio += ratio_gain * (ratio - limit.ratio);
+    const bool overloaded = limit.ratio > rules.tolerance;
     if (overloaded) {
         on_overload(limit, rules, now);
         return;
--- a/src/decide/limit.hpp
+++ b/src/decide/limit.hpp
@@ -6,14 +6,15 @@
 
 /// How many requests a target runs at once, over all hosts, as learned from its answers.
 ///
-/// Load: a target that slows down under work (memory pressure, a noisy neighbour, a full batch).
-/// Harm prevented: a fixed limit keeps piling work on it, so that its callers wait longest.
-/// Latency is compared with the target's own slow-moving baseline, not with a constant: a target
-/// that is merely slow for good settles at a new baseline and its limit recovers.
+/// Load: a target that slows down under work (memory pressure, a noisy neighbour). Harm prevented:
+/// a fixed limit keeps its batch full, and a full batch on a slow target makes every answer in it
+/// late, while a smaller one gives as many tokens a second. Answers are compared with those of the
+/// destination's other targets at a full batch, so a limit shrinks only for a target slower than
+/// its peers, and grows back as soon as it is not.
 struct adaptive_limit {
     double value = 1;
     double cap = 1;
-    double baseline = 1; ///< Usual actual-to-predicted ratio of its answers.
+    double ratio = 1; ///< Smoothed: its answers' time over the usual time at a full batch.
     kernel::time_point last_decrease{};
 };
 
@@ -23,7 +24,7 @@
 /// Keeps the learned part when the capacity changes.
 void set_capacity(adaptive_limit& limit, double capacity, const limit_policy& rules);
 
-/// An answer took `ratio` times its prediction while `in_use` requests ran.
+/// An answer took `ratio` times the usual time at a full batch, while `in_use` requests ran.
 void on_answer(adaptive_limit& limit, const limit_policy& rules, double ratio, double in_use,
                kernel::time_point now);
 
--- a/src/decide/policy.hpp
+++ b/src/decide/policy.hpp
@@ -69,7 +69,7 @@
     bool enabled = true;
     double token_share = 0.05; ///< Of dispatched cost that second copies may use.
     double token_cap = 20'000; ///< Saved up at most, so that a quiet hour buys no storm.
-    double gain = 1.5;         ///< The copy must be predicted this much faster.
+    double gain = 3;           ///< The copy must be predicted this much faster.
     double group_done = 0.6;   ///< Share of a group that is done before a member is a straggler.
     kernel::duration min_elapsed = 200ms; ///< Not before: answers this young are no stragglers.
     double service_factor = 3.0; ///< A lookup is hedged after this times the usual latency.
