--- a/tests/rollout/codec_tests.cpp
+++ b/tests/rollout/codec_tests.cpp
@@ -52,9 +52,9 @@
 
     const auto stored = decode_manifest(text).value();
     std::vector<prompt_chunk> chunks;
-    for (const auto& body : bodies) {
-        chunks.push_back(decode_prompt_chunk(body).value());
-    }
+    std::ranges::transform(bodies, std::back_inserter(chunks), [](const std::string& body) {
+        return decode_prompt_chunk(body).value();
+    });
     const auto taken = recover_step(stored, chunks, rules, 2, hosts, {}, {0}).value();
     CHECK(taken.digest == open.digest);
     CHECK(taken.bound == 1);
