--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -60,7 +60,7 @@
         const bool full = context.session_count.load() >= context.limits.max_connections;
         const auto session = std::make_shared<internal::http_session>(std::move(socket), context);
         if (full) {
-            session->refuse_connection({503, "not-run", "queue_full", "too many open connections"});
+            session->refuse_connection({429, "not-run", "queue_full", "too many open connections"});
             return;
         }
         session->start();
--- a/src/transport/http_server.hpp
+++ b/src/transport/http_server.hpp
@@ -19,7 +19,7 @@
 /// `{"state":"not-run","reason":"malformed"|"too_large","detail":...}` and the connection is
 /// closed, so that what follows is never read as another request. A handler that throws gives 500
 /// with
-/// `"state":"unknown"`. When all threads are busy the answer is 503, `"queue_full"`, not run.
+/// `"state":"unknown"`. When all threads are busy the answer is 429, `"queue_full"`, not run.
 class http_server {
 public:
     /// Listens at once; port 0 takes a free one. Throws std::runtime_error if the port is taken.
--- a/src/transport/internal/http_session.cpp
+++ b/src/transport/internal/http_session.cpp
@@ -84,14 +84,16 @@
 } // namespace
 
 http_response refusal_response(const http_refusal& why) {
-    const nlohmann::json body = {
-        {"state", why.state}, {"reason", why.reason}, {"detail", why.detail}};
-    http_response response{why.status,
-                           {{"Content-Type", "application/json"}},
-                           body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace)};
-    if (why.status == 503) {
+    nlohmann::json body = {{"state", why.state}, {"reason", why.reason}, {"detail", why.detail}};
+    http_response response{
+        why.status,
+        {{"Content-Type", "application/json"}, {"X-Run-State", std::string(why.state)}},
+        {}};
+    if (why.reason == "queue_full") {
         response.headers.push_back({"Retry-After", "1"});
+        body["retry_after_ms"] = 1000;
     }
+    response.body = body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
     return response;
 }
 
@@ -245,7 +247,7 @@
                               });
         });
     if (!started) {
-        answer(refusal_response({503, "not-run", "queue_full", "all request threads are busy"}),
+        answer(refusal_response({429, "not-run", "queue_full", "all request threads are busy"}),
                keep_alive);
     }
 }
--- a/tests/transport/http_server_tests.cpp
+++ b/tests/transport/http_server_tests.cpp
@@ -222,7 +222,7 @@
     callers.emplace_back([&] { answered += call(to, waiting_request) ? 1 : 0; });
     waiting.wait(40);
     const auto refused = call(to, {});
-    CHECK(refused.value().status == 503);
+    CHECK(refused.value().status == 429);
     CHECK(nlohmann::json::parse(refused.value().body).at("reason") == "queue_full");
     release = true;
     release.notify_all();
