--- a/src/cli/command_line.cpp
+++ b/src/cli/command_line.cpp
@@ -20,7 +20,7 @@
     "Exit status: 0 done, 1 findings in the files, 2 wrong command line, 3 another generation is\n"
     "in force, 4 no daemon reached, 5 refused, 6 outcome unknown, 7 applied but not yet "
     "everywhere,\n"
-    "8 diff found differences.";
+    "8 diff found differences, 9 no daemon asked knows the request.";
 
 void add_output(CLI::App& command, arguments& given) {
     const std::map<std::string, output_format> formats{{"table", output_format::table},
@@ -107,7 +107,9 @@
                     *given_);
         auto& explain = add("explain", "Tell where a request went and why", internal::explain);
         add_daemons(explain, *given_);
-        explain.add_option("request", given_->request_id, "id from the header X-Request-Id")
+        explain
+            .add_option("request", given_->request_id,
+                        "id from the header X-Request-Id; name all daemons that may know it")
             ->required();
 
         auto& drain = add("drain", "Take a host or target out of service, cutting off nothing",
@@ -116,7 +118,9 @@
         drain.add_option("kind", given_->drained.kind, "host or target")
             ->check(CLI::IsMember({"host", "target"}))
             ->required();
-        drain.add_option("id", given_->drained.id, "its id")->required();
+        drain
+            .add_option("id", given_->drained.id, "its id; a host must be among the daemons named")
+            ->required();
 
         add("version", "Print the version", internal::version);
     }
--- a/src/cli/exit_status.hpp
+++ b/src/cli/exit_status.hpp
@@ -13,6 +13,7 @@
     unknown = 6,        ///< Something was sent and no whole answer came; it may have taken effect.
     not_everywhere = 7, ///< Applied, but not in force on all hosts within the time to wait.
     differs = 8,        ///< `diff` found differences.
+    not_found = 9,      ///< None of the daemons asked knows the request, or remembers it.
 };
 
 } // namespace cornelloom::cli
--- a/src/cli/internal/apply.cpp
+++ b/src/cli/internal/apply.cpp
@@ -42,7 +42,7 @@
     for (const auto& host : status.value("hosts", json::array())) {
         const auto state = host.value("state", std::string("alive"));
         if (state == "alive" && host.value("generation", std::uint64_t{0}) < generation) {
-            lagging.push_back(host.value("id", std::string("?")));
+            lagging.push_back(host.value("host", std::string("?")));
         }
     }
     return lagging;
--- a/src/cli/internal/commands.hpp
+++ b/src/cli/internal/commands.hpp
@@ -50,6 +50,14 @@
 
 [[nodiscard]] connection connect(const command& run);
 
+/// A client for each daemon named, for what only one of them knows or does.
+struct connections {
+    std::vector<std::unique_ptr<client::operator_client>> clients;
+    exit_status failed = exit_status::usage; ///< When there are none.
+};
+
+[[nodiscard]] connections connect_each(const command& run);
+
 /// Reports a refusal and says what it means for a script.
 [[nodiscard]] exit_status report(const command& run, const kernel::refusal& refused);
 
--- a/src/cli/internal/common.cpp
+++ b/src/cli/internal/common.cpp
@@ -74,6 +74,20 @@
     return {std::make_unique<client::operator_client>(*std::move(options)), exit_status::done};
 }
 
+connections connect_each(const command& run) {
+    const auto options = options_of(run);
+    if (!options) {
+        return {};
+    }
+    connections all{{}, exit_status::done};
+    for (const auto& daemon : options->daemons) {
+        auto one = *options;
+        one.daemons = {daemon};
+        all.clients.push_back(std::make_unique<client::operator_client>(std::move(one)));
+    }
+    return all;
+}
+
 exit_status report(const command& run, const kernel::refusal& refused) {
     const auto after = std::chrono::duration_cast<std::chrono::milliseconds>(refused.retry_after);
     if (run.given.format == output_format::json) {
--- a/src/cli/internal/inspect.cpp
+++ b/src/cli/internal/inspect.cpp
@@ -74,6 +74,19 @@
             {"fields", change.fields}};
 }
 
+/// Adds what one host remembers of a request, with the host's name.
+void append_entries(const json& answer, std::vector<json>& into) {
+    if (!answer.is_object() || !answer.value("entries", json()).is_array()) {
+        return;
+    }
+    for (auto entry : answer["entries"]) {
+        if (entry.is_object()) {
+            entry["host"] = answer.value("host", json("?"));
+            into.push_back(std::move(entry));
+        }
+    }
+}
+
 /// Runs one call of the operators' client and writes its document.
 template <class Call> exit_status ask(const command& run, Call&& call) {
     const auto daemons = connect(run);
@@ -132,14 +145,46 @@
 }
 
 exit_status explain(const command& run) {
-    return ask(run, [&](client::operator_client& daemons) {
-        return daemons.explain(run.given.request_id);
-    });
+    const auto daemons = connect_each(run);
+    if (daemons.clients.empty()) {
+        return daemons.failed;
+    }
+    std::vector<json> entries;
+    std::optional<kernel::refusal> refused;
+    for (const auto& daemon : daemons.clients) {
+        const auto got = daemon->explain(run.given.request_id);
+        if (!got.has_value()) {
+            refused = got.error();
+            continue;
+        }
+        append_entries(json::parse(got.value(), nullptr, false), entries);
+    }
+    if (entries.empty() && refused) {
+        return report(run, *refused);
+    }
+    std::ranges::stable_sort(
+        entries, {}, [](const json& entry) { return entry.value("at_unix_ms", std::int64_t{0}); });
+    const bool known = !entries.empty();
+    write(run.where.out,
+          json{{"request", run.given.request_id}, {"known", known}, {"entries", entries}},
+          run.given.format);
+    return known ? exit_status::done : exit_status::not_found;
 }
 
 exit_status drain(const command& run) {
-    return ask(run,
-               [&](client::operator_client& daemons) { return daemons.drain(run.given.drained); });
+    const auto daemons = connect_each(run);
+    if (daemons.clients.empty()) {
+        return daemons.failed;
+    }
+    std::optional<kernel::refusal> refused;
+    for (const auto& daemon : daemons.clients) {
+        const auto got = daemon->drain(run.given.drained);
+        if (got.has_value()) {
+            return write_document(run, got.value());
+        }
+        refused = got.error();
+    }
+    return report(run, *refused);
 }
 
 exit_status version(const command& run) {
--- a/src/client/internal/link.cpp
+++ b/src/client/internal/link.cpp
@@ -21,6 +21,9 @@
 
 constexpr int first_error_status = 400;
 
+/// The longest that a daemon takes; a step may be open for longer.
+constexpr kernel::duration longest_deadline = std::chrono::hours{1};
+
 run_state state_of(std::string_view text) {
     for (const auto state : {run_state::not_run, run_state::ran}) {
         if (text == to_string(state)) {
@@ -72,10 +75,24 @@
 bool may_repeat(const attempt_outcome& outcome, const repeat_rules& rules) {
     const auto& refused = outcome.refused;
     const bool safe = rules.idempotent || refused.state == run_state::not_run;
-    const bool useful = outcome.try_another_daemon || refused.retry_after > kernel::duration{};
+    const bool useful = outcome.try_another_daemon || refused.retry_after > kernel::duration{} ||
+                        (rules.repeat_unknown && refused.state == run_state::unknown);
     return safe && useful;
 }
 
+/// The run state in the last header of that name. The daemon's own comes last; a service may send
+/// one too, and would otherwise speak for the daemon.
+std::optional<run_state> stated_state(const transport::http_response& response) {
+    std::optional<run_state> stated;
+    for (const auto& header : response.headers) {
+        const std::vector one{header};
+        if (const auto value = transport::find_header(one, "X-Run-State")) {
+            stated = state_of(*value);
+        }
+    }
+    return stated;
+}
+
 void sleep(kernel::duration time) {
     std::this_thread::sleep_for(time);
 }
@@ -125,9 +142,8 @@
         return classify_error(received.error());
     }
     auto response = std::move(received).value();
-    const auto stated = transport::find_header(response.headers, "X-Run-State");
     // A target's own 4xx or 5xx is a whole answer: the state tells it from a daemon's refusal.
-    const bool ran = stated && state_of(*stated) == run_state::ran;
+    const bool ran = stated_state(response) == run_state::ran;
     const bool final = std::ranges::find(final_statuses, response.status) != final_statuses.end();
     if (ran || final || response.status < first_error_status) {
         return {.response = std::move(response), .refused = {}, .try_another_daemon = false};
--- a/src/client/internal/link.hpp
+++ b/src/client/internal/link.hpp
@@ -16,6 +16,9 @@
     unsigned max_attempts = 1;
     kernel::duration attempt_timeout = std::chrono::seconds{30}; ///< Of each attempt.
     std::span<const int> final_statuses; ///< Error statuses that are whole answers.
+    /// Whether an idempotent request is repeated when a daemon says `unknown`. Off for requests
+    /// that the daemon itself repeats, so that attempts of the layers do not multiply.
+    bool repeat_unknown = false;
 };
 
 /// A whole answer and how often it was asked for.
@@ -27,8 +30,8 @@
 
 /// What one attempt came to.
 struct attempt_outcome {
-    std::optional<transport::http_response> response; ///< Set: whole answer, final.
-    kernel::refusal refused;                          ///< Else: why not.
+    std::optional<transport::http_response> response{}; ///< Set: whole answer, final.
+    kernel::refusal refused{};                          ///< Else: why not.
     bool try_another_daemon = false;
 };
 
--- a/src/client/operator_client.cpp
+++ b/src/client/operator_client.cpp
@@ -2,6 +2,7 @@
 
 #include "client/internal/json.hpp"
 #include "client/internal/link.hpp"
+#include "kernel/finding.hpp"
 
 #include <array>
 
@@ -21,10 +22,23 @@
     return {.idempotent = true,
             .max_attempts = link.retries().max_attempts,
             .attempt_timeout = attempt_timeout,
-            .final_statuses = {}};
+            .final_statuses = {},
+            .repeat_unknown = true};
 }
 
+/// A finding or difference as a daemon sends it, in the form in which the command prints its own.
 std::string line_of(const json& item) {
+    const auto text = [&](const char* name) {
+        return internal::text_member(item, name).value_or("");
+    };
+    if (item.is_object() && item.contains("problem")) {
+        const kernel::source_place place{
+            text("file"), internal::unsigned_member(item, "line").value_or(0), text("path")};
+        return to_string(kernel::finding{place, text("problem"), text("allowed")});
+    }
+    if (item.is_object() && item.contains("what")) {
+        return text("what") + " " + text("path");
+    }
     return item.is_string() ? item.get<std::string>()
                             : item.dump(-1, ' ', false, json::error_handler_t::replace);
 }
--- a/src/client/trainer_client.cpp
+++ b/src/client/trainer_client.cpp
@@ -255,8 +255,10 @@
 
 answered<void> trainer_client::close(const step_request& step) {
     auto& link = state_->link;
-    const auto got = link.send(json_request("DELETE", steps_path(step) + "/" + step.step, {}),
-                               link.now() + std::chrono::minutes{1}, control_rules);
+    auto body = internal::dump(json{{"trainer", step.trainer.str()}}).value_or("");
+    const auto got =
+        link.send(json_request("DELETE", steps_path(step) + "/" + step.step, std::move(body)),
+                  link.now() + std::chrono::minutes{1}, control_rules);
     if (!got.has_value()) {
         return got.error();
     }
--- a/tests/client/caller_tests.cpp
+++ b/tests/client/caller_tests.cpp
@@ -92,6 +92,17 @@
     CHECK(daemons.seen.size() == 1);
 }
 
+TEST_CASE("A service cannot speak for the daemon about the run state", "[client][caller]") {
+    // A service answers 503 with a header X-Run-State of its own; the daemon's comes after it.
+    // Taken for a refusal as not run, a price sync that ran would be sent again.
+    fake_daemons daemons;
+    daemons.answer(503, refusal_json("not-run", "queue_full", 1),
+                   {{"X-Run-State", "not-run"}, {"x-run-state", "ran"}});
+    caller_client client(daemons.options());
+    CHECK(client.call(price_sync()).has_value());
+    CHECK(daemons.seen.size() == 1);
+}
+
 TEST_CASE("An error without a stated run state counts as unknown", "[client][caller]") {
     fake_daemons daemons;
     daemons.answer(502, "<html>a balancer's own page</html>");
