--- a/bench/internal/policy_simulation.hpp
+++ b/bench/internal/policy_simulation.hpp
@@ -30,15 +30,6 @@
     host_policy policy;
 };
 
-struct fake_trainer {
-    std::size_t zone = 0;
-    std::size_t step = 0;
-    std::size_t missing = 0;
-    std::vector<std::uint64_t> oldest{}; ///< Of the whole samples of the next step.
-    bool training = false;
-    time_point free_since{};
-};
-
 struct fake_request {
     decide::request work;
     std::size_t host = 0;
@@ -53,6 +44,20 @@
     std::uint64_t oldest_kept = 0; ///< Among the tokens of failed sendings; 0: none.
 };
 
+struct whole_sample {
+    fake_request request;
+    std::uint64_t oldest = 0; ///< Version of its oldest token.
+};
+
+struct fake_trainer {
+    std::size_t zone = 0;
+    std::size_t step = 0;
+    std::size_t missing = 0;
+    std::vector<whole_sample> whole{}; ///< Of the next step.
+    bool training = false;
+    time_point free_since{};
+};
+
 struct event {
     time_point at;
     std::uint64_t order = 0;
@@ -113,6 +118,7 @@
     decide::admission decide_submit(baseline& to, const decide::request& work);
     void submit_step(std::size_t trainer);
     void sample_whole(const fake_request& request, std::uint64_t oldest);
+    [[nodiscard]] bool rerun_stale(std::size_t trainer);
     void consume(std::size_t trainer);
     void publish_version();
     void swap(std::size_t target, std::uint64_t version);
@@ -145,6 +151,7 @@
     std::size_t syncs_ = 0;
     std::size_t next_host_ = 0;
     bool silent_cache_ = false;
+    bool checks_delivery_ = false; ///< The plain baselines know no staleness.
     double report_lag_ = 0;
     std::vector<double> busiest_ms_;
     std::vector<double> quiet_ms_;
--- a/bench/internal/policy_traffic.cpp
+++ b/bench/internal/policy_traffic.cpp
@@ -189,6 +189,8 @@
     auto& request = requests_.at(id);
     request.ended = true;
     ++outcome_.refused[std::string(kernel::to_string(answer.reason))];
+    const bool quarantined = answer.reason == kernel::refusal_reason::quarantined;
+    outcome_.innocents_quarantined += quarantined && !request.poison ? 1 : 0;
     const bool not_run = answer.state == kernel::run_state::not_run;
     outcome_.false_not_run += not_run && request.arrivals > 0 ? 1 : 0;
     if (!request.sample && !request.poison) {
--- a/bench/internal/policy_work.cpp
+++ b/bench/internal/policy_work.cpp
@@ -125,7 +125,7 @@
     auto& of = trainers_[trainer];
     const auto& work = settings_.work;
     of.missing = work.groups * work.group_samples;
-    of.oldest.clear();
+    of.whole.clear();
     ++of.step;
     for (std::size_t g = 0; g < work.groups; ++g) {
         const auto group = step_name(trainer, of.step) + "/" + std::to_string(g);
@@ -169,21 +169,49 @@
 
 void world::sample_whole(const fake_request& request, std::uint64_t oldest) {
     auto& of = trainers_[request.trainer];
-    of.oldest.push_back(oldest);
+    of.whole.push_back({request, oldest});
     if (--of.missing == 0 && !of.training) {
         consume(request.trainer);
     }
 }
 
+// The last check, in the same step as the delivery: what went stale while the rest of its step
+// was made is run again, and the trainer waits for it.
+bool world::rerun_stale(std::size_t trainer) {
+    auto& of = trainers_[trainer];
+    std::vector<fake_request> stale;
+    std::erase_if(of.whole, [&](const auto& sample) {
+        const bool old = version_ - sample.oldest > settings_.work.staleness_bound;
+        if (old) {
+            stale.push_back(sample.request);
+        }
+        return old;
+    });
+    of.missing += stale.size();
+    for (auto& request : stale) {
+        outcome_.used_tokens -= request.length;
+        request.ended = false;
+        request.arrivals = 0;
+        request.oldest_kept = 0;
+        submit(std::move(request));
+    }
+    return of.missing > 0;
+}
+
 // The trainer takes a whole step, asks for the next one at once, and trains meanwhile.
 void world::consume(std::size_t trainer) {
     auto& of = trainers_[trainer];
+    if (checks_delivery_ && rerun_stale(trainer)) {
+        return;
+    }
     // The first step has nothing to hide behind: it would be every policy's p99.
-    if (of.step > 1) {
+    const bool counts = now_ < end_; // Afterwards the load is gone.
+    if (of.step > 1 && counts) {
         outcome_.idle_ms.push_back(seconds(now_ - of.free_since) * 1000);
     }
-    for (const auto oldest : of.oldest) {
-        const auto behind = version_ - oldest;
+    for (const auto& sample :
+         counts ? std::span<const whole_sample>(of.whole) : std::span<const whole_sample>{}) {
+        const auto behind = version_ - sample.oldest;
         outcome_.staleness.push_back(static_cast<double>(behind));
         outcome_.too_stale_used += behind > settings_.work.staleness_bound ? 1 : 0;
     }
@@ -196,7 +224,7 @@
         if (trainer == 0) {
             publish_version();
         }
-        if (it.missing == 0 && !it.oldest.empty()) {
+        if (it.missing == 0 && !it.whole.empty()) {
             consume(trainer);
         }
     });
--- a/bench/internal/policy_world.cpp
+++ b/bench/internal/policy_world.cpp
@@ -16,7 +16,9 @@
 constexpr kernel::duration report_interval = 1s;
 constexpr kernel::duration progress_interval = 500ms;
 constexpr kernel::duration restart_length = 15s;
-constexpr kernel::duration settle = 60s;
+constexpr kernel::duration gossip_lag = 1s;
+// Longer than the longest deadline: all that was asked before the end must have ended.
+constexpr kernel::duration settle = 150s;
 constexpr double engine_tps = 800;
 constexpr std::uint32_t engine_capacity = 16;
 constexpr std::uint32_t service_capacity = 8;
@@ -46,6 +48,7 @@
     end_ = time_point{from_seconds(settings.seconds)};
     make_targets();
     make_hosts(policy);
+    checks_delivery_ = std::holds_alternative<decide::scheduler>(hosts_.front().policy);
     plan_faults();
     for (std::size_t i = 0; i < settings_.work.trainers; ++i) {
         trainers_.push_back({.zone = i % settings_.where.zones.size()});
@@ -228,9 +231,13 @@
         refused(each.request, each.answer);
     }
     for (const auto& notice : todo.quarantines) {
-        outcome_.innocents_quarantined += notice.digest != kernel::hash64("poison") ? 1 : 0;
-        for (auto& other : hosts_) {
-            std::visit([&](auto& each) { on_quarantine(each, notice, now_); }, other.policy);
+        for (std::size_t other = 0; other < hosts_.size(); ++other) {
+            if (other != host) {
+                after(gossip_lag, [=, this] {
+                    std::visit([&](auto& each) { on_quarantine(each, notice, now_); },
+                               hosts_[other].policy);
+                });
+            }
         }
     }
 }
@@ -297,7 +304,7 @@
 
 void world::finish() {
     for (const auto& [id, request] : requests_) {
-        outcome_.unanswered += request.ended ? 0 : 1;
+        outcome_.unanswered += !request.ended && request.work.deadline <= now_ ? 1 : 0;
         const bool repeated = !request.work.idempotent && request.arrivals > 1;
         outcome_.repeated_non_idempotent += repeated ? 1 : 0;
     }
--- a/bench/internal/policy_world.hpp
+++ b/bench/internal/policy_world.hpp
@@ -25,8 +25,8 @@
     double cross_region_bytes = 0;
     double busiest_caller_p99_ms = 0;
     double quiet_caller_p99_ms = 0;
-    std::size_t unanswered = 0;    ///< Neither answered nor refused within a minute of the end.
-    std::size_t false_not_run = 0; ///< Refused as "not run", but a target had got it.
+    std::size_t unanswered = 0;              ///< Neither answered nor refused by their deadline.
+    std::size_t false_not_run = 0;           ///< Refused as "not run", but a target had got it.
     std::size_t repeated_non_idempotent = 0; ///< Got by targets more than once.
     std::size_t too_stale_used = 0;
     std::size_t crashes = 0;
--- a/src/decide/fair_queue.hpp
+++ b/src/decide/fair_queue.hpp
@@ -35,7 +35,7 @@
 /// Load: one caller with thousands of long samples beside callers with a few. Harm prevented: a
 /// first-in-first-out queue serves callers in proportion to what they pile up. The quantum is the
 /// largest cost waiting, so each visit serves at least one item of a caller of weight 1 and a
-/// caller is never ahead of its share by more than two such items. Every operation is at most
+/// caller is never ahead of its share by more than three such items. Every operation is at most
 /// logarithmic in the caller's items.
 struct fair_queue {
     std::unordered_map<kernel::caller_id, caller_queue> callers;
--- a/src/decide/health.cpp
+++ b/src/decide/health.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr std::uint32_t most_doublings = 16;
+constexpr kernel::duration base_pause = 100ms;
 
 double seconds(kernel::duration length) {
     return std::chrono::duration<double>(length).count();
@@ -41,6 +42,11 @@
     return health.consecutive_failures >= rules.consecutive_failures;
 }
 
+void pause(target_health& health, kernel::time_point now) {
+    constexpr std::uint32_t most_steps = 4;
+    health.paused_until = now + base_pause * std::min(health.consecutive_failures, most_steps);
+}
+
 void eject(target_health& health, const health_policy& rules, kernel::time_point now) {
     const auto doublings = std::min(health.ejections, most_doublings);
     const auto length = rules.base_ejection * (std::int64_t{1} << doublings);
--- a/src/decide/health.hpp
+++ b/src/decide/health.hpp
@@ -17,6 +17,7 @@
     kernel::time_point ejected_until{};
     kernel::time_point returned{}; ///< Slow start counts from here.
     bool starting = false;
+    kernel::time_point paused_until{}; ///< After a refused connection; short, and never capped.
 };
 
 [[nodiscard]] bool is_ejected(const target_health& health, kernel::time_point now);
@@ -30,6 +31,12 @@
 /// True if the target should be ejected; the caller checks the cap on ejected shares.
 [[nodiscard]] bool on_bad_answer(target_health& health, const health_policy& rules);
 
+/// After a refused connection the target gets nothing for some hundred milliseconds.
+///
+/// Failure: it refuses at once, so it always has room and looks like the fastest of a busy pool;
+/// work that waits would burn its attempts on it. The cap on ejection may leave it in, this not.
+void pause(target_health& health, kernel::time_point now);
+
 void eject(target_health& health, const health_policy& rules, kernel::time_point now);
 
 /// Lately failed targets of one zone, to tell a sick zone from the host's own sick link.
--- a/src/decide/internal/dispatching.cpp
+++ b/src/decide/internal/dispatching.cpp
@@ -160,6 +160,12 @@
 
 bool serve_head(class_turn& turn, const queue_head& item, actions& out) {
     auto& record = record_of(turn.state, item);
+    const bool named =
+        !turn.state.crashes.digests.empty() &&
+        quarantined_for(turn.state.crashes, digest_of(record.work), turn.now) > kernel::duration{};
+    if (named) {
+        return put_aside(turn, record, turn.now + unsuitable_delay);
+    }
     const auto found = place(turn.state, record, turn.now);
     switch (found.outcome) {
     case placement_outcome::placed:
@@ -247,7 +253,7 @@
                     is_suspect(state.crashes, state.rules.quarantine, digest_of(record.work), now);
     query.reserve = where.had_interactive && now < where.last_interactive + interactive_memory;
     query.patience_seconds = seconds(now - record.submitted);
-    query.service_seconds = where.service_seconds;
+    query.service_seconds = usual_seconds(record);
     query.avoid = record.avoid;
     const auto holders = where.holders.find(record.work.prefix_hash);
     if (holders != where.holders.end()) {
@@ -300,6 +306,8 @@
     where.rate = 0;
     where.rate_near = 0;
     double slowest_sum = 0;
+    // Most calls of a mixed service are of the first class that it has learned.
+    const double usual = where.service_seconds.front();
     double open = 0;
     for (const auto index : where.subset) {
         const auto& load = state.targets[index];
@@ -307,8 +315,7 @@
             continue;
         }
         const answer_size one{0, load.tokens_per_second > 0 ? 1.0 : 0.0};
-        const double each =
-            predicted_seconds(load, one, where.service_seconds, state.rules.placement, now);
+        const double each = predicted_seconds(load, one, usual, state.rules.placement, now);
         where.rate += load.tokens_per_second > 0
                           ? load.tokens_per_second / load.observers / current_slowness(load, now)
                           : allowance(load, state.rules, now) / std::max(each, 1e-6);
--- a/src/decide/internal/faults.cpp
+++ b/src/decide/internal/faults.cpp
@@ -60,7 +60,8 @@
     const auto name = kernel::hash64(load.config.id.str());
     const auto culprit = judge_crash(state.crashes, state.rules.quarantine, name, in_flight, now);
     if (culprit != 0) {
-        out.quarantines.push_back({culprit, quarantined_for(state.crashes, culprit, now)});
+        await_confirmation(state, culprit, now);
+        out.quarantines.push_back({culprit, quarantined_for(state.crashes, culprit, now), name});
     }
 }
 
@@ -92,34 +93,58 @@
     }
     const bool crashed = kind == failure_kind::crashed;
     const bool repeated = on_bad_answer(load.health, state.rules.health);
+    if (kind == failure_kind::not_sent) {
+        pause(load.health, now);
+    }
     if (!crashed && !repeated) {
         return;
     }
     const bool same_crash = crashed && is_judged(load, failed);
     auto& zone = state.zones[load.config.zone];
-    if (observe_failure(zone, state.rules.health, failed.target, now)) {
+    const bool doubt = observe_failure(zone, state.rules.health, failed.target, now);
+    if (doubt) {
         forgive(state.crashes, now - state.rules.health.observer_window);
+    }
+    // A far zone is only overflow: when it is out of reach it is left alone, whoever is to blame.
+    const bool near = load.how_far == distance::zone;
+    if (doubt && near) {
         return;
     }
-    if (crashed) {
+    if (crashed && !doubt) {
         judge(state, failed, now, out);
     }
-    if (!same_crash && !is_ejected(load.health, now) && may_eject(state, failed.target, now)) {
+    const bool allowed = !near || may_eject(state, failed.target, now);
+    if (!same_crash && !is_ejected(load.health, now) && allowed) {
         eject(load.health, state.rules.health, now);
     }
 }
 
-void refuse_quarantined(scheduler_state& state, std::uint64_t digest, kernel::time_point now,
-                        actions& out) {
+void await_confirmation(scheduler_state& state, std::uint64_t digest, kernel::time_point now) {
+    state.named.push_back({digest, now + state.rules.quarantine.confirmation});
+}
+
+void refuse_confirmed(scheduler_state& state, kernel::time_point now, actions& out) {
     std::vector<request_record*> found;
-    for (const auto& [id, record] : state.requests) {
-        if (digest_of(record->work) == digest) {
-            found.push_back(record.get());
+    for (const auto& named : state.named) {
+        if (named.confirmed > now ||
+            !is_confirmed(state.crashes, state.rules.quarantine, named.digest, now)) {
+            continue;
+        }
+        for (const auto& [id, record] : state.requests) {
+            if (digest_of(record->work) == named.digest) {
+                found.push_back(record.get());
+            }
         }
     }
+    std::erase_if(state.named, [&](const auto& named) { return named.confirmed <= now; });
+    // The map has no order of its own that a test could count on.
+    std::ranges::sort(found, {}, &request_record::sequence);
+    const auto repeated = std::ranges::unique(found);
+    found.erase(repeated.begin(), repeated.end());
     for (auto* record : found) {
-        refuse(state, *record, kernel::refusal_reason::quarantined,
-               quarantined_for(state.crashes, digest, now), "crashed several targets", out);
+        const auto left = quarantined_for(state.crashes, digest_of(record->work), now);
+        refuse(state, *record, kernel::refusal_reason::quarantined, left, "crashed several targets",
+               out);
     }
 }
 
--- a/src/decide/internal/outcomes.cpp
+++ b/src/decide/internal/outcomes.cpp
@@ -29,16 +29,18 @@
     return std::min(a, b);
 }
 
-void learn_service_time(destination& where, double elapsed) {
-    const double most = where.service_seconds * greatest_service_ratio;
-    where.service_seconds += service_gain * (std::min(elapsed, most) - where.service_seconds);
+void learn_service_time(request_record& record, double elapsed) {
+    auto& usual = record.where->service_seconds.at(index_of(record.work.priority));
+    const double most = usual * greatest_service_ratio;
+    usual += service_gain * (std::min(elapsed, most) - usual);
 }
 
 // Time over that of a healthy full batch, against the destination's usual; wrong configured speeds
 // are wrong for all targets and cancel out.
-double against_peers(const target_load& load, destination& where, const answer_size& size,
+double against_peers(const target_load& load, request_record& record, const answer_size& size,
                      double elapsed) {
-    const double full = nominal_seconds(load, size, load.config.capacity, where.service_seconds);
+    auto& where = *record.where;
+    const double full = nominal_seconds(load, size, load.config.capacity, usual_seconds(record));
     const double ratio = elapsed / std::max(full, 1e-6);
     const double most = where.usual_ratio * greatest_service_ratio;
     where.usual_ratio += service_gain * (std::min(ratio, most) - where.usual_ratio);
@@ -52,11 +54,11 @@
     const answer_size done{ended.size.read, static_cast<double>(tokens)};
     const double ratio = elapsed / nominal_so_far(state, record, ended, done, now);
     observe_ratio(load, ratio, answer_gain, now);
-    on_answer(load.limit, state.rules.limit, against_peers(load, *record.where, done, elapsed),
+    on_answer(load.limit, state.rules.limit, against_peers(load, record, done, elapsed),
               estimated_running(load, state.rules.placement, now), now);
     on_good_answer(load.health, state.rules.health, now);
     if (record.work.kind == target_kind::service) {
-        learn_service_time(*record.where, elapsed);
+        learn_service_time(record, elapsed);
     }
 }
 
@@ -263,13 +265,6 @@
         avoid(*record, failed.target);
     }
     end_sending(state, *record, attempt);
-    const auto digest = digest_of(record->work);
-    for (const auto& notice : std::vector(out.quarantines)) {
-        refuse_quarantined(state, notice.digest, now, out);
-        if (notice.digest == digest) {
-            return out;
-        }
-    }
     after_failure(state, *record, what, now, out);
     return out;
 }
@@ -285,7 +280,8 @@
 
 void on_quarantine(scheduler& all, const quarantine_notice& notice, kernel::time_point now) {
     auto& state = *all.state;
-    quarantine(state.crashes, state.rules.quarantine, notice.digest, notice.remaining, now);
+    quarantine(state.crashes, state.rules.quarantine, notice, now);
+    await_confirmation(state, notice.digest, now);
 }
 
 } // namespace cornelloom::decide
--- a/src/decide/internal/records.cpp
+++ b/src/decide/internal/records.cpp
@@ -83,12 +83,16 @@
     return work.digest != 0 ? work.digest : kernel::hash64(work.id.str());
 }
 
+double usual_seconds(const request_record& record) {
+    return record.where->service_seconds.at(index_of(record.work.priority));
+}
+
 double nominal_so_far(const scheduler_state& state, const request_record& record,
                       const sending& running, const answer_size& size, kernel::time_point now) {
     const auto& load = state.targets[running.target];
     const double at_end = estimated_running(load, state.rules.placement, now);
     const double mean = (running.running + std::max(at_end, 1.0)) / 2;
-    return std::max(nominal_seconds(load, size, mean, record.where->service_seconds), 1e-6);
+    return std::max(nominal_seconds(load, size, mean, usual_seconds(record)), 1e-6);
 }
 
 void enqueue(scheduler_state& state, request_record& record) {
--- a/src/decide/internal/state.hpp
+++ b/src/decide/internal/state.hpp
@@ -93,10 +93,11 @@
     kernel::time_point last_interactive{};
     bool had_interactive = false;
     pool_versions versions;
-    double service_seconds = 0.05; ///< Smoothed time of an answer, for plain services.
-    double usual_ratio = 1;        ///< Smoothed time of answers over that of a full batch.
-    double rate = 0;               ///< Cost per second for this host, refreshed now and then.
-    double rate_near = 0;          ///< Of it, without crossing a region border.
+    /// Smoothed time of an answer by class, for plain services: a sync is no slow lookup.
+    std::array<double, priority_class_count> service_seconds{0.05, 0.05, 0.05};
+    double usual_ratio = 1; ///< Smoothed time of answers over that of a full batch.
+    double rate = 0;        ///< Cost per second for this host, refreshed now and then.
+    double rate_near = 0;   ///< Of it, without crossing a region border.
     double seconds_per_cost = 0;
     kernel::time_point rate_at{};
     bool rate_known = false;
@@ -105,6 +106,11 @@
     hedge_budget hedges;
 };
 
+struct named_digest {
+    std::uint64_t digest = 0;
+    kernel::time_point confirmed{};
+};
+
 struct scheduler_state {
     host self;
     policy rules;
@@ -121,6 +127,7 @@
     timed_records delayed;
     timed_records hedge_checks;
     crash_ledger crashes;
+    std::vector<named_digest> named; ///< Waiting for their confirmation.
     retry_budget retries;
     std::uint64_t next_sequence = 1;
     std::size_t in_flight = 0;
@@ -137,6 +144,9 @@
 [[nodiscard]] kernel::run_state run_state_of(const request_record& record);
 [[nodiscard]] std::uint64_t digest_of(const request& work);
 
+/// Usual time of an answer of its class, for plain services.
+[[nodiscard]] double usual_seconds(const request_record& record);
+
 /// Seconds that `size` of this sending should have taken by configured speeds, with the load
 /// between its start and now. Judged by the load at its start alone, every target that filled up
 /// meanwhile would look slow.
@@ -185,8 +195,10 @@
                   kernel::time_point now, actions& out);
 void prove(scheduler_state& state, const request_record& record, sending& running,
            kernel::time_point now);
-void refuse_quarantined(scheduler_state& state, std::uint64_t digest, kernel::time_point now,
-                        actions& out);
+void await_confirmation(scheduler_state& state, std::uint64_t digest, kernel::time_point now);
+
+/// Refuses every request of a digest whose quarantine was confirmed.
+void refuse_confirmed(scheduler_state& state, kernel::time_point now, actions& out);
 
 // Maintenance (maintenance.cpp).
 
--- a/src/decide/internal/stragglers.cpp
+++ b/src/decide/internal/stragglers.cpp
@@ -82,7 +82,7 @@
 // Plain services have no progress to judge by: late is a multiple of the usual time.
 bool service_is_late(const scheduler_state& state, const request_record& record,
                      const sending& running, kernel::time_point now) {
-    const double usual = record.where->service_seconds * state.rules.hedge.service_factor;
+    const double usual = usual_seconds(record) * state.rules.hedge.service_factor;
     return seconds(now - running.sent) >= usual;
 }
 
--- a/src/decide/placement.cpp
+++ b/src/decide/placement.cpp
@@ -19,6 +19,9 @@
 
 constexpr double tokens_per_kilotoken = 1000;
 
+// A target over its prediction by this factor is compared with farther ones.
+constexpr double poor_slowness = 2;
+
 // For each version that the answer is predicted to be beyond the bound: it would be run again.
 constexpr double too_stale_seconds = 1000;
 
@@ -34,12 +37,19 @@
 
 bool has_room(const target_load& load, const placement_query& query, const policy& rules,
               kernel::time_point now) {
+    // No allowance is over the limit; of a busy pool this spares the estimates of most targets.
+    if (load.in_flight >= std::max(load.limit.value, 1.0)) {
+        return false;
+    }
     double room = allowance(load, rules, now);
     if (query.reserve && query.priority != priority_class::interactive && room >= 2) {
         const auto& interactive = rules.classes.at(index_of(priority_class::interactive));
         const double kept = std::ceil(interactive.reserved_slots * room);
         room -= std::max(0.0, kept - load.interactive_in_flight);
     }
+    if (query.priority == priority_class::interactive) {
+        room = std::min(room * rules.placement.interactive_overcommit, load.limit.value);
+    }
     return load.in_flight + 1.0 <= std::max(room, 1.0);
 }
 
@@ -150,6 +160,7 @@
     const double cost = score(load, index, in.query, in.rules, in.now);
     if (cost < in.best_score) {
         in.best_score = cost;
+        in.best.cost = cost;
         in.best.outcome = placement_outcome::placed;
         in.best.target = index;
     }
@@ -269,7 +280,7 @@
     const bool swapping = load.swap && load.swap->starts <= now && now < load.swap->ready &&
                           load.version < load.swap->version;
     return !load.gone && !load.leaving && !load.loading && !swapping &&
-           !is_ejected(load.health, now);
+           !is_ejected(load.health, now) && load.health.paused_until <= now;
 }
 
 double score(const target_load& load, std::uint32_t index, const placement_query& query,
@@ -304,13 +315,20 @@
             rest, [&](auto index) { return targets[index].how_far != how_far; });
         const auto tier = rest.first(static_cast<std::size_t>(end - rest.begin()));
         rest = rest.subspan(tier.size());
+        const bool placed = result.outcome == placement_outcome::placed;
         const bool pays = query.patience_seconds >= crossing_seconds(query.size, rules.placement);
-        if (how_far == distance::remote && nearer_open && !pays) {
+        if (how_far == distance::remote && nearer_open && !pays && !placed) {
             break;
         }
         const auto found = choose_within(targets, tier, query, rules, now, random);
-        if (found.outcome == placement_outcome::placed) {
-            return found;
+        const bool cheaper = !placed || found.cost < result.cost;
+        if (found.outcome == placement_outcome::placed && cheaper) {
+            result = found;
+        }
+        // A slow target near is compared with farther ones; the score has the price of distance.
+        if (result.outcome == placement_outcome::placed &&
+            current_slowness(targets[result.target], now) < poor_slowness) {
+            return result;
         }
         nearer_open = nearer_open || found.outcome != placement_outcome::no_target;
         result = more_telling(result, found);
--- a/src/decide/placement.hpp
+++ b/src/decide/placement.hpp
@@ -43,6 +43,7 @@
     placement_outcome outcome = placement_outcome::no_target;
     std::uint32_t target = 0;
     double seconds = 0; ///< Predicted for the whole answer.
+    double cost = 0;    ///< Its score.
     kernel::time_point wait_until{};
 };
 
--- a/src/decide/policy.hpp
+++ b/src/decide/policy.hpp
@@ -32,8 +32,11 @@
     std::size_t subset_region = 4; ///< More from the own region's other zones.
     std::size_t subset_remote = 4; ///< More from other regions, for when the own one is lost.
     std::size_t choices = 2;       ///< Candidates compared; 0: all. See docs/DECISIONS.md.
-    double load_bound = 1.25;      ///< Affinity holds while load is below this times the mean.
-    double prefix_hit = 0.9;       ///< Belief in a fresh cache hint; events may be missing.
+    /// Interactive work may take this times the host's part of a limit, up to the limit: bursts
+    /// seldom come to all hosts at once, and a lookup that waits here waits for nothing.
+    double interactive_overcommit = 2;
+    double load_bound = 1.25; ///< Affinity holds while load is below this times the mean.
+    double prefix_hit = 0.9;  ///< Belief in a fresh cache hint; events may be missing.
     /// How many of a caller's next items are looked through for one whose prefix the free target
     /// holds, and how often an item may be passed over for such a one.
     std::size_t lookahead = 32;
@@ -78,8 +81,11 @@
 struct quarantine_policy {
     std::uint32_t crashes = 2;         ///< Distinct targets that a digest must have crashed.
     kernel::duration suspicion = 120s; ///< After this without another crash a suspect is clear.
-    kernel::duration lifetime = 600s;  ///< Then it may try again: the engine may be mended.
-    std::size_t max_entries = 4096;    ///< Oldest go first.
+    /// A named digest is refused only after this, the time that gossip takes: another host may
+    /// have named another digest for the same crash, and then neither is certain.
+    kernel::duration confirmation = 2s;
+    kernel::duration lifetime = 600s; ///< Then it may try again: the engine may be mended.
+    std::size_t max_entries = 4096;   ///< Oldest go first.
 };
 
 struct health_policy {
--- a/src/decide/quarantine.cpp
+++ b/src/decide/quarantine.cpp
@@ -18,6 +18,13 @@
     record.longest_run = std::max(record.longest_run, ran);
 }
 
+// The crash that named it counts no more.
+void withdraw(crash_record& record) {
+    std::erase(record.targets, record.named_by);
+    record.quarantined_until = {};
+    record.named_by = 0;
+}
+
 void make_room(crash_ledger& ledger, const quarantine_policy& rules) {
     while (ledger.digests.size() >= std::max<std::size_t>(rules.max_entries, 1)) {
         const auto oldest = std::ranges::min_element(
@@ -64,6 +71,8 @@
         return 0;
     }
     record.quarantined_until = now + rules.lifetime;
+    record.named = now;
+    record.named_by = target;
     return culprit.digest;
 }
 
@@ -88,12 +97,33 @@
     return it == ledger.digests.end() ? proof_margin : it->second.longest_run + proof_margin;
 }
 
-void quarantine(crash_ledger& ledger, const quarantine_policy& rules, std::uint64_t digest,
-                kernel::duration remaining, kernel::time_point now) {
-    auto& record = record_of(ledger, rules, digest);
-    const auto until = now + std::min(remaining, rules.lifetime);
-    record.quarantined_until = std::max(record.quarantined_until, until);
+bool is_confirmed(const crash_ledger& ledger, const quarantine_policy& rules, std::uint64_t digest,
+                  kernel::time_point now) {
+    const auto it = ledger.digests.find(digest);
+    return it != ledger.digests.end() && it->second.quarantined_until > now &&
+           now >= it->second.named + rules.confirmation;
+}
+
+void quarantine(crash_ledger& ledger, const quarantine_policy& rules,
+                const quarantine_notice& notice, kernel::time_point now) {
+    const auto rival = std::ranges::find_if(ledger.digests, [&](const auto& entry) {
+        const auto& record = entry.second;
+        return entry.first != notice.digest && record.named_by != 0 &&
+               record.named_by == notice.crashed_target &&
+               now < record.named + 2 * rules.confirmation;
+    });
+    auto& record = record_of(ledger, rules, notice.digest);
+    if (record.quarantined_until > now) {
+        return;
+    }
     record.last = now;
+    if (rival != ledger.digests.end()) {
+        withdraw(rival->second);
+        return;
+    }
+    record.quarantined_until = now + std::min(notice.remaining, rules.lifetime);
+    record.named = now;
+    record.named_by = notice.crashed_target;
 }
 
 void clear_suspicion(crash_ledger& ledger, std::uint64_t digest) {
--- a/src/decide/quarantine.hpp
+++ b/src/decide/quarantine.hpp
@@ -13,6 +13,8 @@
         targets; ///< Hashes of the distinct targets that it may have crashed.
     kernel::time_point last{};
     kernel::time_point quarantined_until{};
+    kernel::time_point named{};     ///< When it was named.
+    std::uint64_t named_by = 0;     ///< The target whose crash named it; 0: not named.
     kernel::duration longest_run{}; ///< How long it had run when a target crashed.
 };
 
@@ -48,8 +50,15 @@
 /// How long a suspect must run on a target to be proven.
 [[nodiscard]] kernel::duration proof_time(const crash_ledger& ledger, std::uint64_t digest);
 
-void quarantine(crash_ledger& ledger, const quarantine_policy& rules, std::uint64_t digest,
-                kernel::duration remaining, kernel::time_point now);
+/// Whether its time of confirmation is over; only then it is refused.
+[[nodiscard]] bool is_confirmed(const crash_ledger& ledger, const quarantine_policy& rules,
+                                std::uint64_t digest, kernel::time_point now);
+
+/// Takes over what another host has found. If another digest was named for the crash of the same
+/// target just now, two hosts had a suspect each on it: both go back to being suspects. Every host
+/// that hears both comes to the same end.
+void quarantine(crash_ledger& ledger, const quarantine_policy& rules,
+                const quarantine_notice& notice, kernel::time_point now);
 
 /// It was answered whole.
 void clear_suspicion(crash_ledger& ledger, std::uint64_t digest);
--- a/src/decide/scheduler.cpp
+++ b/src/decide/scheduler.cpp
@@ -48,9 +48,10 @@
         return refused(work, kernel::refusal_reason::retry_budget_spent, least_retry,
                        "attempts of earlier hops");
     }
-    const auto left = quarantined_for(state.crashes, digest_of(work), now);
-    if (left > kernel::duration{}) {
-        return refused(work, kernel::refusal_reason::quarantined, left, "crashed several targets");
+    const auto digest = digest_of(work);
+    if (is_confirmed(state.crashes, state.rules.quarantine, digest, now)) {
+        return refused(work, kernel::refusal_reason::quarantined,
+                       quarantined_for(state.crashes, digest, now), "crashed several targets");
     }
     return std::nullopt;
 }
@@ -234,6 +235,7 @@
     actions out;
     auto& state = *all.state;
     expire_requests(state, now, out);
+    refuse_confirmed(state, now, out);
     sweep(state, now);
     hedge_due(state, now, out);
     dispatch_all(state, now, out);
--- a/src/decide/types.hpp
+++ b/src/decide/types.hpp
@@ -143,6 +143,7 @@
 struct quarantine_notice {
     std::uint64_t digest = 0;
     kernel::duration remaining{}; ///< For how long, from receipt; monotonic times cross no hosts.
+    std::uint64_t crashed_target = 0; ///< Hash of the id of the target whose crash named it.
 };
 
 /// What the embedding code has to do now, in any order. The scheduler has counted on all of it.
