--- a/src/decide/quarantine.cpp
+++ b/src/decide/quarantine.cpp
@@ -57,14 +57,17 @@
                           std::uint64_t target, const std::vector<crash_suspect>& in_flight,
                           kernel::time_point now) {
     const auto unproven = std::ranges::count_if(in_flight, &crash_suspect::unproven);
-    if (unproven == 0) {
+    const bool alone =
+        in_flight.size() == 1 && is_suspect(ledger, rules, in_flight.front().digest, now);
+    if (unproven == 0 && !alone) {
         suspect_all(ledger, rules, target, in_flight, now);
         return 0;
     }
     if (unproven > 1) {
         return 0;
     }
-    const auto& culprit = *std::ranges::find_if(in_flight, &crash_suspect::unproven);
+    const auto& culprit =
+        alone ? in_flight.front() : *std::ranges::find_if(in_flight, &crash_suspect::unproven);
     auto& record = record_of(ledger, rules, culprit.digest);
     blame(record, target, culprit.ran, now);
     if (record.targets.size() < rules.crashes) {
--- a/src/decide/quarantine.hpp
+++ b/src/decide/quarantine.hpp
@@ -23,7 +23,7 @@
 /// All requests in flight on a crashed target are suspects. Suspects are placed apart from each
 /// other, so a second crash has one suspect on it and names the culprit; if there are several or
 /// none, nobody's count grows. A suspect that has run longer than it had before the crash is
-/// proven and no longer counts as one.
+/// proven and no longer counts as one, unless it was alone on the target.
 struct crash_ledger {
     std::unordered_map<std::uint64_t, crash_record> digests;
 };
--- a/src/decide/scheduler.cpp
+++ b/src/decide/scheduler.cpp
@@ -194,6 +194,8 @@
     state->self = std::move(self);
     state->rules = std::move(rules);
     state->random.seed(seed);
+    // A host that just started meets the same crashes as one that has saved up its budget.
+    state->retries.tokens = state->rules.retry.budget_cap;
 }
 
 scheduler::~scheduler() = default;
