--- a/src/decide/scheduler.cpp
+++ b/src/decide/scheduler.cpp
@@ -48,9 +48,10 @@
         return refused(work, kernel::refusal_reason::retry_budget_spent, least_retry,
                        "attempts of earlier hops");
     }
-    const auto left = quarantined_for(state.crashes, digest_of(work), now);
-    if (left > kernel::duration{}) {
-        return refused(work, kernel::refusal_reason::quarantined, left, "crashed several targets");
+    const auto digest = digest_of(work);
+    if (is_confirmed(state.crashes, state.rules.quarantine, digest, now)) {
+        return refused(work, kernel::refusal_reason::quarantined,
+                       quarantined_for(state.crashes, digest, now), "crashed several targets");
     }
     return std::nullopt;
 }
@@ -193,6 +194,8 @@
     state->self = std::move(self);
     state->rules = std::move(rules);
     state->random.seed(seed);
+    // A host that just started meets the same crashes as one that has saved up its budget.
+    state->retries.tokens = state->rules.retry.budget_cap;
 }
 
 scheduler::~scheduler() = default;
@@ -234,6 +237,7 @@
     actions out;
     auto& state = *all.state;
     expire_requests(state, now, out);
+    refuse_confirmed(state, now, out);
     sweep(state, now);
     hedge_due(state, now, out);
     dispatch_all(state, now, out);
