--- a/tests/rollout/failure_tests.cpp
+++ b/tests/rollout/failure_tests.cpp
@@ -402,3 +402,55 @@
     CHECK(hold(store, late).outcome == hold_outcome::held);
     CHECK(collect(store, {late.key, 2, 0, {1000}}).samples.at(0).whole);
 }
+
+TEST_CASE("A trainer takes nothing from an older epoch, and nothing but its last pull's answer",
+          "[rollout][two-owners]") {
+    // An answer of the old owner, or of an earlier pull, arrives after the new owner's. Its samples
+    // may have been made again since.
+    world all(release_mode::each_sample, false);
+    submit(all, 0, 6, 0);
+    finish_streams(all);
+    const auto answer = pull(owner(all), next_pull(all.trainer, 1), all.now).value();
+    SECTION("older epoch") {
+        all.trainer.epoch = answer.epoch + 1;
+        CHECK(commit(all.trainer, answer).empty());
+    }
+    SECTION("earlier pull") {
+        (void)next_pull(all.trainer, 2);
+        CHECK(commit(all.trainer, answer).empty());
+    }
+    SECTION("the awaited one") {
+        CHECK(commit(all.trainer, answer).size() == 6);
+    }
+}
+
+TEST_CASE("A body that the trainer did not take is not counted as delivered",
+          "[rollout][two-owners]") {
+    // Two owners made the same slot, and the trainer took the first one's sample. The second one is
+    // paid work done twice; booked as delivered, the waste would be hidden.
+    world all(release_mode::each_sample, false);
+    submit(all, 0, 1, 0);
+    finish_streams(all);
+    pull_request request = next_pull(all.trainer, 1);
+    request.held = {{0, attempt_id{0, 9}}};
+    CHECK(pull(owner(all), request, all.now).has_value());
+    CHECK(owner(all).tokens.delivered == 0);
+    CHECK(wasted(owner(all), waste_cause::lost) == answer_length(0));
+    check_promises(all);
+}
+
+TEST_CASE("Tokens that come after a cancellation are paid and counted by its cause",
+          "[rollout][cancel]") {
+    // The engine's confirmation is lost and its stream goes on for a moment. The supplier bills
+    // those tokens, so the account must have them.
+    world all(release_mode::each_sample, false);
+    submit(all, 0, 1, 0);
+    const auto ref = all.streams.at(0).ref;
+    cancel_step(owner(all), all.now);
+    CHECK(on_piece(owner(all), ref, {"bb", 2, 1, ""}, all.now) == piece_verdict::stop);
+    CHECK(owner(all).tokens.paid == 2);
+    CHECK(wasted(owner(all), waste_cause::cancelled) == 2);
+    on_cancelled(owner(all), ref, 2);
+    CHECK(owner(all).tokens.paid == 2);
+    check_promises(all);
+}
