A deposed owner keeps its text so far until the next owner asks for it

Cause: the news of a new owner comes by gossip, a refused copy or a pull, mostly before the new owner's collection; the texts of running attempts were wasted at the news. Change: supersede_step stops the engines and keeps the texts; surrender() gives all as hold requests, so that a daemon passes them to its replica store without holding two locks.

--- a/src/rollout/internal/slots.cpp
+++ b/src/rollout/internal/slots.cpp
@@ -1,6 +1,7 @@
 #include "rollout/internal/slots.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace cornelloom::rollout::internal {
 
@@ -23,6 +24,17 @@
     at.attempts.erase(at.attempts.begin() + static_cast<std::ptrdiff_t>(position));
 }
 
+void end_keeping_text(step& open, slot& at, std::size_t position, waste_cause otherwise) {
+    auto ended = std::move(at.attempts[position]);
+    at.attempts.erase(at.attempts.begin() + static_cast<std::ptrdiff_t>(position));
+    if (at.attempts.empty()) {
+        append(at.carried, ended.own);
+        at.state = slot_state::wanted;
+        return;
+    }
+    waste_in_flight(open.tokens, tokens_of(ended.own.spans), otherwise);
+}
+
 void give_up_all(step& open, slot_index index, waste_cause cause) {
     auto& at = open.slots[index];
     while (!at.attempts.empty()) {
--- a/src/rollout/internal/slots.hpp
+++ b/src/rollout/internal/slots.hpp
@@ -10,6 +10,10 @@
 /// Gives up a running attempt: its own tokens are wasted and its engine is told to stop.
 void give_up_attempt(step& open, slot_index index, std::size_t position, waste_cause cause);
 
+/// Ends an attempt whose text so far is good, so that the next attempt resumes from it. With
+/// another attempt running, the text is wasted instead: both have the same `carried` text.
+void end_keeping_text(step& open, slot& at, std::size_t position, waste_cause otherwise);
+
 /// Gives up every attempt of a slot and the text that it carried.
 void give_up_all(step& open, slot_index index, waste_cause cause);
 
--- a/src/rollout/replica.cpp
+++ b/src/rollout/replica.cpp
@@ -187,21 +187,22 @@
     return answer;
 }
 
-void surrender(step& open, replica_store& store, owner_epoch newer, kernel::time_point now) {
-    if (newer <= open.epoch || open.state == step_state::superseded) {
-        return;
+std::vector<hold_request> surrender(step& open, owner_epoch newer, kernel::time_point now) {
+    std::vector<hold_request> all;
+    if (newer <= open.epoch) {
+        return all;
     }
+    supersede_step(open, newer, now);
     std::optional<slot_index> next = 0;
     while (next) {
-        const auto part = hand_over(open, *next);
-        for (const auto& one : part.samples) {
-            // Full: the sample is lost to the new owner, which makes it again.
-            (void)hold(store,
-                       {open.request.key, open.epoch, open.request.deadline, part.account, one});
+        auto part = hand_over(open, *next);
+        for (auto& one : part.samples) {
+            all.push_back({open.request.key, open.epoch, open.request.deadline, part.account,
+                           std::move(one)});
         }
         next = part.next_slot;
     }
-    supersede_step(open, newer, now);
+    return all;
 }
 
 } // namespace cornelloom::rollout
--- a/src/rollout/replica.hpp
+++ b/src/rollout/replica.hpp
@@ -97,10 +97,12 @@
 void on_hold_failed(step& open, slot_index slot, const attempt_id& origin, bool any_host_reachable,
                     kernel::time_point now);
 
-/// Another host owns the step now: what this owner has moves into the store of its own host, where
-/// the new owner's collection finds it, text of running attempts included; then the step is
-/// superseded. Called when a collection for an owned step arrives, before it is answered.
-void surrender(step& open, replica_store& store, owner_epoch newer, kernel::time_point now);
+/// Another host owns the step now: stops it, and gives all that this owner has, text of running
+/// attempts included, as hold requests for this host's own store, where the new owner's collection
+/// finds them. Called when a collection for an owned step arrives, before it is answered. Empty
+/// when `newer` is not above this owner's epoch.
+[[nodiscard]] std::vector<hold_request> surrender(step& open, owner_epoch newer,
+                                                  kernel::time_point now);
 
 /// What this owner has for its step, partial text included, for a new owner or at shutdown.
 [[nodiscard]] collect_answer hand_over(const step& open, slot_index from_slot = 0);
--- a/src/rollout/step.cpp
+++ b/src/rollout/step.cpp
@@ -108,6 +108,18 @@
     }
 }
 
+/// The next owner resumes from the text, if it asks this host in time.
+void stop_keeping_text(step& open, slot_index index) {
+    auto& at = open.slots[index];
+    while (!at.attempts.empty()) {
+        const auto& running = at.attempts.front();
+        internal::remember_ended(at, running, waste_cause::cancelled);
+        open.effects.cancel.push_back(
+            {{index, running.id}, running.engine, waste_cause::cancelled});
+        internal::end_keeping_text(open, at, 0, waste_cause::cancelled);
+    }
+}
+
 void check_groups(const step_request& request, const pool_rules& rules, const std::string& file,
                   kernel::findings& faults) {
     for (std::size_t i = 0; i < request.groups.size(); ++i) {
@@ -278,7 +290,9 @@
     if (newer <= open.epoch || open.state == step_state::superseded) {
         return;
     }
-    end_work(open, waste_cause::cancelled);
+    for (slot_index i = 0; i < open.slots.size(); ++i) {
+        stop_keeping_text(open, i);
+    }
     open.state = step_state::superseded;
 }
 
--- a/src/rollout/step.hpp
+++ b/src/rollout/step.hpp
@@ -226,7 +226,8 @@
 /// The trainer wants nothing more of this step.
 void cancel_step(step& open, kernel::time_point now);
 
-/// A larger epoch was seen: this owner stops at once. What it holds stays readable.
+/// A larger epoch was seen: this owner stops at once. What it holds, text so far included, stays
+/// readable for the next owner; see `surrender`.
 void supersede_step(step& open, owner_epoch newer, kernel::time_point now);
 
 /// Ends the step when its deadline has passed, and the collection when it took too long; asks
--- a/src/rollout/work.cpp
+++ b/src/rollout/work.cpp
@@ -69,19 +69,6 @@
     waste_in_flight(open.tokens, tokens, cause);
 }
 
-/// Ends an attempt whose text so far is good, so that the next attempt resumes from it. With
-/// another attempt running, the text is wasted instead: both have the same `carried` text.
-void end_keeping_text(step& open, slot& at, std::size_t position, waste_cause otherwise) {
-    auto ended = std::move(at.attempts[position]);
-    at.attempts.erase(at.attempts.begin() + static_cast<std::ptrdiff_t>(position));
-    if (at.attempts.empty()) {
-        append(at.carried, ended.own);
-        at.state = slot_state::wanted;
-        return;
-    }
-    waste_in_flight(open.tokens, tokens_of(ended.own.spans), otherwise);
-}
-
 /// Guard against an engine that does not say which weights made a token, that used another
 /// adapter, or that runs weights older than the bound: the sample could not be delivered. Only the
 /// piece is wasted, the text before it stays good and is resumed elsewhere.
@@ -92,7 +79,7 @@
     const auto& running = at.attempts[found.position];
     internal::remember_ended(at, running, cause);
     open.effects.cancel.push_back({ref, running.engine, cause});
-    end_keeping_text(open, at, found.position, cause);
+    internal::end_keeping_text(open, at, found.position, cause);
     internal::want_after_failure(open, at, now);
     return piece_verdict::stop;
 }
@@ -258,7 +245,7 @@
         return;
     }
     const auto wasted = cause == break_cause::crashed ? waste_cause::crashed : waste_cause::lost;
-    end_keeping_text(open, at, found.position, wasted);
+    internal::end_keeping_text(open, at, found.position, wasted);
     internal::want_after_failure(open, at, now);
 }
 
@@ -272,8 +259,8 @@
         // Cancelled by somebody else, such as a scheduler that empties a leaving target: the text
         // stays good. Without this the slot would wait for ever for an attempt that is gone.
         internal::remember_ended(at, *running, waste_cause::lost);
-        end_keeping_text(open, at, static_cast<std::size_t>(running - at.attempts.begin()),
-                         waste_cause::lost);
+        internal::end_keeping_text(
+            open, at, static_cast<std::size_t>(running - at.attempts.begin()), waste_cause::lost);
     }
     const auto it = std::ranges::find(at.ended, ref.attempt, &ended_attempt::id);
     if (it == at.ended.end()) {
@@ -296,7 +283,7 @@
     const auto& running = at.attempts[found.position];
     internal::remember_ended(at, running, waste_cause::cancelled);
     open.effects.cancel.push_back({ref, running.engine, waste_cause::cancelled});
-    end_keeping_text(open, at, found.position, waste_cause::cancelled);
+    internal::end_keeping_text(open, at, found.position, waste_cause::cancelled);
     at.not_before = now;
 }
 
--- a/tests/rollout/failure_tests.cpp
+++ b/tests/rollout/failure_tests.cpp
@@ -454,3 +454,19 @@
     CHECK(owner(all).tokens.paid == 2);
     check_promises(all);
 }
+
+TEST_CASE("An owner that first heard of its successor still has its text so far to give",
+          "[rollout][recovery]") {
+    // The news of the new owner comes by gossip before its question what this host holds. Text that
+    // was dropped at the news would be paid for twice.
+    world all(release_mode::each_sample, false);
+    submit(all, 0, 2, 0);
+    generate(all, 1, true);
+    supersede_step(owner(all), 2, all.now);
+    CHECK(take_effects(owner(all)).cancel.size() == 2);
+    CHECK(owner(all).tokens.in_flight == 2);
+    take_over(all, 1, 0);
+    CHECK(owner(all, 1).slots[1].carried.text == "bb");
+    CHECK(owner(all, 1).tokens.in_flight == 2);
+    check_promises(all);
+}
--- a/tests/rollout/world.cpp
+++ b/tests/rollout/world.cpp
@@ -314,7 +314,9 @@
     for (std::size_t i = 0; i < host_count; ++i) {
         const bool heard = (silent >> i & 1U) == 0;
         if (const auto& old = all.hosts[i].owned; old && heard) {
-            surrender(*old, all.hosts[i].replicas, epoch, all.now);
+            for (const auto& one : surrender(*old, epoch, all.now)) {
+                (void)hold(all.hosts[i].replicas, one);
+            }
         }
         collect_answer answer =
             collect(all.hosts[i].replicas, {taken.request.key, epoch, 0, taken.request.deadline});
