--- a/bench/bench_path.cpp
+++ b/bench/bench_path.cpp
@@ -140,9 +140,9 @@
 int run_comparison(const options& given) {
     own_servers own(given);
     const http_request request{"POST", given.path, "", {}, std::string(given.body_bytes, 'x')};
-    route direct{own.service ? endpoint{"127.0.0.1", own.service->port()}
-                             : endpoint_of(given.service),
-                 request};
+    const route direct{own.service ? endpoint{"127.0.0.1", own.service->port()}
+                                   : endpoint_of(given.service),
+                       request};
     route through{direct.to, request};
     if (given.daemon.empty()) {
         own.add_hop(direct.to);
--- a/src/transport/http.hpp
+++ b/src/transport/http.hpp
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -28,12 +29,15 @@
     std::string value;
 };
 
+class caller_presence;
+
 struct http_request {
     std::string method = "GET";
     std::string path = "/"; ///< Without the query, not decoded: `%2F` and `/` differ.
     std::string query{};    ///< Without the question mark, not decoded.
     std::vector<http_header> headers{};
     std::string body{};
+    std::shared_ptr<caller_presence> caller{}; ///< Set by a server; else null.
 };
 
 struct http_response {
--- a/src/transport/internal/http_session.cpp
+++ b/src/transport/internal/http_session.cpp
@@ -236,6 +236,7 @@
     timer_.cancel();
     const bool keep_alive = parser_->keep_alive();
     auto request = std::make_shared<http_request>(to_request(parser_->release()));
+    request->caller = std::make_shared<caller_presence>();
     // The guard keeps the loop running while nothing else of this session is pending on it.
     auto guard = boost::asio::make_work_guard(socket_.get_executor());
     const bool started = context_.workers.try_run(
@@ -249,10 +250,32 @@
     if (!started) {
         answer(refusal_response({429, "not-run", "queue_full", "all request threads are busy"}),
                keep_alive);
+        return;
     }
+    watch_caller(request->caller);
+}
+
+void http_session::watch_caller(std::shared_ptr<caller_presence> caller) {
+    using boost::asio::ip::tcp;
+    socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this(),
+                                                caller](error_code failure) {
+        if (failure || self->phase_ != phase::running) {
+            return;
+        }
+        // Looked at, not taken: it may be the next request.
+        char next = 0;
+        self->socket_.receive(boost::asio::buffer(&next, 1), tcp::socket::message_peek, failure);
+        if (failure) {
+            caller->mark_gone();
+        }
+    });
 }
 
 void http_session::answer(http_response response, bool keep_alive) {
+    if (phase_ == phase::running) {
+        error_code ignored;
+        ignored = socket_.cancel(ignored);
+    }
     phase_ = phase::writing;
     keep_alive = keep_alive && !context_.stopping;
     response_.emplace(to_message(std::move(response), keep_alive, head_only_));
--- a/src/transport/internal/http_session.hpp
+++ b/src/transport/internal/http_session.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "transport/caller_presence.hpp"
 #include "transport/http_server.hpp"
 #include "transport/internal/worker_pool.hpp"
 
@@ -69,6 +70,8 @@
     void read_body();
     void on_body(boost::system::error_code failure);
     void run_handler();
+    /// Tells the handler when the caller closes the connection.
+    void watch_caller(std::shared_ptr<caller_presence> caller);
     void answer(http_response response, bool keep_alive);
     void on_written(boost::system::error_code failure, bool keep_alive);
     void refuse(const http_refusal& why);
--- a/tests/transport/http_server_tests.cpp
+++ b/tests/transport/http_server_tests.cpp
@@ -251,3 +251,38 @@
     REQUIRE(reply);
     CHECK(reply.value().body == "whole");
 }
+
+TEST_CASE("A handler hears that its caller has gone", "[transport][server]") {
+    // A broker closes the page while the lookup still waits in the queue. Without a sign the lookup
+    // takes a place at a target, is answered to nobody, and its asking again takes another.
+    std::atomic<int> running{0};
+    std::atomic<bool> gone{false};
+    std::atomic<bool> gone_early{false};
+    const http_server server({"127.0.0.1", 0}, [&](const http_request& request) {
+        if (request.path != "/wait") {
+            return http_response{};
+        }
+        gone_early = request.caller->gone();
+        ++running;
+        running.notify_all();
+        std::atomic<bool> left{false};
+        request.caller->on_gone([&] {
+            left = true;
+            left.notify_all();
+        });
+        left.wait(false);
+        gone = request.caller->gone();
+        gone.notify_all();
+        return http_response{};
+    });
+    {
+        raw::connection caller(server.port());
+        // The second request makes the socket readable, which is no sign of having gone.
+        caller.send("GET /wait HTTP/1.1\r\n\r\nGET /next HTTP/1.1\r\n\r\n");
+        running.wait(0);
+        CHECK(call({"127.0.0.1", server.port()}, {}).value().status == 200);
+        CHECK_FALSE(gone);
+    }
+    gone.wait(false);
+    CHECK_FALSE(gone_early);
+}
--- a/tests/transport/http_tests.cpp
+++ b/tests/transport/http_tests.cpp
@@ -46,3 +46,17 @@
     CHECK(call(to, request).error().code == kernel::error_code::invalid_input);
     CHECK(call({"127.0.0.1", 1}, {}).error().code == kernel::error_code::unavailable);
 }
+
+TEST_CASE("A token is read from one Bearer header and compared by its hash", "[transport][token]") {
+    const auto hash = token_hash("abc");
+    CHECK(hash == "ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad");
+    CHECK(token_matches("abc", hash));
+    CHECK_FALSE(token_matches("abd", hash));
+    CHECK_FALSE(token_matches("", ""));
+
+    CHECK(bearer_token({{"X", "y"}, {"authorization", "bearer abc"}}) == "abc");
+    CHECK_FALSE(bearer_token({}));
+    CHECK_FALSE(bearer_token({{"Authorization", "Basic abc"}}));
+    CHECK_FALSE(bearer_token({{"Authorization", "Bearer "}}));
+    CHECK_FALSE(bearer_token({{"Authorization", "Bearer a"}, {"Authorization", "Bearer b"}}));
+}
