TLS for the HTTP server

Change: sessions run over a stream that is plain or encrypted; certificate and key by file in the limits; TLS 1.2 and later.

--- a/cmake/cornelloom_dependencies.cmake
+++ b/cmake/cornelloom_dependencies.cmake
@@ -5,6 +5,7 @@
 find_package(nlohmann_json REQUIRED)
 find_package(CLI11 REQUIRED)
 find_package(prometheus-cpp REQUIRED)
+find_package(OpenSSL REQUIRED)
 pkg_check_modules(urcu_bp REQUIRED IMPORTED_TARGET liburcu-bp)
 pkg_check_modules(xxhash REQUIRED IMPORTED_TARGET libxxhash)
 pkg_check_modules(sodium REQUIRED IMPORTED_TARGET libsodium)
@@ -21,4 +22,4 @@
 
 add_library(cornelloom_transport_deps INTERFACE)
 target_link_libraries(cornelloom_transport_deps INTERFACE PkgConfig::cxxtools_http
-    PkgConfig::nghttp2 PkgConfig::sodium nlohmann_json::nlohmann_json)
+    PkgConfig::nghttp2 PkgConfig::sodium OpenSSL::SSL nlohmann_json::nlohmann_json)
--- a/src/transport/http_server.hpp
+++ b/src/transport/http_server.hpp
@@ -12,6 +12,8 @@
     kernel::duration read_timeout = std::chrono::seconds{10}; ///< For a request as a whole.
     std::uint32_t max_header_bytes = 16U << 10U;              ///< With the request line.
     std::size_t max_connections = 8192; ///< Further ones are refused as not run, and closed.
+    std::string tls_certificate_file{}; ///< PEM, the whole chain; empty: no TLS.
+    std::string tls_key_file{};         ///< PEM.
 };
 
 /// An HTTP/1.1 server on Boost.Beast (docs/TRANSPORT.md says why not on cxxtools). The handler only
@@ -22,7 +24,8 @@
 /// `"state":"unknown"`. When all threads are busy the answer is 429, `"queue_full"`, not run.
 class http_server {
 public:
-    /// Listens at once; port 0 takes a free one. Throws std::runtime_error if the port is taken.
+    /// Listens at once; port 0 takes a free one. Throws std::runtime_error if the port is taken
+    /// or the certificate or its key can't be read.
     http_server(const endpoint& listen, http_handler handler,
                 const http_server_limits& limits = {});
 
--- a/src/transport/internal/http_session.cpp
+++ b/src/transport/internal/http_session.cpp
@@ -98,10 +98,20 @@
 }
 
 session_context::session_context(http_handler answer, const http_server_limits& allowed)
-    : handler(std::move(answer)), limits(allowed), workers(allowed.max_threads) {}
+    : handler(std::move(answer)), limits(allowed), workers(allowed.max_threads) {
+    if (limits.tls_certificate_file.empty()) {
+        return;
+    }
+    using boost::asio::ssl::context;
+    tls.emplace(context::tls_server);
+    tls->set_options(context::no_tlsv1 | context::no_tlsv1_1);
+    tls->use_certificate_chain_file(limits.tls_certificate_file);
+    tls->use_private_key_file(limits.tls_key_file, context::pem);
+}
 
 http_session::http_session(boost::asio::ip::tcp::socket socket, session_context& context)
-    : socket_(std::move(socket)), timer_(socket_.get_executor()), context_(context) {
+    : stream_(std::move(socket), context.tls ? &*context.tls : nullptr),
+      timer_(stream_.get_executor()), context_(context) {
     context_.session_count.fetch_add(1);
     const std::lock_guard lock(context_.mutex);
     context_.sessions.insert(this);
@@ -114,21 +124,40 @@
 }
 
 void http_session::start() {
-    boost::asio::post(socket_.get_executor(), [self = shared_from_this()] {
+    boost::asio::post(stream_.get_executor(), [self = shared_from_this()] {
         error_code ignored;
-        ignored = self->socket_.set_option(boost::asio::ip::tcp::no_delay{true}, ignored);
+        ignored = self->stream_.socket().set_option(boost::asio::ip::tcp::no_delay{true}, ignored);
+        if (self->stream_.encrypted()) {
+            self->shake_hands();
+        } else {
+            self->wait_for_request();
+        }
+    });
+}
+
+void http_session::shake_hands() {
+    limit_time(context_.limits.read_timeout);
+    stream_.async_handshake([self = shared_from_this()](error_code failure) {
+        if (failure) {
+            self->close();
+            return;
+        }
         self->wait_for_request();
     });
 }
 
 void http_session::refuse_connection(const http_refusal& why) {
-    boost::asio::post(socket_.get_executor(),
+    if (stream_.encrypted()) {
+        // A handshake for every refused connection would cost more than the refusal saves.
+        return;
+    }
+    boost::asio::post(stream_.get_executor(),
                       [self = shared_from_this(), why] { self->refuse(why); });
 }
 
 void http_session::stop() {
     // Called while the last owner may already be letting go.
-    boost::asio::post(socket_.get_executor(), [weak = weak_from_this()] {
+    boost::asio::post(stream_.get_executor(), [weak = weak_from_this()] {
         const auto self = weak.lock();
         if (!self) {
             return;
@@ -156,7 +185,7 @@
     }
     limit_time(context_.stopping ? kernel::duration(last_request_grace)
                                  : kernel::duration(idle_timeout));
-    socket_.async_read_some(buffer_.prepare(drained_.size()),
+    stream_.async_read_some(buffer_.prepare(drained_.size()),
                             [self = shared_from_this()](error_code failure, std::size_t size) {
                                 if (failure) {
                                     self->close();
@@ -176,7 +205,7 @@
     // One deadline for the whole request: a sender that drips bytes gains nothing by it.
     limit_time(context_.limits.read_timeout);
     http::async_read_header(
-        socket_, buffer_, *parser_,
+        stream_, buffer_, *parser_,
         [self = shared_from_this()](error_code failure, std::size_t) { self->on_header(failure); });
 }
 
@@ -203,7 +232,7 @@
 
 void http_session::send_continue() {
     static constexpr std::string_view interim = "HTTP/1.1 100 Continue\r\n\r\n";
-    boost::asio::async_write(socket_, boost::asio::buffer(interim),
+    boost::asio::async_write(stream_, boost::asio::buffer(interim),
                              [self = shared_from_this()](error_code failure, std::size_t) {
                                  if (failure) {
                                      self->close();
@@ -219,7 +248,7 @@
         return;
     }
     http::async_read(
-        socket_, buffer_, *parser_,
+        stream_, buffer_, *parser_,
         [self = shared_from_this()](error_code failure, std::size_t) { self->on_body(failure); });
 }
 
@@ -238,7 +267,7 @@
     auto request = std::make_shared<http_request>(to_request(parser_->release()));
     request->caller = std::make_shared<caller_presence>();
     // The guard keeps the loop running while nothing else of this session is pending on it.
-    auto guard = boost::asio::make_work_guard(socket_.get_executor());
+    auto guard = boost::asio::make_work_guard(stream_.get_executor());
     const bool started = context_.workers.try_run(
         [self = shared_from_this(), request, keep_alive, loop = std::move(guard)] {
             auto response = run(self->context_.handler, *request);
@@ -257,30 +286,31 @@
 
 void http_session::watch_caller(std::shared_ptr<caller_presence> caller) {
     using boost::asio::ip::tcp;
-    socket_.async_wait(tcp::socket::wait_read, [self = shared_from_this(),
-                                                caller](error_code failure) {
-        if (failure || self->phase_ != phase::running) {
-            return;
-        }
-        // Looked at, not taken: it may be the next request.
-        char next = 0;
-        self->socket_.receive(boost::asio::buffer(&next, 1), tcp::socket::message_peek, failure);
-        if (failure) {
-            caller->mark_gone();
-        }
-    });
+    stream_.socket().async_wait(
+        tcp::socket::wait_read, [self = shared_from_this(), caller](error_code failure) {
+            if (failure || self->phase_ != phase::running) {
+                return;
+            }
+            // Looked at, not taken: it may be the next request.
+            char next = 0;
+            self->stream_.socket().receive(boost::asio::buffer(&next, 1), tcp::socket::message_peek,
+                                           failure);
+            if (failure) {
+                caller->mark_gone();
+            }
+        });
 }
 
 void http_session::answer(http_response response, bool keep_alive) {
     if (phase_ == phase::running) {
         error_code ignored;
-        ignored = socket_.cancel(ignored);
+        ignored = stream_.socket().cancel(ignored);
     }
     phase_ = phase::writing;
     keep_alive = keep_alive && !context_.stopping;
     response_.emplace(to_message(std::move(response), keep_alive, head_only_));
     limit_time(write_timeout);
-    http::async_write(socket_, *response_,
+    http::async_write(stream_, *response_,
                       [self = shared_from_this(), keep_alive](error_code failure, std::size_t) {
                           self->on_written(failure, keep_alive);
                       });
@@ -332,10 +362,10 @@
     if (phase_ != phase::draining) {
         phase_ = phase::draining;
         error_code ignored;
-        ignored = socket_.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+        ignored = stream_.socket().shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
         limit_time(drain_timeout);
     }
-    socket_.async_read_some(boost::asio::buffer(drained_),
+    stream_.async_read_some(boost::asio::buffer(drained_),
                             [self = shared_from_this()](error_code failure, std::size_t size) {
                                 self->drained_bytes_ += size;
                                 if (failure || self->drained_bytes_ > max_drained_bytes) {
@@ -349,7 +379,7 @@
 void http_session::close() {
     timer_.cancel();
     error_code ignored;
-    ignored = socket_.close(ignored);
+    ignored = stream_.socket().close(ignored);
 }
 
 void http_session::limit_time(kernel::duration allowed) {
@@ -368,7 +398,7 @@
             return;
         }
         error_code ignored;
-        ignored = self->socket_.cancel(ignored);
+        ignored = self->stream_.socket().cancel(ignored);
     });
 }
 
--- a/src/transport/internal/http_session.hpp
+++ b/src/transport/internal/http_session.hpp
@@ -2,6 +2,7 @@
 
 #include "transport/caller_presence.hpp"
 #include "transport/http_server.hpp"
+#include "transport/internal/session_stream.hpp"
 #include "transport/internal/worker_pool.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -36,6 +37,7 @@
 
     http_handler handler;
     http_server_limits limits;
+    std::optional<boost::asio::ssl::context> tls; ///< None: plain.
     std::atomic<bool> stopping{false};
     std::atomic<std::size_t> session_count{0};
     std::mutex mutex;
@@ -63,6 +65,7 @@
 private:
     enum class phase { waiting, reading, running, writing, draining };
 
+    void shake_hands();
     void wait_for_request();
     void read_header();
     void on_header(boost::system::error_code failure);
@@ -82,7 +85,7 @@
     /// Ends the pending operation of the connection after this long, once.
     void limit_time(kernel::duration allowed);
 
-    boost::asio::ip::tcp::socket socket_;
+    session_stream stream_;
     boost::asio::steady_timer timer_;
     session_context& context_;
     boost::beast::flat_buffer buffer_;
