--- a/examples/trainer.cpp
+++ b/examples/trainer.cpp
@@ -46,7 +46,7 @@
     step.deadline = std::chrono::seconds{given.seconds};
     for (std::uint32_t group = 0; group < given.groups; ++group) {
         const auto prompt = "Describe lot " + std::to_string(group) + " in one sentence.";
-        step.groups.push_back({group, prompt, given.samples});
+        step.groups.push_back({prompt, given.samples});
     }
     return step;
 }
