--- a/cmake/cornelloom_targets.cmake
+++ b/cmake/cornelloom_targets.cmake
@@ -24,7 +24,7 @@
         set(scope INTERFACE)
     endif()
     target_include_directories(cornelloom_${name} ${scope}
-        $<BUILD_INTERFACE:${PROJECT_SOURCE_DIR}/src> $<INSTALL_INTERFACE:include/cornelloom>)
+        $<BUILD_INTERFACE:${PROJECT_SOURCE_DIR}/src> $<INSTALL_INTERFACE:${CMAKE_INSTALL_INCLUDEDIR}/cornelloom>)
     target_link_libraries(cornelloom_${name} ${scope} ${arg_DEPENDS})
 endfunction()
 
@@ -86,10 +86,8 @@
         # A fixed seed: the same verdict in every run.
         set_tests_properties(${name} PROPERTIES ENVIRONMENT "RC_PARAMS=seed=20261202")
     endforeach()
-endfunction()
-
-# Headers, libraries, a CMake package and pkg-config files.
-function(cornelloom_install)
-    install(DIRECTORY "${PROJECT_SOURCE_DIR}/src/" DESTINATION "${CMAKE_INSTALL_INCLUDEDIR}/cornelloom"
-            FILES_MATCHING PATTERN "*.hpp" PATTERN "internal" EXCLUDE)
+    add_test(NAME install COMMAND ${CMAKE_COMMAND} "-DBUILD=${PROJECT_BINARY_DIR}"
+             "-DSOURCE=${PROJECT_SOURCE_DIR}/tests/install"
+             "-DEXAMPLES=${PROJECT_SOURCE_DIR}/examples" "-DLIBDIR=${CMAKE_INSTALL_LIBDIR}"
+             -P "${PROJECT_SOURCE_DIR}/tests/install/check_install.cmake")
 endfunction()
