Read-through as a newcomer: clearer tables, conflicts and failures; ending a step works

Cause: a walk over a real stack (apply, wrong file, conflict, explain, kill, drain, curl lines of PROTOCOL.md) showed: ending a step was refused, since the daemon reads the body as a pull and wants 'held'; plain values stood between tables; a lost race against the same files listed no difference without saying so; an unreachable daemon was reported as not_ready. Change: the client states 'held', tables come last and start with what a row is about, the conflict says when the files are the same, the failure names itself. The test of explain compared two positions that could both be missing; it now compares the whole output.

--- a/src/cli/internal/apply.cpp
+++ b/src/cli/internal/apply.cpp
@@ -106,7 +106,9 @@
         return exit_status::conflict;
     }
     run.where.error << "nothing was applied: generation " << answer.generation
-                    << " is in force, not " << expected << ". Differing:\n";
+                    << " is in force, not " << expected << ". "
+                    << (answer.details.empty() ? "Its files are the same as yours.\n"
+                                               : "Its files differ from yours:\n");
     for (const auto& line : answer.details) {
         run.where.error << "  " << line << '\n';
     }
--- a/src/cli/internal/common.cpp
+++ b/src/cli/internal/common.cpp
@@ -97,6 +97,9 @@
                    {"detail", refused.detail},
                    {"retry_after_ms", after.count()}},
               output_format::json);
+    } else if (status_of(refused) == exit_status::unreachable) {
+        run.where.error << "no daemon could be reached, or none is ready: " << refused.detail
+                        << '\n';
     } else {
         run.where.error << to_string(refused.reason) << " (" << to_string(refused.state)
                         << "): " << refused.detail << '\n';
--- a/src/cli/output.cpp
+++ b/src/cli/output.cpp
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <array>
 #include <ostream>
 #include <string>
 #include <vector>
@@ -19,13 +20,16 @@
     if (value.is_string()) {
         return value.get<std::string>();
     }
+    if (value.is_null() || (value.is_structured() && value.empty())) {
+        return "-";
+    }
     if (value.is_array() &&
         std::ranges::all_of(value, [](const json& item) { return item.is_primitive(); })) {
         std::vector<std::string> items;
         std::ranges::transform(value, std::back_inserter(items), cell);
         return fmt::format("{}", fmt::join(items, " "));
     }
-    return value.is_null() ? "-" : value.dump(-1, ' ', false, replace);
+    return value.dump(-1, ' ', false, replace);
 }
 
 bool is_table(const json& value) {
@@ -33,7 +37,13 @@
            std::ranges::all_of(value, [](const json& row) { return row.is_object(); });
 }
 
-/// Names of the members of all rows; `id` first, the rest by name.
+/// Whether a member says which element a row is about.
+bool is_key(std::string_view name) {
+    constexpr std::array<std::string_view, 6> keys{"id", "host", "target", "lease", "step", "pool"};
+    return std::ranges::find(keys, name) != keys.end();
+}
+
+/// Names of the members of all rows; what a row is about first, the rest by name.
 std::vector<std::string> columns_of(const json& rows) {
     std::vector<std::string> columns;
     for (const auto& row : rows) {
@@ -43,9 +53,8 @@
             }
         }
     }
-    std::ranges::sort(columns, {}, [](const std::string& name) {
-        return std::pair(name != "id" && name != "kind", name);
-    });
+    std::ranges::sort(columns, {},
+                      [](const std::string& name) { return std::pair(!is_key(name), name); });
     return columns;
 }
 
@@ -81,19 +90,37 @@
     }
 }
 
-void write_members(std::ostream& out, const json& object, const std::string& prefix) {
+/// A member of a document by its full name, such as `queues.in_flight`.
+struct named_value {
+    std::string name;
+    const json* value;
+};
+
+/// The members of an object and of the objects in it.
+void collect_members(const json& object, const std::string& prefix, std::vector<named_value>& all) {
     for (const auto& [name, value] : object.items()) {
-        if (is_table(value)) {
-            out << '\n' << prefix << name << ":\n";
-            write_table(out, value);
-        } else if (value.is_object()) {
-            write_members(out, value, prefix + name + ".");
+        if (value.is_object()) {
+            collect_members(value, prefix + name + ".", all);
         } else {
-            out << prefix << name << ": " << cell(value) << '\n';
+            all.push_back({prefix + name, &value});
         }
     }
 }
 
+void write_members(std::ostream& out, const json& object) {
+    std::vector<named_value> all;
+    collect_members(object, "", all);
+    const auto tables = std::ranges::stable_partition(
+        all, [](const named_value& member) { return !is_table(*member.value); });
+    for (const auto& member : std::ranges::subrange(all.begin(), tables.begin())) {
+        out << member.name << ": " << cell(*member.value) << '\n';
+    }
+    for (const auto& member : tables) {
+        out << '\n' << member.name << ":\n";
+        write_table(out, *member.value);
+    }
+}
+
 } // namespace
 
 void write(std::ostream& out, const json& document, output_format format) {
@@ -102,7 +129,7 @@
     } else if (is_table(document)) {
         write_table(out, document);
     } else if (document.is_object()) {
-        write_members(out, document, "");
+        write_members(out, document);
     } else {
         out << cell(document) << '\n';
     }
--- a/src/client/trainer_client.cpp
+++ b/src/client/trainer_client.cpp
@@ -274,7 +274,7 @@
 
 answered<void> trainer_client::close(const step_request& step) {
     auto& link = state_->link;
-    const auto body = json{{"trainer", step.trainer.str()}}.dump();
+    const auto body = json{{"trainer", step.trainer.str()}, {"held", json::array()}}.dump();
     const auto got = link.send(json_request("DELETE", steps_path(step) + "/" + step.step, body),
                                link.now() + std::chrono::minutes{1}, control_rules);
     if (!got.has_value()) {
--- a/tests/cli/command_line_tests.cpp
+++ b/tests/cli/command_line_tests.cpp
@@ -232,6 +232,14 @@
     }
 }
 
+TEST_CASE("A status for people has its plain values first, then its tables", "[cli][status]") {
+    fake_daemons daemons;
+    daemons.answer(200, R"({"hosts":[{"zone":"a","host":"h1"}],"queues":{"delayed":2},)"
+                        R"("ready":true,"weights":[]})");
+    CHECK(run_command(daemons, with_daemon({"status"})).out ==
+          "queues.delayed: 2\nready: true\nweights: -\n\nhosts:\nhost  zone\nh1    a\n");
+}
+
 TEST_CASE("explain gathers what all daemons named know of a request", "[cli][explain]") {
     // A request enters at one host and runs at a target that another host asked: each remembers
     // only its own part.
@@ -242,7 +250,8 @@
         daemons.answer(200, R"({"host":"h2","entries":[{"at_unix_ms":5,"what":"placed on e1"}]})");
         const auto ran = run_command(daemons, words);
         CHECK(ran.status == exit_status::done);
-        CHECK(ran.out.find("h2    placed on e1") < ran.out.find("h1    answered"));
+        CHECK(ran.out == "known: true\nrequest: r-1\n\nentries:\nhost  at_unix_ms  what\n"
+                         "h2    5           placed on e1\nh1    9           answered\n");
         CHECK(daemons.seen.at(0).request.path == "/v1/explain/r-1");
         CHECK(daemons.seen.at(0).to != daemons.seen.at(1).to);
     }
--- a/tests/client/trainer_tests.cpp
+++ b/tests/client/trainer_tests.cpp
@@ -154,3 +154,14 @@
     CHECK(result.value().rejected.stale == 1);
     CHECK(result.value().delivered == 2);
 }
+
+TEST_CASE("Ending a step names the trainer", "[client][trainer]") {
+    fake_daemons daemons;
+    daemons.answer(200, R"({"state":"cancelled"})");
+    trainer_client client(daemons.options());
+    REQUIRE(client.close(two_samples()).has_value());
+    const auto& sent = daemons.seen.at(0).request;
+    CHECK(sent.method == "DELETE");
+    CHECK(sent.path == "/v1/pools/notes/steps/s1");
+    CHECK(nlohmann::json::parse(sent.body)["trainer"] == "t1");
+}
