A second host waits for each standing lease; a refused slot comes back within two seconds

Cause: with the weight steward killed, the pool kept its old weights for 14 s (death by gossip, then the term), and a slot that was refused as unable to finish came back only after the predicted time, beyond the deadline of its step: one step in ten was never whole (352 of 384 samples, idle 60 s). Ruled out: lost samples (none was paid for) and the trainer's client (it pulled all the time). Conclusion: what is left is the lease's term.

--- a/apps/cornelloomd.cpp
+++ b/apps/cornelloomd.cpp
@@ -29,6 +29,8 @@
     std::string file;
     app.add_option("settings", file, "JSON file with the settings of this daemon, docs/SETTINGS.md")
         ->required();
+    bool plain = false;
+    app.add_flag("--plain", plain, "Without second copies and affinity, for experiments");
     CLI11_PARSE(app, argc, argv);
 
     std::ifstream in(file, std::ios::binary);
@@ -45,7 +47,9 @@
     std::signal(SIGPIPE, SIG_IGN);
     cornelloom::kernel::configure_log(settings.value().log_format, settings.value().log_level);
     try {
-        cornelloom::daemon::daemon host(settings.value());
+        cornelloom::daemon::daemon host(settings.value(),
+                                        plain ? cornelloom::daemon::feed_variant::plain
+                                              : cornelloom::daemon::feed_variant::complete);
         host.run(stop_asked);
     } catch (const std::exception& problem) {
         std::cerr << "cornelloomd: " << problem.what() << '\n';
--- a/src/daemon/claims_runner.cpp
+++ b/src/daemon/claims_runner.cpp
@@ -2,7 +2,7 @@
 
 #include "daemon/answer.hpp"
 #include "daemon/claims_codec.hpp"
-#include "kernel/hash.hpp"
+#include "daemon/succession.hpp"
 
 #include <algorithm>
 #include <ranges>
@@ -42,15 +42,6 @@
     : shared_(shared), requests_(requests), leases_(leases), members_(members), platform_(platform),
       peers_(others) {}
 
-// The first live host by rendezvous hash holds the shard, so that the shards spread evenly and few
-// of them move when a host comes or goes.
-bool claims_runner::is_home(std::uint32_t shard, std::span<const coord::member> live) const {
-    const auto first = std::ranges::max_element(live, {}, [&](const coord::member& one) {
-        return std::pair(!one.leaving, kernel::hash64(one.info.id.str(), shard));
-    });
-    return first != live.end() && first->info.id == shared_.settings.host;
-}
-
 void claims_runner::want(std::uint32_t shard) {
     if (shared_.draining) {
         return;
@@ -67,7 +58,9 @@
 void claims_runner::tick() {
     const auto live = members_.live();
     for (std::uint32_t shard = 0; shard < shard_count; ++shard) {
-        if (is_home(shard, live)) {
+        // By rendezvous hash, so that the shards spread evenly and few move when a host comes or
+        // goes.
+        if (is_successor(lease_name(shard), live, shared_.settings.host)) {
             want(shard);
         }
     }
--- a/src/daemon/claims_runner.hpp
+++ b/src/daemon/claims_runner.hpp
@@ -50,7 +50,6 @@
 
     using verdict = std::variant<granted, coord::claim_outcome, kernel::refusal>;
 
-    [[nodiscard]] bool is_home(std::uint32_t shard, std::span<const coord::member> live) const;
     void want(std::uint32_t shard);
     [[nodiscard]] transport::http_response run_here(const claimed_call& call, std::uint32_t shard);
     [[nodiscard]] transport::http_response forward(const claimed_call& call,
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -69,7 +69,7 @@
 
 /// All parts, in the order in which they are made; destroyed in the reverse order.
 struct daemon::parts {
-    explicit parts(config::daemon_settings settings);
+    parts(config::daemon_settings settings, feed_variant its_variant);
     ~parts();
     parts(const parts&) = delete;
     parts& operator=(const parts&) = delete;
@@ -95,6 +95,7 @@
                                                         const std::string& digest);
     [[nodiscard]] membership_listener listen_to_members();
 
+    feed_variant variant;
     context shared;
     transport::platform_client platform_client;
     wire links;
@@ -117,8 +118,8 @@
     std::atomic<bool> drain_asked{false};
 };
 
-daemon::parts::parts(config::daemon_settings settings)
-    : shared(std::move(settings)),
+daemon::parts::parts(config::daemon_settings settings, feed_variant its_variant)
+    : variant(its_variant), shared(std::move(settings)),
       platform_client(platform_settings(shared), shared.clock, shared.metrics), links(shared),
       platform(shared, [this](const auto& call,
                               auto* control) { return platform_client.perform(call, control); }),
@@ -196,7 +197,7 @@
 
 void daemon::parts::feed_scheduler() {
     const auto active = shared.configuration.read();
-    const auto feed = make_feed(active->declared, members.live());
+    const auto feed = make_feed(active->declared, members.live(), variant);
     requests.with_scheduler([&](auto& scheduler, auto now) {
         decide::set_policy(scheduler, feed.rules);
         decide::set_targets(scheduler, feed.targets, feed.hosts, now);
@@ -352,8 +353,8 @@
     members.depart();
 }
 
-daemon::daemon(config::daemon_settings settings)
-    : parts_(std::make_unique<parts>(std::move(settings))) {}
+daemon::daemon(config::daemon_settings settings, feed_variant variant)
+    : parts_(std::make_unique<parts>(std::move(settings), variant)) {}
 
 daemon::~daemon() = default;
 
--- a/src/daemon/daemon.hpp
+++ b/src/daemon/daemon.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "config/settings.hpp"
+#include "daemon/scheduler_feed.hpp"
 
 #include <atomic>
 #include <memory>
@@ -11,7 +12,8 @@
 class daemon {
 public:
     /// Binds its ports; throws std::runtime_error when one is taken or a key cannot be read.
-    explicit daemon(config::daemon_settings settings);
+    explicit daemon(config::daemon_settings settings,
+                    feed_variant variant = feed_variant::complete);
     ~daemon();
     daemon(const daemon&) = delete;
     daemon& operator=(const daemon&) = delete;
--- a/src/daemon/scheduler_feed.cpp
+++ b/src/daemon/scheduler_feed.cpp
@@ -51,10 +51,14 @@
 
 } // namespace
 
-scheduler_feed make_feed(const config::configuration& declared,
-                         std::span<const coord::member> live) {
+scheduler_feed make_feed(const config::configuration& declared, std::span<const coord::member> live,
+                         feed_variant variant) {
     scheduler_feed feed;
     feed.rules = to_policy(declared);
+    if (variant == feed_variant::plain) {
+        feed.rules.hedge.enabled = false;
+        feed.rules.placement.prefix_hit = 0;
+    }
     for (const auto& target : declared.targets) {
         feed.targets.push_back(to_target(declared, target));
     }
--- a/src/daemon/scheduler_feed.hpp
+++ b/src/daemon/scheduler_feed.hpp
@@ -16,7 +16,10 @@
     decide::policy rules;
 };
 
+/// Our own simplest version, for experiments to compare with: no second copies, no affinity.
+enum class feed_variant { complete, plain };
+
 [[nodiscard]] scheduler_feed make_feed(const config::configuration& declared,
-                                       std::span<const coord::member> live);
+                                       std::span<const coord::member> live, feed_variant variant);
 
 } // namespace cornelloom::daemon
--- a/src/daemon/step_runner.cpp
+++ b/src/daemon/step_runner.cpp
@@ -15,6 +15,9 @@
 
 // A refusal without a time to come back must not turn into a busy loop.
 constexpr kernel::duration shortest_pause = 100ms;
+// A prediction that refuses a slot may be wrong, and asking again costs microseconds: a slot was
+// once put off beyond its step's deadline by the speed of an engine that had just come back.
+constexpr kernel::duration longest_pause = 2s;
 constexpr auto never = kernel::time_point::max();
 constexpr std::size_t max_submissions_at_once = 512;
 constexpr std::size_t shared_prefix_bytes = 64;
@@ -204,7 +207,8 @@
         return;
     }
     rollout::defer_slot(step_, slot,
-                        shared_.clock.now() + std::max(why.retry_after, shortest_pause));
+                        shared_.clock.now() +
+                            std::clamp(why.retry_after, shortest_pause, longest_pause));
 }
 
 kernel::result<rollout::pull_answer> step_runner::pull(const rollout::pull_request& request,
--- a/src/daemon/weights_runner.cpp
+++ b/src/daemon/weights_runner.cpp
@@ -1,9 +1,8 @@
 #include "daemon/weights_runner.hpp"
 
 #include "daemon/events.hpp"
-#include "kernel/hash.hpp"
+#include "daemon/succession.hpp"
 
-#include <algorithm>
 #include <charconv>
 #include <ranges>
 #include <set>
@@ -111,21 +110,12 @@
     }
 }
 
-// The first of the live hosts by rendezvous hash over the pool's name. Hosts that disagree for a
-// moment both want the lease; the platform gives it to one.
-bool weights_runner::is_candidate(const config::rollout_pool& pool) const {
-    const auto live = members_.live();
-    const auto first = std::ranges::max_element(live, {}, [&](const coord::member& one) {
-        return std::pair(!one.leaving, kernel::hash64(one.info.id.str() + "/" + pool.id.str()));
-    });
-    return first != live.end() && first->info.id == shared_.settings.host;
-}
-
 void weights_runner::tick() {
     const auto active = shared_.configuration.read();
+    const auto live = members_.live();
     for (const auto& pool : active->declared.pools) {
         const auto name = lease_name(pool.id);
-        if (is_candidate(pool) && !shared_.draining) {
+        if (!shared_.draining && is_successor(name, live, shared_.settings.host)) {
             leases_.want(name, steward_terms, [this, id = pool.id](auto change, auto fence) {
                 if (change == coord::lease_change::acquired) {
                     become_steward(id, fence);
--- a/src/daemon/weights_runner.hpp
+++ b/src/daemon/weights_runner.hpp
@@ -11,8 +11,8 @@
 
 namespace cornelloom::daemon {
 
-/// Rolls new weights out to the engines of the pools whose weight lease this host holds. One host
-/// of a pool's zones, by rendezvous hash, wants the lease. Thread-safe.
+/// Rolls new weights out to the engines of the pools whose weight lease this host holds.
+/// Thread-safe.
 class weights_runner {
 public:
     weights_runner(context& shared, request_runner& requests, lease_runner& leases,
@@ -39,7 +39,6 @@
     [[nodiscard]] std::vector<kernel::target_id> engines_to_poll() const;
 
 private:
-    [[nodiscard]] bool is_candidate(const config::rollout_pool& pool) const;
     void become_steward(const kernel::pool_id& pool, std::uint64_t fence);
     void send(const kernel::pool_id& pool, const rollout::engine_order& order);
     void plan_swap(const rollout::engine_order& order);
