decide: an expired request is told when to ask again if that is safe

Cause: a request that expired in the queue had no retry_after, though it never ran. Change: a second for what is repeatable, nothing for a non-idempotent request of which the outcome is unknown. Conclusion: the answer says what the caller may do.

--- a/src/decide/internal/maintenance.cpp
+++ b/src/decide/internal/maintenance.cpp
@@ -8,6 +8,9 @@
 
 constexpr kernel::duration sweep_interval = 10s;
 
+// A request that expired here met a full destination; a second is the scale on which that changes.
+constexpr kernel::duration expired_retry = 1s;
+
 // A caller not seen for this long has a full bucket anyway.
 constexpr kernel::duration bucket_lifetime = 600s;
 
@@ -27,7 +30,10 @@
 void expire_requests(scheduler_state& state, kernel::time_point now, actions& out) {
     while (!state.deadlines.empty() && state.deadlines.begin()->at <= now) {
         auto& record = *state.deadlines.begin()->record;
-        refuse(state, record, kernel::refusal_reason::deadline_passed, {}, "", out);
+        const bool repeatable =
+            record.work.idempotent || run_state_of(record) == kernel::run_state::not_run;
+        refuse(state, record, kernel::refusal_reason::deadline_passed,
+               repeatable ? expired_retry : kernel::duration{}, "", out);
     }
 }
 
--- a/src/decide/scheduler.hpp
+++ b/src/decide/scheduler.hpp
@@ -34,7 +34,8 @@
 void set_targets(scheduler& all, std::span<const target> targets, std::span<const host> hosts,
                  kernel::time_point now);
 
-/// Puts other limits and weights in force for decisions from now on.
+/// Puts other limits and weights in force for decisions from now on; sizes of subsets and caps of
+/// limits count from the next `set_targets`.
 void set_policy(scheduler& all, policy rules);
 
 /// Admits a request into a bounded queue, or refuses it at once.
