Resume text only when it will be fresh at the end

Cause: text at the edge of the bound was resumed although, at the pace of the pool's announcements, it would be stale before its answer is whole: its tokens and all that follow would be discarded. Without a known pace it resumes as before. No figure yet of the tokens that it saves.

--- a/src/rollout/step.cpp
+++ b/src/rollout/step.cpp
@@ -1,6 +1,7 @@
 #include "rollout/step.hpp"
 
 #include "kernel/hash.hpp"
+#include "rollout/internal/pace.hpp"
 #include "rollout/internal/slots.hpp"
 #include "rollout/recovery.hpp"
 
@@ -262,10 +263,11 @@
     return boost::outcome_v2::success();
 }
 
-void observe_version(step& open, weight_version version, kernel::time_point /*now*/) {
+void observe_version(step& open, weight_version version, kernel::time_point now) {
     if (version <= open.newest) {
         return;
     }
+    internal::note_announcement(open.pace, now);
     open.newest = version;
     for (slot_index i = 0; i < open.slots.size(); ++i) {
         if (open.slots[i].state == slot_state::finished) {
--- a/src/rollout/step.hpp
+++ b/src/rollout/step.hpp
@@ -3,6 +3,7 @@
 #include "kernel/clock.hpp"
 #include "kernel/finding.hpp"
 #include "kernel/result.hpp"
+#include "rollout/resume.hpp"
 #include "rollout/sample.hpp"
 #include "rollout/token_account.hpp"
 #include "rollout/types.hpp"
@@ -33,6 +34,7 @@
     /// How long a sample of a version that nobody has announced waits for the announcement, which
     /// spreads to all hosts in seconds. Then the engine had weights that are not of this pool.
     kernel::duration announcement_wait = std::chrono::seconds{10};
+    resume_prices prices; ///< For the choice between resuming text and starting again.
     kernel::duration first_retry = std::chrono::milliseconds{100}; ///< Doubles with each failure.
     kernel::duration longest_retry = std::chrono::seconds{10};
 };
@@ -181,6 +183,15 @@
     token_count presumed_lost = 0; ///< Counted as crashed because nobody held them.
 };
 
+/// What this step has seen of its pool's pace, for predictions only.
+struct step_pace {
+    std::optional<kernel::time_point> announced_at; ///< When the newest version became known.
+    kernel::duration between_versions{};            ///< 0: fewer than two announcements seen.
+    std::uint64_t finished = 0;
+    token_count finished_tokens = 0;
+    double tokens_per_second = 0; ///< Of one attempt, as a moving average; 0: none finished.
+};
+
 /// A step as its owner keeps it. Not thread-safe: the owner locks one step at a time.
 struct step {
     step_request request;
@@ -199,6 +210,7 @@
     std::set<kernel::host_id> uncollected; ///< Hosts that have not yet said what they hold.
     kernel::time_point collect_until;
     inherited_account inherited;
+    step_pace pace;
     step_effects effects;
 };
 
--- a/src/rollout/work.cpp
+++ b/src/rollout/work.cpp
@@ -1,5 +1,6 @@
 #include "rollout/work.hpp"
 
+#include "rollout/internal/pace.hpp"
 #include "rollout/internal/slots.hpp"
 
 #include <algorithm>
@@ -20,6 +21,13 @@
 work_item start_attempt(step& open, slot_index index, kernel::time_point now) {
     auto& at = open.slots[index];
     const bool hedge = !at.attempts.empty();
+    if (!hedge && !at.carried.spans.empty()) {
+        // Text that will be beyond the bound when the answer is whole: all that an engine adds to
+        // it would be paid for and discarded.
+        if (const auto cause = internal::reason_to_restart(open, at, now)) {
+            internal::waste_carried(open, at, *cause);
+        }
+    }
     const attempt_id id{open.epoch, ++open.last_attempt};
     at.attempts.push_back({.id = id, .engine = {}, .started = now, .last_piece = now, .own = {}});
     at.state = slot_state::running;
@@ -227,6 +235,8 @@
         internal::give_up_attempt(open, ref.slot, at.attempts.size() - 1, waste_cause::hedged);
     }
     finish(open.tokens, tokens_of(whole.spans));
+    internal::note_finished(open.pace, tokens_of(whole.spans), winner.received,
+                            now - winner.started);
     internal::store_body(open, ref.slot,
                          std::make_shared<const sample>(sample{winner.id, std::move(whole)}), now);
 }
--- a/tests/rollout/failure_tests.cpp
+++ b/tests/rollout/failure_tests.cpp
@@ -470,3 +470,29 @@
     CHECK(owner(all, 1).tokens.in_flight == 2);
     check_promises(all);
 }
+
+TEST_CASE("Text that will be stale before its answer is whole is not resumed",
+          "[rollout][staleness]") {
+    // Versions come every ten seconds, a sample takes longer than that, and an engine breaks with
+    // text at the edge of the bound. Resumed, the whole sample would be paid for and discarded.
+    world all(release_mode::each_sample, false);
+    auto& open = owner(all);
+    open.pace = {all.now, 10s, 1, 200, 10};
+    submit(all, 0, 1, 0);
+    generate(all, 0, true);
+    break_stream(all, 0, break_cause::cut);
+    SECTION("two versions are expected, and the text may become two versions old") {
+        pass_time(all, 1s);
+        CHECK(next_work(open, all.now, 1).at(0).so_far == "bb");
+    }
+    SECTION("it is at the edge already") {
+        announce_version(all, 1);
+        open.pace.between_versions = 10s;
+        pass_time(all, 1s);
+        const auto item = next_work(open, all.now, 1).at(0);
+        CHECK(item.slot == 0);
+        CHECK(item.so_far.empty());
+        CHECK(wasted(open, waste_cause::stale) == 2);
+    }
+    check_promises(all);
+}
