--- a/src/decide/fair_queue.hpp
+++ b/src/decide/fair_queue.hpp
@@ -8,6 +8,7 @@
 #include <list>
 #include <map>
 #include <optional>
+#include <span>
 #include <unordered_map>
 
 namespace cornelloom::decide {
@@ -34,7 +35,7 @@
 /// Load: one caller with thousands of long samples beside callers with a few. Harm prevented: a
 /// first-in-first-out queue serves callers in proportion to what they pile up. The quantum is the
 /// largest cost waiting, so each visit serves at least one item of a caller of weight 1 and a
-/// caller is never ahead of its share by more than two such items. Every operation is at most
+/// caller is never ahead of its share by more than three such items. Every operation is at most
 /// logarithmic in the caller's items.
 struct fair_queue {
     std::unordered_map<kernel::caller_id, caller_queue> callers;
@@ -59,7 +60,11 @@
 /// The item to serve next, if any; it stays until `take` or `remove`.
 [[nodiscard]] std::optional<queue_head> head(fair_queue& queue);
 
-/// Takes the item that `head` gave and charges its caller.
+/// The first items of a caller, in order, as many as `into` has room for; gives their number.
+[[nodiscard]] std::size_t upcoming(const fair_queue& queue, const kernel::caller_id& caller,
+                                   std::span<queue_head> into);
+
+/// Takes the item that `head` gave, or another one of its caller, and charges the caller.
 void take(fair_queue& queue, const queue_head& item);
 
 [[nodiscard]] std::size_t size_of(const fair_queue& queue, const kernel::caller_id& caller);
--- a/src/decide/internal/dispatching.cpp
+++ b/src/decide/internal/dispatching.cpp
@@ -141,22 +141,35 @@
     return ++turn.set_aside < most_set_aside;
 }
 
-bool serve_head(class_turn& turn, const queue_head& item, actions& out) {
+// Puts the item, or one whose prefix the target holds, on the target that was found for it.
+void serve(class_turn& turn, const queue_head& item, const placement& found, actions& out) {
     auto& queue = turn.where.queues.at(turn.index);
+    const auto chosen = prefer_cached(turn.state, turn.where, item, found, turn.now);
+    auto& record = record_of(turn.state, chosen);
+    if (too_late(turn.state, record, found, turn.now)) {
+        refuse(turn.state, record, kernel::refusal_reason::deadline_unreachable,
+               std::chrono::duration_cast<kernel::duration>(
+                   std::chrono::duration<double>(found.seconds)),
+               "cannot finish before the deadline", out);
+        return;
+    }
+    take(queue, chosen);
+    turn.where.served.at(turn.index) += chosen.cost;
+    send(turn.state, record, found, kind_of(record), turn.now, out);
+}
+
+bool serve_head(class_turn& turn, const queue_head& item, actions& out) {
     auto& record = record_of(turn.state, item);
+    const bool named =
+        !turn.state.crashes.digests.empty() &&
+        quarantined_for(turn.state.crashes, digest_of(record.work), turn.now) > kernel::duration{};
+    if (named) {
+        return put_aside(turn, record, turn.now + unsuitable_delay);
+    }
     const auto found = place(turn.state, record, turn.now);
     switch (found.outcome) {
     case placement_outcome::placed:
-        if (too_late(turn.state, record, found, turn.now)) {
-            refuse(turn.state, record, kernel::refusal_reason::deadline_unreachable,
-                   std::chrono::duration_cast<kernel::duration>(
-                       std::chrono::duration<double>(found.seconds)),
-                   "cannot finish before the deadline", out);
-            return true;
-        }
-        take(queue, item);
-        turn.where.served.at(turn.index) += item.cost;
-        send(turn.state, record, found, kind_of(record), turn.now, out);
+        serve(turn, item, found, out);
         return true;
     case placement_outcome::wait_for_swap:
         return put_aside(turn, record, found.wait_until);
@@ -207,9 +220,7 @@
     made.size = size_of(record.work, record.kept_tokens);
     made.cost = cost_of(record.work, record.kept_tokens);
     made.predicted = where.seconds;
-    const double running = estimated_running(load, state.rules.placement, now) + 1;
-    made.nominal = nominal_seconds(load, made.size, running, record.where->service_seconds);
-    made.nominal_token = load.tokens_per_second > 0 ? nominal_seconds(load, {0, 1}, running, 0) : 0;
+    made.running = estimated_running(load, state.rules.placement, now) + 1;
     made.resumed = record.kept_tokens;
     made.oldest_version = record.kept_tokens > 0 ? record.kept_version : 0;
     made.start_version = load.version;
@@ -242,7 +253,7 @@
                     is_suspect(state.crashes, state.rules.quarantine, digest_of(record.work), now);
     query.reserve = where.had_interactive && now < where.last_interactive + interactive_memory;
     query.patience_seconds = seconds(now - record.submitted);
-    query.service_seconds = where.service_seconds;
+    query.service_seconds = usual_seconds(record);
     query.avoid = record.avoid;
     const auto holders = where.holders.find(record.work.prefix_hash);
     if (holders != where.holders.end()) {
@@ -293,19 +304,22 @@
         return;
     }
     where.rate = 0;
+    where.rate_near = 0;
     double slowest_sum = 0;
+    // Most calls of a mixed service are of the first class that it has learned.
+    const double usual = where.service_seconds.front();
     double open = 0;
     for (const auto index : where.subset) {
         const auto& load = state.targets[index];
-        if (!takes_work(load, now) || (load.how_far == distance::remote && open > 0)) {
+        if (!takes_work(load, now)) {
             continue;
         }
         const answer_size one{0, load.tokens_per_second > 0 ? 1.0 : 0.0};
-        const double each =
-            predicted_seconds(load, one, where.service_seconds, state.rules.placement, now);
+        const double each = predicted_seconds(load, one, usual, state.rules.placement, now);
         where.rate += load.tokens_per_second > 0
                           ? load.tokens_per_second / load.observers / current_slowness(load, now)
                           : allowance(load, state.rules, now) / std::max(each, 1e-6);
+        where.rate_near = load.how_far == distance::remote ? where.rate_near : where.rate;
         slowest_sum += each;
         open += 1;
     }
--- a/src/decide/internal/outcomes.cpp
+++ b/src/decide/internal/outcomes.cpp
@@ -29,29 +29,36 @@
     return std::min(a, b);
 }
 
-void learn_service_time(destination& where, double elapsed) {
-    const double most = where.service_seconds * greatest_service_ratio;
-    where.service_seconds += service_gain * (std::min(elapsed, most) - where.service_seconds);
+void learn_service_time(request_record& record, double elapsed) {
+    auto& usual = record.where->service_seconds.at(index_of(record.work.priority));
+    const double most = usual * greatest_service_ratio;
+    usual += service_gain * (std::min(elapsed, most) - usual);
 }
 
-// What the sending would have taken by configured speeds, for the tokens it really generated.
-double nominal_for(const sending& ended, std::uint32_t tokens) {
-    const double excess = ended.size.generate - tokens;
-    return std::max(ended.nominal - excess * ended.nominal_token, ended.nominal_token);
+// Time over that of a healthy full batch, against the destination's usual; wrong configured speeds
+// are wrong for all targets and cancel out.
+double against_peers(const target_load& load, request_record& record, const answer_size& size,
+                     double elapsed) {
+    auto& where = *record.where;
+    const double full = nominal_seconds(load, size, load.config.capacity, usual_seconds(record));
+    const double ratio = elapsed / std::max(full, 1e-6);
+    const double most = where.usual_ratio * greatest_service_ratio;
+    where.usual_ratio += service_gain * (std::min(ratio, most) - where.usual_ratio);
+    return ratio / std::max(where.usual_ratio, 0.1);
 }
 
 void learn(scheduler_state& state, request_record& record, const sending& ended,
            std::uint32_t tokens, kernel::time_point now) {
     auto& load = state.targets[ended.target];
     const double elapsed = seconds(now - ended.sent);
-    const double nominal = std::max(nominal_for(ended, tokens), 1e-6);
-    const double ratio = elapsed / nominal;
+    const answer_size done{ended.size.read, static_cast<double>(tokens)};
+    const double ratio = elapsed / nominal_so_far(state, record, ended, done, now);
     observe_ratio(load, ratio, answer_gain, now);
-    on_answer(load.limit, state.rules.limit, ratio,
+    on_answer(load.limit, state.rules.limit, against_peers(load, record, done, elapsed),
               estimated_running(load, state.rules.placement, now), now);
     on_good_answer(load.health, state.rules.health, now);
     if (record.work.kind == target_kind::service) {
-        learn_service_time(*record.where, elapsed);
+        learn_service_time(record, elapsed);
     }
 }
 
@@ -65,7 +72,8 @@
 }
 
 bool attempts_left(const scheduler_state& state, const request_record& record) {
-    return record.work.attempts_made + record.attempts < state.rules.retry.max_attempts;
+    const auto counted = record.work.attempts_made + record.attempts - record.interruptions;
+    return counted < state.rules.retry.max_attempts;
 }
 
 void run_again_if_fresh_is_needed(scheduler_state& state, request_record& record,
@@ -94,6 +102,8 @@
         return retry_reason::crashed;
     case failure_kind::timed_out:
         return retry_reason::timed_out;
+    case failure_kind::interrupted:
+        return retry_reason::interrupted;
     case failure_kind::rejected:
     case failure_kind::broken:
         break;
@@ -121,6 +131,12 @@
     record.answered_error = record.answered_error || kind == failure_kind::rejected;
 }
 
+void avoid(request_record& record, std::uint32_t target) {
+    if (std::ranges::find(record.avoid, target) == record.avoid.end()) {
+        record.avoid.push_back(target);
+    }
+}
+
 void retry_later(scheduler_state& state, request_record& record, const failure& what,
                  kernel::time_point now, actions& out) {
     const auto retries = record.attempts > 0 ? record.attempts - 1 : 0;
@@ -154,6 +170,12 @@
         refuse(state, record, kernel::refusal_reason::outcome_unknown, {}, what.detail, out);
         return;
     }
+    if (what.kind == failure_kind::interrupted) {
+        // Planned work of the operator's own: neither the budget nor the backoff is meant for it.
+        record.cause = retry_reason::interrupted;
+        delay(state, record, now);
+        return;
+    }
     if (!attempts_left(state, record)) {
         refuse(state, record, kernel::refusal_reason::target_failed, failed_retry, what.detail,
                out);
@@ -188,9 +210,10 @@
     prove(state, *record, *running, now);
     const double elapsed = seconds(now - running->first_byte);
     const bool due = now >= running->observed + progress_interval && elapsed > 0;
-    if (due && running->tokens >= telling_tokens && running->nominal_token > 0) {
+    if (due && running->tokens >= telling_tokens && record->work.kind == target_kind::engine) {
         running->observed = now;
-        const double ratio = elapsed / (running->tokens * running->nominal_token);
+        const answer_size done{0, static_cast<double>(running->tokens)};
+        const double ratio = elapsed / nominal_so_far(state, *record, *running, done, now);
         observe_ratio(state.targets[running->target], ratio, progress_gain, now);
     }
 }
@@ -235,18 +258,13 @@
     const auto failed = *running;
     note_what_was_sent(*record, what.kind);
     keep_tokens(*record, failed, what, state.targets[failed.target].config.id);
-    note_failure(state, failed, what.kind, now, out);
-    if (std::ranges::find(record->avoid, failed.target) == record->avoid.end()) {
-        record->avoid.push_back(failed.target);
+    if (what.kind == failure_kind::interrupted) {
+        ++record->interruptions;
+    } else {
+        note_failure(state, failed, what.kind, now, out);
+        avoid(*record, failed.target);
     }
     end_sending(state, *record, attempt);
-    const auto digest = digest_of(record->work);
-    for (const auto& notice : std::vector(out.quarantines)) {
-        refuse_quarantined(state, notice.digest, now, out);
-        if (notice.digest == digest) {
-            return out;
-        }
-    }
     after_failure(state, *record, what, now, out);
     return out;
 }
@@ -262,7 +280,8 @@
 
 void on_quarantine(scheduler& all, const quarantine_notice& notice, kernel::time_point now) {
     auto& state = *all.state;
-    quarantine(state.crashes, state.rules.quarantine, notice.digest, notice.remaining, now);
+    quarantine(state.crashes, state.rules.quarantine, notice, now);
+    await_confirmation(state, notice.digest, now);
 }
 
 } // namespace cornelloom::decide
--- a/src/decide/internal/state.hpp
+++ b/src/decide/internal/state.hpp
@@ -28,9 +28,8 @@
     bool answering = false;
     bool suspect = false; ///< Counted in the target's suspects.
     double cost = 0;
-    double predicted = 0;     ///< Seconds for the whole of it, when it was sent.
-    double nominal = 0;       ///< The same by configured speeds: what ratios are taken of.
-    double nominal_token = 0; ///< Of it, for each generated token; 0 for a plain service.
+    double predicted = 0; ///< Seconds for the whole of it, when it was sent.
+    double running = 0;   ///< Estimated on its target when it was sent, itself included.
     answer_size size;
     std::uint32_t resumed = 0; ///< Tokens that were sent along.
     std::uint32_t tokens = 0;  ///< Generated here.
@@ -54,9 +53,10 @@
     std::vector<sending> sendings;
     std::vector<std::uint32_t> avoid; ///< Targets that failed it.
     std::uint32_t attempts = 0;
-    std::uint32_t unsent = 0;    ///< Attempts of which no byte left this host.
-    bool maybe_sent = false;     ///< A byte may have reached a target.
-    bool answered_error = false; ///< A target answered whole, with an error.
+    std::uint32_t passed_over = 0;   ///< Times that a later item with a cached prefix went first.
+    std::uint32_t interruptions = 0; ///< Attempts that a target ended on purpose; not counted.
+    bool maybe_sent = false;         ///< A byte may have reached a target.
+    bool answered_error = false;     ///< A target answered whole, with an error.
     std::uint32_t kept_tokens = 0;
     std::uint64_t kept_version = 0; ///< Oldest of the kept tokens.
     kernel::target_id kv_source;
@@ -93,8 +93,11 @@
     kernel::time_point last_interactive{};
     bool had_interactive = false;
     pool_versions versions;
-    double service_seconds = 0.05; ///< Smoothed time of an answer, for plain services.
-    double rate = 0;               ///< Cost per second for this host, refreshed now and then.
+    /// Smoothed time of an answer by class, for plain services: a sync is no slow lookup.
+    std::array<double, priority_class_count> service_seconds{0.05, 0.05, 0.05};
+    double usual_ratio = 1; ///< Smoothed time of answers over that of a full batch.
+    double rate = 0;        ///< Cost per second for this host, refreshed now and then.
+    double rate_near = 0;   ///< Of it, without crossing a region border.
     double seconds_per_cost = 0;
     kernel::time_point rate_at{};
     bool rate_known = false;
@@ -103,6 +106,11 @@
     hedge_budget hedges;
 };
 
+struct named_digest {
+    std::uint64_t digest = 0;
+    kernel::time_point confirmed{};
+};
+
 struct scheduler_state {
     host self;
     policy rules;
@@ -119,6 +127,7 @@
     timed_records delayed;
     timed_records hedge_checks;
     crash_ledger crashes;
+    std::vector<named_digest> named; ///< Waiting for their confirmation.
     retry_budget retries;
     std::uint64_t next_sequence = 1;
     std::size_t in_flight = 0;
@@ -135,6 +144,16 @@
 [[nodiscard]] kernel::run_state run_state_of(const request_record& record);
 [[nodiscard]] std::uint64_t digest_of(const request& work);
 
+/// Usual time of an answer of its class, for plain services.
+[[nodiscard]] double usual_seconds(const request_record& record);
+
+/// Seconds that `size` of this sending should have taken by configured speeds, with the load
+/// between its start and now. Judged by the load at its start alone, every target that filled up
+/// meanwhile would look slow.
+[[nodiscard]] double nominal_so_far(const scheduler_state& state, const request_record& record,
+                                    const sending& running, const answer_size& size,
+                                    kernel::time_point now);
+
 void enqueue(scheduler_state& state, request_record& record);
 void delay(scheduler_state& state, request_record& record, kernel::time_point until);
 void check_hedge_at(scheduler_state& state, request_record& record, kernel::time_point at);
@@ -156,6 +175,13 @@
           dispatch_kind kind, kernel::time_point now, actions& out);
 void refresh_rate(const scheduler_state& state, destination& where, kernel::time_point now);
 
+// Lookahead (lookahead.cpp).
+
+/// The item to put on the free target in place of `item`: see lookahead.cpp.
+[[nodiscard]] queue_head prefer_cached(scheduler_state& state, const destination& where,
+                                       const queue_head& item, const placement& found,
+                                       kernel::time_point now);
+
 // Stragglers (stragglers.cpp).
 
 void hedge_due(scheduler_state& state, kernel::time_point now, actions& out);
@@ -169,8 +195,10 @@
                   kernel::time_point now, actions& out);
 void prove(scheduler_state& state, const request_record& record, sending& running,
            kernel::time_point now);
-void refuse_quarantined(scheduler_state& state, std::uint64_t digest, kernel::time_point now,
-                        actions& out);
+void await_confirmation(scheduler_state& state, std::uint64_t digest, kernel::time_point now);
+
+/// Refuses every request of a digest whose quarantine was confirmed.
+void refuse_confirmed(scheduler_state& state, kernel::time_point now, actions& out);
 
 // Maintenance (maintenance.cpp).
 
--- a/src/decide/scheduler.cpp
+++ b/src/decide/scheduler.cpp
@@ -48,9 +48,10 @@
         return refused(work, kernel::refusal_reason::retry_budget_spent, least_retry,
                        "attempts of earlier hops");
     }
-    const auto left = quarantined_for(state.crashes, digest_of(work), now);
-    if (left > kernel::duration{}) {
-        return refused(work, kernel::refusal_reason::quarantined, left, "crashed several targets");
+    const auto digest = digest_of(work);
+    if (is_confirmed(state.crashes, state.rules.quarantine, digest, now)) {
+        return refused(work, kernel::refusal_reason::quarantined,
+                       quarantined_for(state.crashes, digest, now), "crashed several targets");
     }
     return std::nullopt;
 }
@@ -115,7 +116,13 @@
 
 deadline_view view_deadline(const scheduler_state& state, const destination& where,
                             const request& work, kernel::time_point now) {
-    return {.wait = predicted_wait(backlog_of(state, where, work)),
+    auto backlog = backlog_of(state, where, work);
+    backlog.rate = where.rate_near;
+    const double near = predicted_wait(backlog);
+    backlog.rate = where.rate;
+    // The far targets help once the wait has become longer than the crossing is worth.
+    const double crossing = crossing_seconds(size_of(work, 0), state.rules.placement);
+    return {.wait = std::min(near, std::max(crossing, predicted_wait(backlog))),
             .service = where.seconds_per_cost * cost_of(work, 0),
             .left = seconds(work.deadline - now)};
 }
@@ -187,6 +194,8 @@
     state->self = std::move(self);
     state->rules = std::move(rules);
     state->random.seed(seed);
+    // A host that just started meets the same crashes as one that has saved up its budget.
+    state->retries.tokens = state->rules.retry.budget_cap;
 }
 
 scheduler::~scheduler() = default;
@@ -228,6 +237,7 @@
     actions out;
     auto& state = *all.state;
     expire_requests(state, now, out);
+    refuse_confirmed(state, now, out);
     sweep(state, now);
     hedge_due(state, now, out);
     dispatch_all(state, now, out);
