--- a/examples/trainer.cpp
+++ b/examples/trainer.cpp
@@ -1,12 +1,10 @@
 /// A trainer: announces its weights, opens a step of grouped prompts and pulls every sample once.
 /// The last line on standard output is a JSON object with what was delivered.
 
-#include "client/client.hpp"
+#include "examples/internal/connection.hpp"
 
-#include <CLI/CLI.hpp>
 #include <nlohmann/json.hpp>
 
-#include <fstream>
 #include <iostream>
 
 namespace {
@@ -14,8 +12,7 @@
 using namespace cornelloom;
 
 struct arguments {
-    std::vector<std::string> daemons;
-    std::string token_file;
+    examples::connection daemons;
     std::string pool = "tasting-notes";
     std::string trainer = "notes-trainer";
     std::string step = "step-1";
@@ -26,16 +23,6 @@
     std::uint32_t seconds = 60;
 };
 
-client::client_options options_of(const arguments& given) {
-    client::client_options options;
-    for (const auto& text : given.daemons) {
-        options.daemons.push_back(transport::parse_endpoint(text).value());
-    }
-    std::ifstream token(given.token_file);
-    std::getline(token, options.token);
-    return options;
-}
-
 client::step_request step_of(const arguments& given) {
     client::step_request step;
     step.pool = kernel::pool_id(given.pool);
@@ -52,13 +39,12 @@
 }
 
 int refused(const kernel::refusal& why) {
-    std::cerr << to_string(why.reason) << " (" << to_string(why.state) << "): " << why.detail
-              << '\n';
+    examples::print_refusal(why);
     return 1;
 }
 
 int train(const arguments& given) {
-    client::trainer_client daemons(options_of(given));
+    client::trainer_client daemons(options_of(given.daemons));
     const auto step = step_of(given);
     if (const auto told = daemons.announce(step.pool, step.version); !told.has_value()) {
         return refused(told.error());
@@ -94,13 +80,7 @@
 int main(int argc, char** argv) {
     arguments given;
     CLI::App app{"A trainer that opens one step and pulls every sample once"};
-    app.add_option("--daemon", given.daemons, "IP:PORT; repeat it for more")
-        ->required()
-        ->check([](const std::string& text) {
-            const auto parsed = transport::parse_endpoint(text);
-            return parsed.has_value() ? std::string() : parsed.error().detail;
-        });
-    app.add_option("--token-file", given.token_file, "file with the token")->required();
+    examples::add_connection(app, given.daemons);
     app.add_option("--pool", given.pool)->capture_default_str();
     app.add_option("--trainer", given.trainer)->capture_default_str();
     app.add_option("--step", given.step)->capture_default_str();
