Bound the values, fields, elements and findings of a configuration

Cause: a wrong file within the size limit could cost a daemon minutes and more than its memory: each key of an object is compared with the earlier ones, each dangling reference with all names, fallbacks with all pools, and a list of zeros takes a hundred times its size. Change: at most 100,000 values a file, 256 fields an object, 256 to 10,000 elements a section, 1,000 findings; each bound is a finding with its place.

--- a/src/config/configuration_schema.cpp
+++ b/src/config/configuration_schema.cpp
@@ -303,10 +303,11 @@
                .meaning = "whether it answers `POST /v1/score`"},
 };
 
+// Ten times and more of what 370 hosts with 600 workers need.
 constexpr std::array sections{
-    section_rule{"zones", zone_fields},       section_rule{"pools", pool_fields},
-    section_rule{"targets", target_fields},   section_rule{"callers", caller_fields},
-    section_rule{"services", service_fields},
+    section_rule{"zones", zone_fields, 256},        section_rule{"pools", pool_fields, 256},
+    section_rule{"targets", target_fields, 10000},  section_rule{"callers", caller_fields, 2000},
+    section_rule{"services", service_fields, 1000},
 };
 
 } // namespace
--- a/src/config/internal/check.cpp
+++ b/src/config/internal/check.cpp
@@ -121,6 +121,9 @@
 
 void check_scalar(const check_context& at, const field_rule& rule, value_kind kind,
                   const json_node& value, std::string_view path) {
+    if (is_full(at.faults)) {
+        return;
+    }
     if (is_scalar(rule, kind, value)) {
         check_reference(at, rule, value, path);
         return;
@@ -231,6 +234,9 @@
 
 void check_object(const check_context& at, const json_node& value, std::string_view path,
                   std::span<const field_rule> rules) {
+    if (is_full(at.faults)) {
+        return;
+    }
     const std::string file(at.file);
     if (value.kind != json_kind::object) {
         at.faults.add({file, value.line, std::string(path)}, "is " + describe(value), "an object");
--- a/src/config/internal/check.hpp
+++ b/src/config/internal/check.hpp
@@ -13,6 +13,14 @@
 /// Ids that may be referred to, by section.
 using known_ids = std::map<std::string, std::set<std::string, std::less<>>, std::less<>>;
 
+/// Findings reported of one set. More help nobody, and each costs time and memory: a megabyte of
+/// dangling references would otherwise keep a daemon busy for minutes.
+inline constexpr std::size_t max_findings = 1000;
+
+[[nodiscard]] inline bool is_full(const kernel::findings& faults) {
+    return faults.items().size() >= max_findings;
+}
+
 /// Where checking stands.
 struct check_context {
     std::string_view file;
--- a/src/config/internal/json_tree.cpp
+++ b/src/config/internal/json_tree.cpp
@@ -119,7 +119,8 @@
                          "each key once");
         }
         top.name = std::move(name);
-        return true;
+        return is_within(top.node->members.size() < max_members, "has too many fields",
+                         max_members);
     }
 
     bool parse_error(std::size_t, const std::string& last, const json::exception& problem) {
@@ -154,10 +155,21 @@
     }
 
     bool put(json_node value) {
+        if (!is_within(++values_ <= max_values, "is one value too many", max_values)) {
+            return false;
+        }
         static_cast<void>(place(std::move(value)));
         return true;
     }
 
+    /// Reports a bound that was passed; parsing ends there.
+    bool is_within(bool within, std::string_view problem, std::size_t most) {
+        if (!within) {
+            faults_->add({file_, lines_->line, path()}, problem, fmt::format("at most {}", most));
+        }
+        return within;
+    }
+
     json_node* place(json_node value) {
         value.line = lines_->line;
         if (stack_.empty()) {
@@ -172,9 +184,8 @@
     }
 
     bool open(json_kind kind) {
-        if (stack_.size() == max_depth) {
-            faults_->add({file_, lines_->line, path()}, "is nested too deep",
-                         fmt::format("at most {} levels", max_depth));
+        if (!is_within(stack_.size() < max_depth, "is nested too deep", max_depth) ||
+            !is_within(++values_ <= max_values, "is one value too many", max_values)) {
             return false;
         }
         stack_.push_back({place(node_of(kind)), {}});
@@ -205,6 +216,7 @@
     kernel::findings* faults_;
     json_node root_;
     std::vector<frame> stack_;
+    std::size_t values_ = 0;
 };
 
 } // namespace
--- a/src/config/internal/json_tree.hpp
+++ b/src/config/internal/json_tree.hpp
@@ -41,11 +41,19 @@
 [[nodiscard]] std::string child_path(std::string_view path, std::string_view name);
 [[nodiscard]] std::string child_path(std::string_view path, std::size_t index);
 
+/// Values of one file, ten times what 600 targets take. Without the bound a file of small numbers
+/// would take a hundred times its own size of a daemon's memory.
+inline constexpr std::size_t max_values = 100'000;
+
+/// Members of one object, ten times what any has. Each new key is compared with the earlier ones.
+inline constexpr std::size_t max_members = 256;
+
 /// Nesting that no right file reaches; a deeper one would only cost stack.
 inline constexpr std::size_t max_depth = 16;
 
-/// Parses a whole file. Bad syntax, wrong UTF-8, numbers that overflow, duplicate keys and too deep
-/// nesting become findings; nothing is returned when the text could not be read to its end.
+/// Parses a whole file. Bad syntax, wrong UTF-8, numbers that overflow, duplicate keys, too deep
+/// nesting and too many values become findings; nothing is returned when the text could not be read
+/// to its end.
 [[nodiscard]] std::optional<json_node> parse_json(std::string_view file, std::string_view text,
                                                   kernel::findings& faults);
 
--- a/src/config/load.cpp
+++ b/src/config/load.cpp
@@ -110,6 +110,9 @@
         if (value.empty() || inserted) {
             continue;
         }
+        if (internal::is_full(faults)) {
+            return;
+        }
         const auto earlier = place_of(*it->second, field);
         faults.add(place_of(at, field),
                    fmt::format("is the same as at {}:{}", earlier.file, earlier.line),
@@ -117,6 +120,21 @@
     }
 }
 
+/// Reports sections with too many elements and cuts them, so that the checks that follow stay
+/// quick.
+void check_counts(elements& all, kernel::findings& faults) {
+    for (const auto& section : configuration_sections()) {
+        auto& found = all[std::string(section.name)];
+        if (found.size() <= section.max_elements) {
+            continue;
+        }
+        faults.add({"", 0, child_path("", section.name)},
+                   fmt::format("has {} entries in all files", found.size()),
+                   fmt::format("at most {}", section.max_elements));
+        found.erase(found.begin() + static_cast<std::ptrdiff_t>(section.max_elements), found.end());
+    }
+}
+
 internal::known_ids collect_ids(const elements& all, const load_options& options) {
     internal::known_ids known;
     for (const auto& section : configuration_sections()) {
@@ -288,6 +306,7 @@
     for (const auto& file : parsed) {
         collect_file(file, all, faults);
     }
+    check_counts(all, faults);
     const auto known = collect_ids(all, options);
     for (const auto& section : configuration_sections()) {
         for (const auto& at : all[std::string(section.name)]) {
@@ -297,6 +316,10 @@
     }
     check_unique(all["callers"], "token_sha256", faults);
     check_unique(all["targets"], "address", faults);
+    if (internal::is_full(faults)) {
+        faults.add({"", 0, ""}, "there are more findings", "mend these first");
+        return faults;
+    }
     auto made = extract(all);
     relations(made, all, faults).check();
     if (!faults.empty()) {
--- a/src/config/schema.hpp
+++ b/src/config/schema.hpp
@@ -45,6 +45,7 @@
 struct section_rule {
     std::string_view name;
     std::span<const field_rule> fields;
+    std::size_t max_elements = 1; ///< Of the whole set; bounds the time that checking takes.
 };
 
 /// Sections of configuration files, in the order of docs/SETTINGS.md.
--- a/tests/config/load_tests.cpp
+++ b/tests/config/load_tests.cpp
@@ -205,6 +205,40 @@
     SECTION("nested ten thousand times") {
         names(faults_of("{\"zones\": " + std::string(10000, '[')), "is nested too deep");
     }
+    SECTION("of very many small values") {
+        std::string zeros = "{\"zones\": [0";
+        for (int i = 0; i < 200'000; ++i) {
+            zeros += ",0";
+        }
+        names(faults_of(zeros + "]}"), "/zones/99998: is one value too many, at most 100000");
+    }
+    SECTION("with very many fields in one object") {
+        std::string fields = "{";
+        for (int i = 0; i < 1000; ++i) {
+            fields += "\"f" + std::to_string(i) + "\":0,";
+        }
+        names(faults_of(fields + "\"g\":0}"), "/f256: has too many fields, at most 256");
+    }
+    SECTION("with more elements than a section may have") {
+        std::string zones = "{\"zones\": [";
+        for (int i = 0; i < 300; ++i) {
+            zones += std::string(i == 0 ? "" : ",") + R"({"id":"z)" + std::to_string(i) +
+                     R"(","region":"r"})";
+        }
+        names(faults_of(zones + "]}"), ":0: /zones: has 300 entries in all files, at most 256");
+    }
+    SECTION("with more faults than anyone reads") {
+        // Each dangling reference is compared with all names in search of the nearest: without a
+        // bound, one wrong file would keep the daemon busy for minutes.
+        std::string callers = "{\"callers\": [";
+        for (int i = 0; i < 2000; ++i) {
+            callers += std::string(i == 0 ? "" : ",") + R"({"id":"c)" + std::to_string(i) +
+                       R"(","services":["x","y"]})";
+        }
+        const auto faults = faults_of(callers + "]}");
+        CHECK(std::ranges::count(faults, '\n') < 1100);
+        CHECK(faults.ends_with("there are more findings, mend these first\n"));
+    }
     SECTION("larger than the limit") {
         names(faults_of(std::string(max_file_bytes + 1, ' ')), "has 1048577 bytes");
     }
