--- a/cmake/cornelloom_dependencies.cmake
+++ b/cmake/cornelloom_dependencies.cmake
@@ -11,4 +11,4 @@
 
 add_library(cornelloom_transport_deps INTERFACE)
 target_link_libraries(cornelloom_transport_deps INTERFACE PkgConfig::cxxtools_http
-    PkgConfig::nghttp2 PkgConfig::sodium nlohmann_json::nlohmann_json)
+    PkgConfig::nghttp2 PkgConfig::sodium OpenSSL::SSL nlohmann_json::nlohmann_json)
