--- a/src/cli/internal/apply.cpp
+++ b/src/cli/internal/apply.cpp
@@ -42,7 +42,7 @@
     for (const auto& host : status.value("hosts", json::array())) {
         const auto state = host.value("state", std::string("alive"));
         if (state == "alive" && host.value("generation", std::uint64_t{0}) < generation) {
-            lagging.push_back(host.value("id", std::string("?")));
+            lagging.push_back(host.value("host", std::string("?")));
         }
     }
     return lagging;
@@ -106,7 +106,9 @@
         return exit_status::conflict;
     }
     run.where.error << "nothing was applied: generation " << answer.generation
-                    << " is in force, not " << expected << ". Differing:\n";
+                    << " is in force, not " << expected << ". "
+                    << (answer.details.empty() ? "Its files are the same as yours.\n"
+                                               : "Its files differ from yours:\n");
     for (const auto& line : answer.details) {
         run.where.error << "  " << line << '\n';
     }
