--- a/tests/rollout/world.hpp
+++ b/tests/rollout/world.hpp
@@ -75,6 +75,13 @@
     sightings seen;
 };
 
+/// The step that reads a stream; null when its host died or has another one.
+[[nodiscard]] step* owned(world& all, const stream& one);
+void drop_stream(world& all, std::size_t index);
+
+/// The host with the newest epoch; `host_count` when it died.
+[[nodiscard]] std::size_t newest_owner(world& all);
+
 [[nodiscard]] token_count answer_length(slot_index slot);
 
 void submit(world& all, std::size_t host, std::size_t limit, std::uint32_t choice);
