--- a/src/transport/internal/http_session.hpp
+++ b/src/transport/internal/http_session.hpp
@@ -1,6 +1,8 @@
 #pragma once
 
+#include "transport/caller_presence.hpp"
 #include "transport/http_server.hpp"
+#include "transport/internal/session_stream.hpp"
 #include "transport/internal/worker_pool.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -35,6 +37,7 @@
 
     http_handler handler;
     http_server_limits limits;
+    std::optional<boost::asio::ssl::context> tls; ///< None: plain.
     std::atomic<bool> stopping{false};
     std::atomic<std::size_t> session_count{0};
     std::mutex mutex;
@@ -62,6 +65,7 @@
 private:
     enum class phase { waiting, reading, running, writing, draining };
 
+    void shake_hands();
     void wait_for_request();
     void read_header();
     void on_header(boost::system::error_code failure);
@@ -69,6 +73,8 @@
     void read_body();
     void on_body(boost::system::error_code failure);
     void run_handler();
+    /// Tells the handler when the caller closes the connection.
+    void watch_caller(const std::shared_ptr<caller_presence>& caller);
     void answer(http_response response, bool keep_alive);
     void on_written(boost::system::error_code failure, bool keep_alive);
     void refuse(const http_refusal& why);
@@ -79,7 +85,7 @@
     /// Ends the pending operation of the connection after this long, once.
     void limit_time(kernel::duration allowed);
 
-    boost::asio::ip::tcp::socket socket_;
+    session_stream stream_;
     boost::asio::steady_timer timer_;
     session_context& context_;
     boost::beast::flat_buffer buffer_;
