Leases: changes heard in order; a lapsed claims lease keeps its shard readable

Cause: listeners ran outside any lock, so a loss could be heard after the acquisition that followed it, and a shard stayed closed under a held lease (found by reading, by the author of coord); and a lapse during an outage of the platform closed the shard, against the table of what is then served. Change: one order lock a lease; only shutdown closes a shard, its head object fences its writes. Conclusion: re-sends of known keys are answered from memory during an outage.

--- a/src/daemon/claims_runner.cpp
+++ b/src/daemon/claims_runner.cpp
@@ -46,11 +46,11 @@
     if (shared_.draining) {
         return;
     }
+    // A lapsed lease does not close the shard: the head object fences its writes, and while the
+    // platform is down this host still answers re-sends of keys that it knows.
     leases_.want(lease_name(shard), shard_terms, [this, shard](auto change, auto fence) {
         if (change == coord::lease_change::acquired) {
             apply(shard, coord::claims_opened{fence});
-        } else {
-            apply(shard, coord::claims_closed{});
         }
     });
 }
@@ -82,6 +82,12 @@
     }
 }
 
+bool claims_runner::is_open(std::uint32_t shard) const {
+    const std::lock_guard lock(mutex_);
+    const auto it = shards_.find(shard);
+    return it != shards_.end() && it->second.phase == coord::claims_phase::open;
+}
+
 bool claims_runner::is_closed() const {
     const std::lock_guard lock(mutex_);
     return std::ranges::all_of(shards_ | std::views::values, [](const coord::claims& one) {
@@ -149,6 +155,9 @@
         if (other && !call.forwarded) {
             return forward(call, holder->host);
         }
+        if (!other && is_open(shard)) {
+            return run_here(call, shard);
+        }
         if (shared_.clock.now() >= until) {
             return refuse(make_request_id(shared_),
                           {refusal_reason::claim_unavailable, run_state::not_run, come_back_soon,
--- a/src/daemon/claims_runner.hpp
+++ b/src/daemon/claims_runner.hpp
@@ -51,6 +51,7 @@
     using verdict = std::variant<granted, coord::claim_outcome, kernel::refusal>;
 
     void want(std::uint32_t shard);
+    [[nodiscard]] bool is_open(std::uint32_t shard) const;
     [[nodiscard]] transport::http_response run_here(const claimed_call& call, std::uint32_t shard);
     [[nodiscard]] transport::http_response forward(const claimed_call& call,
                                                    const kernel::host_id& to) const;
--- a/src/daemon/lease_runner.cpp
+++ b/src/daemon/lease_runner.cpp
@@ -102,7 +102,15 @@
     std::ranges::for_each(due, [this](const auto& name) { apply(name, coord::lease_tick{}); });
 }
 
+std::shared_ptr<std::mutex> lease_runner::order_of(const std::string& name) const {
+    const std::lock_guard lock(mutex_);
+    const auto it = leases_.find(name);
+    return it == leases_.end() ? std::make_shared<std::mutex>() : it->second.order;
+}
+
 void lease_runner::apply(const std::string& name, const coord::lease_event& event) {
+    const auto order = order_of(name);
+    std::unique_lock in_order(*order);
     coord::lease_effects effects;
     lease_listener listener;
     std::uint64_t fence = 0;
@@ -124,6 +132,7 @@
     if (effects.change != coord::lease_change::none && listener) {
         listener(effects.change, fence);
     }
+    in_order.unlock();
     for (auto& call : effects.calls) {
         platform_.start(std::move(call), [this, name](const coord::platform_answer& answer) {
             apply(name, answer);
--- a/src/daemon/lease_runner.hpp
+++ b/src/daemon/lease_runner.hpp
@@ -23,7 +23,7 @@
     bool released = false;
 };
 
-/// Called after a lease changed hands here, without locks.
+/// Called after a lease changed hands here, for one lease in the order of its changes.
 using lease_listener = std::function<void(coord::lease_change change, std::uint64_t fence)>;
 
 /// Keeps the leases that this host holds or waits for. Thread-safe.
@@ -64,9 +64,14 @@
     struct managed {
         coord::lease state;
         lease_listener listener;
+        /// Held from a step of the state until its listener returns. Without it the news of a loss
+        /// could overtake that of the acquisition after it, and the listener would stop the work of
+        /// a lease that is held.
+        std::shared_ptr<std::mutex> order = std::make_shared<std::mutex>();
     };
 
     void apply(const std::string& name, const coord::lease_event& event);
+    [[nodiscard]] std::shared_ptr<std::mutex> order_of(const std::string& name) const;
 
     context& shared_;
     platform_runner& platform_;
