--- a/cmake/cornelloom_targets.cmake
+++ b/cmake/cornelloom_targets.cmake
@@ -2,21 +2,29 @@
 
 set(CORNELLOOM_WARNINGS -Wall -Wextra -Wpedantic -Wshadow -Wnon-virtual-dtor -Woverloaded-virtual)
 
-# cornelloom_add_library(<name> DEPENDS <targets>): src/<name>/ becomes target cornelloom_<name>.
+# cornelloom_add_library(<name> [PLUGINS] DEPENDS <targets>): src/<name>/ becomes target
+# cornelloom_<name>. PLUGINS makes an object library: a linker leaves out members of a static library
+# that nothing refers to, and a plug-in that registers itself is just that.
 function(cornelloom_add_library name)
-    cmake_parse_arguments(arg "" "" "DEPENDS" ${ARGN})
+    cmake_parse_arguments(arg "PLUGINS" "" "DEPENDS" ${ARGN})
+    set(kind STATIC)
+    if(arg_PLUGINS)
+        set(kind OBJECT)
+    endif()
     file(GLOB sources CONFIGURE_DEPENDS "${PROJECT_SOURCE_DIR}/src/${name}/*.cpp"
          "${PROJECT_SOURCE_DIR}/src/${name}/internal/*.cpp")
     if(sources)
-        add_library(cornelloom_${name} STATIC ${sources})
+        add_library(cornelloom_${name} ${kind} ${sources})
         target_compile_options(cornelloom_${name} PRIVATE ${CORNELLOOM_WARNINGS})
+        target_compile_definitions(cornelloom_${name} PRIVATE
+            CORNELLOOM_VERSION="${PROJECT_VERSION}")
         set(scope PUBLIC)
     else()
         add_library(cornelloom_${name} INTERFACE)
         set(scope INTERFACE)
     endif()
     target_include_directories(cornelloom_${name} ${scope}
-        $<BUILD_INTERFACE:${PROJECT_SOURCE_DIR}/src> $<INSTALL_INTERFACE:include/cornelloom>)
+        $<BUILD_INTERFACE:${PROJECT_SOURCE_DIR}/src> $<INSTALL_INTERFACE:${CMAKE_INSTALL_INCLUDEDIR}/cornelloom>)
     target_link_libraries(cornelloom_${name} ${scope} ${arg_DEPENDS})
 endfunction()
 
@@ -59,7 +67,7 @@
     find_package(rapidcheck REQUIRED)
     add_library(cornelloom_test_main STATIC "${PROJECT_SOURCE_DIR}/tests/test_main.cpp")
     target_link_libraries(cornelloom_test_main PUBLIC Catch2::Catch2 rapidcheck)
-    foreach(name IN ITEMS kernel decide coord config rollout transport client cli daemon)
+    foreach(name IN ITEMS kernel decide coord config rollout transport client cli targets daemon)
         file(GLOB sources CONFIGURE_DEPENDS "${PROJECT_SOURCE_DIR}/tests/${name}/*.cpp")
         if(NOT sources)
             continue()
@@ -78,10 +86,8 @@
         # A fixed seed: the same verdict in every run.
         set_tests_properties(${name} PROPERTIES ENVIRONMENT "RC_PARAMS=seed=20261202")
     endforeach()
-endfunction()
-
-# Headers, libraries, a CMake package and pkg-config files.
-function(cornelloom_install)
-    install(DIRECTORY "${PROJECT_SOURCE_DIR}/src/" DESTINATION "${CMAKE_INSTALL_INCLUDEDIR}/cornelloom"
-            FILES_MATCHING PATTERN "*.hpp" PATTERN "internal" EXCLUDE)
+    add_test(NAME install COMMAND ${CMAKE_COMMAND} "-DBUILD=${PROJECT_BINARY_DIR}"
+             "-DSOURCE=${PROJECT_SOURCE_DIR}/tests/install"
+             "-DEXAMPLES=${PROJECT_SOURCE_DIR}/examples" "-DLIBDIR=${CMAKE_INSTALL_LIBDIR}"
+             -P "${PROJECT_SOURCE_DIR}/tests/install/check_install.cmake")
 endfunction()
