--- a/tests/decide/scheduler_tests.cpp
+++ b/tests/decide/scheduler_tests.cpp
@@ -111,8 +111,7 @@
                              [](const auto& each) { return each.answer.state; }) == 1);
     CHECK(late.cancellations.size() == 4);
     CHECK(std::ranges::all_of(late.refusals, [](const auto& each) {
-        return (each.answer.retry_after > 0s) ==
-               (each.answer.state == kernel::run_state::not_run);
+        return (each.answer.retry_after > 0s) == (each.answer.state == kernel::run_state::not_run);
     }));
 }
 
