Daemon: rates, pool limits, adapters, surrender of steps, clean run states

Cause: the authors of the libraries listed what the daemon did not call: a caller's rate and the queue bound, group and token limits of a pool, adapters (a pool with one lost all its work), the surrender of a step by an owner that still lives, the fence that an engine has seen, and a target's own X-Run-State that passed for ours. Change: rate_gate, step_rules, adapters from work to spans, surrender before a collection is answered, old_fence with its number, reserved headers stripped, a step ends by its trainer's name alone. Conclusion: still not called: preemption between trainers, KV import.

--- a/src/daemon/caller_routes.cpp
+++ b/src/daemon/caller_routes.cpp
@@ -304,6 +304,9 @@
     if (!who) {
         return refuse_request(parts.shared, unauthorized("missing or unknown token"));
     }
+    if (const auto limited = parts.rates.admit(*who->caller, parts.shared.clock.now())) {
+        return refuse_request(parts.shared, *limited);
+    }
     if (path.size() >= 4 && path[1] == "pools") {
         return serve_pool(parts, *who, request, path);
     }
--- a/src/daemon/caller_routes.hpp
+++ b/src/daemon/caller_routes.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "daemon/claims_runner.hpp"
+#include "daemon/rate_gate.hpp"
 #include "daemon/step_directory.hpp"
 #include "daemon/version_board.hpp"
 
@@ -15,6 +16,7 @@
     step_directory& steps;
     claims_runner& claims;
     version_board& versions;
+    rate_gate& rates;
     std::function<bool()> is_ready; ///< Whether this host may take work.
 };
 
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -59,8 +59,10 @@
     return limits;
 }
 
-std::string quarantine_name(std::uint64_t digest) {
-    return std::to_string(digest);
+std::uint64_t parse_number(std::string_view text) {
+    std::uint64_t value = 0;
+    std::from_chars(text.data(), text.data() + text.size(), value);
+    return value;
 }
 
 constexpr const char* quarantine_kind = "quarantine";
@@ -111,6 +113,7 @@
     step_directory steps;
     claims_runner claims;
     weights_runner weights;
+    rate_gate rates;
     operator_services operators;
     caller_services callers;
     std::unique_ptr<target_poller> poller;
@@ -151,11 +154,11 @@
                 weights,
                 versions,
                 [this] { drain_asked = true; }},
-      callers{shared, requests, steps, claims, versions, [this] { return is_ready(); }} {
+      callers{shared, requests, steps, claims, versions, rates, [this] { return is_ready(); }} {
     requests.set_quarantine_sink([this](const auto& notice) {
-        members.publish({quarantine_kind, quarantine_name(notice.digest),
-                         static_cast<std::uint64_t>(shared.clock.wall_now().unix_ms), "",
-                         notice.remaining});
+        members.publish({quarantine_kind, std::to_string(notice.digest),
+                         static_cast<std::uint64_t>(shared.clock.wall_now().unix_ms),
+                         std::to_string(notice.crashed_target), notice.remaining});
     });
     links.start({[this](const auto& from, auto bytes) { members.on_datagram(from, bytes); },
                  [this](const auto& path, const auto& body) { return serve_peer(path, body); }});
@@ -197,7 +200,8 @@
 
 void daemon::parts::feed_scheduler() {
     const auto active = shared.configuration.read();
-    const auto feed = make_feed(active->declared, members.live(), variant);
+    const auto feed =
+        make_feed(active->declared, members.live(), {variant, shared.settings.limits.max_queue});
     requests.with_scheduler([&](auto& scheduler, auto now) {
         decide::set_policy(scheduler, feed.rules);
         decide::set_targets(scheduler, feed.targets, feed.hosts, now);
@@ -215,10 +219,10 @@
         });
     }
     if (key.kind == quarantine_kind) {
-        std::uint64_t digest = 0;
-        std::from_chars(key.name.data(), key.name.data() + key.name.size(), digest);
+        const auto digest = parse_number(key.name);
+        const auto crashed = parse_number(item.payload);
         requests.with_scheduler([&](auto& scheduler, auto now) {
-            decide::on_quarantine(scheduler, {digest, item.expires - now}, now);
+            decide::on_quarantine(scheduler, {digest, item.expires - now, crashed}, now);
         });
     }
 }
@@ -293,6 +297,11 @@
     if (path == configuration_path) {
         return serve_configuration(body);
     }
+    if (path == replica_keeper::paths::collect) {
+        if (const auto asked = rollout::decode_collect_request(body)) {
+            replicas.keep(steps.surrender(asked.value()));
+        }
+    }
     if (path.starts_with("/replica/")) {
         return replicas.handle(path, body);
     }
--- a/src/daemon/replica_keeper.cpp
+++ b/src/daemon/replica_keeper.cpp
@@ -45,6 +45,13 @@
     return {bad_request, request.error().detail};
 }
 
+void replica_keeper::keep(std::span<const rollout::hold_request> requests) {
+    const std::lock_guard lock(mutex_);
+    for (const auto& one : requests) {
+        static_cast<void>(rollout::hold(store_, one));
+    }
+}
+
 void replica_keeper::send_hold(const rollout::hold_request& request,
                                const std::weak_ptr<step_runner>& owner) {
     tasks_.run([this, request, owner] {
--- a/src/daemon/replica_keeper.hpp
+++ b/src/daemon/replica_keeper.hpp
@@ -17,6 +17,9 @@
     /// Requests of other hosts; `path` as in `paths`. A damaged one is answered 400.
     [[nodiscard]] peer_reply handle(const std::string& path, const std::string& body);
 
+    /// Keeps what this host itself had of a step that another one has taken over.
+    void keep(std::span<const rollout::hold_request> requests);
+
     /// Sends a copy and tells `owner` what became of it.
     void send_hold(const rollout::hold_request& request, const std::weak_ptr<step_runner>& owner);
     void send_release(const kernel::host_id& host, const rollout::release_request& request);
--- a/src/daemon/scheduler_feed.cpp
+++ b/src/daemon/scheduler_feed.cpp
@@ -49,13 +49,27 @@
     return rules;
 }
 
+// A fifth of the queue is kept for interactive work: it waits least, so it needs least room, and
+// rollouts must not take it.
+void bound_queues(decide::policy& rules, std::uint32_t max_queue) {
+    using decide::priority_class;
+    const auto bound = [&](priority_class which, std::uint32_t part, std::uint32_t whole) {
+        auto& most = rules.classes.at(decide::index_of(which)).max_queued;
+        most = std::max<std::size_t>(1, std::size_t{max_queue} * part / whole);
+    };
+    bound(priority_class::interactive, 1, 5);
+    bound(priority_class::rollout, 2, 5);
+    bound(priority_class::background, 2, 5);
+}
+
 } // namespace
 
 scheduler_feed make_feed(const config::configuration& declared, std::span<const coord::member> live,
-                         feed_variant variant) {
+                         const feed_options& options) {
     scheduler_feed feed;
     feed.rules = to_policy(declared);
-    if (variant == feed_variant::plain) {
+    bound_queues(feed.rules, options.max_queue);
+    if (options.variant == feed_variant::plain) {
         feed.rules.hedge.enabled = false;
         feed.rules.placement.prefix_hit = 0;
     }
--- a/src/daemon/scheduler_feed.hpp
+++ b/src/daemon/scheduler_feed.hpp
@@ -19,7 +19,13 @@
 /// Our own simplest version, for experiments to compare with: no second copies, no affinity.
 enum class feed_variant { complete, plain };
 
+struct feed_options {
+    feed_variant variant = feed_variant::complete;
+    std::uint32_t max_queue = 4096; ///< Requests that wait, all classes together.
+};
+
 [[nodiscard]] scheduler_feed make_feed(const config::configuration& declared,
-                                       std::span<const coord::member> live, feed_variant variant);
+                                       std::span<const coord::member> live,
+                                       const feed_options& options);
 
 } // namespace cornelloom::daemon
--- a/src/daemon/single_call.cpp
+++ b/src/daemon/single_call.cpp
@@ -3,6 +3,8 @@
 #include "daemon/step_runner.hpp"
 #include "kernel/hash.hpp"
 
+#include <algorithm>
+#include <array>
 #include <future>
 #include <map>
 #include <mutex>
@@ -123,6 +125,20 @@
     return {id, std::move(answer.refused), std::move(state->output)};
 }
 
+namespace {
+
+// What a target says of run states would be read as ours: a target cannot know them.
+void strip_reserved(std::vector<transport::http_header>& headers) {
+    constexpr std::array<std::string_view, 3> reserved{"X-Run-State", "X-Request-Id", "X-Recorded"};
+    std::erase_if(headers, [&](const transport::http_header& one) {
+        return std::ranges::any_of(reserved, [&](std::string_view name) {
+            return transport::find_header({one}, name).has_value();
+        });
+    });
+}
+
+} // namespace
+
 service_outcome run_service_call(context& shared, request_runner& requests,
                                  const service_request& wanted) {
     decide::request request;
@@ -148,6 +164,7 @@
         return {id, std::move(refused), {}};
     }
     auto answer = done->get_future().get();
+    strip_reserved(answer.response.headers);
     return {id, std::move(answer.refused), std::move(answer.response)};
 }
 
--- a/src/daemon/step_directory.cpp
+++ b/src/daemon/step_directory.cpp
@@ -2,6 +2,7 @@
 
 #include "daemon/answer.hpp"
 #include "daemon/events.hpp"
+#include "daemon/step_rules.hpp"
 #include "daemon/step_scoring.hpp"
 #include "rollout/codec.hpp"
 
@@ -114,7 +115,11 @@
     std::optional<rollout::step_request> opening;
     rollout::pull_request pulling;
     kernel::trainer_id trainer;
-    if (call.verb == step_verb::open) {
+    if (call.verb == step_verb::cancel) {
+        const auto parsed = parse_body(call.body);
+        trainer = kernel::trainer_id(parsed.value.value("trainer", std::string()));
+        pulling.key = {trainer, call.step};
+    } else if (call.verb == step_verb::open) {
         auto decoded = rollout::decode_step_request(call.pool, call.body);
         if (!decoded) {
             return refuse(shared, refusal_reason::malformed, decoded.error().detail);
@@ -169,24 +174,6 @@
     return {reply.value().status, {{"Content-Type", "application/json"}}, reply.value().body};
 }
 
-std::optional<rollout::pool_rules> step_directory::rules_of(const kernel::pool_id& pool) const {
-    const auto active = parts_.shared.configuration.read();
-    const auto* declared = config::find_pool(active->declared, pool);
-    if (declared == nullptr) {
-        return std::nullopt;
-    }
-    rollout::pool_rules rules;
-    rules.pool = pool;
-    rules.release = declared->release == config::release_mode::group
-                        ? rollout::release_mode::whole_group
-                        : rollout::release_mode::each_sample;
-    rules.staleness_bound = declared->staleness_bound;
-    rules.scoring_service = declared->scoring_service.str();
-    rules.adapter = declared->adapter;
-    rules.max_samples = declared->max_samples_per_step;
-    return rules;
-}
-
 transport::http_response step_directory::open(const step_call& call, std::uint64_t fence,
                                               const rollout::step_request& request) {
     auto& shared = parts_.shared;
@@ -219,12 +206,19 @@
 kernel::result<std::shared_ptr<step_runner>>
 step_directory::make_step(const kernel::pool_id& pool, std::uint64_t fence,
                           const rollout::step_request& request) {
-    const auto rules = rules_of(pool);
-    if (!rules) {
+    const auto active = parts_.shared.configuration.read();
+    const auto* declared = config::find_pool(active->declared, pool);
+    if (declared == nullptr) {
         return kernel::error{kernel::error_code::not_found, pool.str()};
     }
+    const auto faults = check_limits(request, *declared);
+    if (!faults.empty()) {
+        return kernel::error{kernel::error_code::invalid_input,
+                             kernel::to_string(faults.items().front())};
+    }
     auto& clock = parts_.shared.clock;
-    auto opened = rollout::open_step(request, *rules, fence, clock.now(), clock.wall_now());
+    auto opened =
+        rollout::open_step(request, to_rules(*declared), fence, clock.now(), clock.wall_now());
     if (!opened) {
         return opened.error();
     }
@@ -311,12 +305,13 @@
 std::shared_ptr<step_runner> step_directory::recover(const kernel::pool_id& pool,
                                                      const rollout::step_key& key,
                                                      std::uint64_t fence) {
-    const auto rules = rules_of(pool);
-    if (!rules) {
+    const auto active = parts_.shared.configuration.read();
+    const auto* declared = config::find_pool(active->declared, pool);
+    if (declared == nullptr) {
         return nullptr;
     }
     const auto hosts = parts_.others.others();
-    auto recovered = storage_.load(key, *rules, fence, hosts);
+    auto recovered = storage_.load(key, to_rules(*declared), fence, hosts);
     if (!recovered) {
         return nullptr;
     }
@@ -393,6 +388,19 @@
     });
 }
 
+std::vector<rollout::hold_request>
+step_directory::surrender(const rollout::collect_request& asked) {
+    const auto runner = find(asked.key);
+    if (!runner) {
+        return {};
+    }
+    const auto now = parts_.shared.clock.now();
+    auto all =
+        runner->with_step([&](auto& open) { return rollout::surrender(open, asked.epoch, now); });
+    runner->pump();
+    return all;
+}
+
 // The next owner finds these copies when it collects; what a slow host does not take in time is
 // made again.
 void step_directory::hand_over() {
--- a/src/daemon/step_directory.hpp
+++ b/src/daemon/step_directory.hpp
@@ -33,6 +33,11 @@
     /// Submits work, ends what is over, gives idle leases back.
     void tick();
 
+    /// Another host collects a step that this one still runs: stops it, and gives all that is here,
+    /// text of running attempts included, for this host's own replica store.
+    [[nodiscard]] std::vector<rollout::hold_request>
+    surrender(const rollout::collect_request& asked);
+
     /// Sends everything that this host has of its steps to their replica hosts, and stops.
     void hand_over();
 
@@ -78,7 +83,6 @@
     [[nodiscard]] std::vector<std::pair<rollout::step_key, owned_step>> snapshot_steps() const;
     [[nodiscard]] std::optional<std::uint64_t> running_epoch_of(const std::string& lease) const;
     void raise_epochs(const std::string& lease, std::uint64_t fence);
-    [[nodiscard]] std::optional<rollout::pool_rules> rules_of(const kernel::pool_id& pool) const;
 
     step_surroundings parts_;
     step_ownership ownership_;
--- a/src/daemon/step_runner.cpp
+++ b/src/daemon/step_runner.cpp
@@ -22,6 +22,11 @@
 constexpr std::size_t max_submissions_at_once = 512;
 constexpr std::size_t shared_prefix_bytes = 64;
 
+// A step that collects what other hosts hold will have news soon: the trainer waits.
+bool is_under_way(rollout::step_state state) {
+    return state == rollout::step_state::open || state == rollout::step_state::collecting;
+}
+
 rollout::break_cause to_cause(const sending_end& end) {
     if (end.how == targets::ending::not_sent) {
         return rollout::break_cause::refused;
@@ -131,6 +136,7 @@
     work.so_far = item->so_far;
     work.max_tokens = static_cast<int>(item->max_tokens + item->so_far_tokens);
     work.seed = item->seed;
+    work.adapter = step_.rules.adapter;
     return work;
 }
 
@@ -141,10 +147,9 @@
         return false;
     }
     it->second.tokens += static_cast<rollout::token_count>(next.tokens);
-    const rollout::stream_piece piece{next.text,
-                                      static_cast<rollout::token_count>(next.tokens),
+    const rollout::stream_piece piece{next.text, static_cast<rollout::token_count>(next.tokens),
                                       static_cast<rollout::weight_version>(next.version),
-                                      {}};
+                                      next.adapter};
     const auto verdict = rollout::on_piece(step_, it->second.ref, piece, shared_.clock.now());
     if (verdict == rollout::piece_verdict::stop) {
         after_change(lock);
@@ -220,8 +225,7 @@
         // list of held slots is out of date, is believed in nothing.
         auto answer = rollout::pull(step_, request, shared_.clock.now());
         const bool over = !answer || !answer.value().samples.empty() || answer.value().complete ||
-                          answer.value().state != rollout::step_state::open ||
-                          shared_.clock.now() >= until;
+                          !is_under_way(answer.value().state) || shared_.clock.now() >= until;
         after_change(lock);
         if (over) {
             return answer;
--- a/src/daemon/weights_runner.cpp
+++ b/src/daemon/weights_runner.cpp
@@ -47,12 +47,12 @@
     if (!answer) {
         return rollout::order_result::unreachable;
     }
-    switch (answer.value()) {
-    case targets::order_answer::accepted:
+    switch (answer.value().verdict) {
+    case targets::order_verdict::accepted:
         return rollout::order_result::accepted;
-    case targets::order_answer::old_fence:
+    case targets::order_verdict::old_fence:
         return rollout::order_result::old_fence;
-    case targets::order_answer::failed:
+    case targets::order_verdict::failed:
         return rollout::order_result::refused;
     }
     return rollout::order_result::refused;
@@ -100,6 +100,8 @@
     seen.zone = declared->zone;
     seen.version = static_cast<rollout::weight_version>(report.version);
     seen.loading = report.loading;
+    seen.role = report.role;
+    seen.adapters = report.adapters;
     seen.running = static_cast<std::uint32_t>(report.running);
     seen.as_of = now - report.age;
     const std::lock_guard lock(mutex_);
@@ -156,6 +158,9 @@
     const auto from = shared_.clock.now() + order_timeout;
     auto steward = rollout::make_steward(pool, fence, limits_of(*declared), from);
     rollout::announce(steward, declared->pinned_version.value_or(versions_.newest(pool)));
+    if (!declared->adapter.empty()) {
+        steward.adapters.insert(declared->adapter);
+    }
     const std::lock_guard lock(mutex_);
     stewards_.insert_or_assign(pool, std::move(steward));
 }
@@ -185,7 +190,8 @@
                      {"fence", order.fence}});
         const std::lock_guard lock(mutex_);
         if (const auto it = stewards_.find(pool); it != stewards_.end()) {
-            rollout::on_outcome(it->second, {order, result, 0}, shared_.clock.now());
+            const auto fence = answer ? static_cast<std::uint64_t>(answer.value().fence) : 0;
+            rollout::on_outcome(it->second, {order, result, fence}, shared_.clock.now());
         }
     });
 }
--- a/src/targets/engine_target.cpp
+++ b/src/targets/engine_target.cpp
@@ -50,7 +50,8 @@
 
 json generate_body(const work& item) {
     return {{"request_id", item.id.str()},   {"prompt", item.body},       {"so_far", item.so_far},
-            {"max_tokens", item.max_tokens}, {"priority", item.priority}, {"seed", item.seed}};
+            {"max_tokens", item.max_tokens}, {"priority", item.priority}, {"seed", item.seed},
+            {"adapter", item.adapter}};
 }
 
 struct stream_state {
@@ -72,7 +73,8 @@
         return false;
     }
     const piece next{read_field(value, "text", std::string()), read_field(value, "tokens", 0),
-                     read_field(value, "version", std::int64_t{0})};
+                     read_field(value, "version", std::int64_t{0}),
+                     read_field(value, "adapter", std::string())};
     state.stopped = !sink(next);
     return !state.stopped;
 }
@@ -99,6 +101,20 @@
     return {ending::whole, {}, {}};
 }
 
+std::vector<std::string> read_names(const json& from, const char* name) {
+    std::vector<std::string> all;
+    const auto it = from.find(name);
+    if (it == from.end() || !it->is_array()) {
+        return all;
+    }
+    for (const auto& one : *it) {
+        if (one.is_string()) {
+            all.push_back(one.get<std::string>());
+        }
+    }
+    return all;
+}
+
 kernel::result<load> read_engine_load(const transport::endpoint& to, kernel::duration timeout) {
     const auto answer = call(to, get("/v1/load"), {.timeout = timeout});
     if (!answer) {
@@ -114,7 +130,9 @@
                 .capacity = read_field(value, "capacity", 0),
                 .tokens_per_second = read_field(value, "tokens_per_second", 0.0),
                 .loading = read_field(value, "loading", false),
-                .age = std::chrono::milliseconds{read_field(value, "age_ms", std::int64_t{0})}};
+                .age = std::chrono::milliseconds{read_field(value, "age_ms", std::int64_t{0})},
+                .role = read_field(value, "role", std::string()),
+                .adapters = read_names(value, "adapters")};
 }
 
 json order_body(const order& given) {
@@ -136,10 +154,14 @@
         return answer.error();
     }
     if (answer.value().status == 200) {
-        return order_answer::accepted;
+        return order_answer{order_verdict::accepted, 0};
     }
     constexpr int conflict = 409;
-    return answer.value().status == conflict ? order_answer::old_fence : order_answer::failed;
+    if (answer.value().status != conflict) {
+        return order_answer{order_verdict::failed, 0};
+    }
+    const auto value = parse_or_null(answer.value().body);
+    return order_answer{order_verdict::old_fence, read_field(value, "fence", std::int64_t{0})};
 }
 
 void cancel_on_engine(const transport::endpoint& to, const kernel::request_id& id,
--- a/src/targets/target_kind.hpp
+++ b/src/targets/target_kind.hpp
@@ -23,6 +23,7 @@
     int max_tokens = 0;
     int priority = 0; ///< Higher runs first.
     std::uint64_t seed = 0;
+    std::string adapter; ///< Engines: to be used on top of the model; empty: none.
 };
 
 /// A piece of generated text with the weight version that the engine reports for it.
@@ -30,6 +31,7 @@
     std::string text;
     int tokens = 0;
     std::int64_t version = 0;
+    std::string adapter; ///< As the engine reports it; empty: the plain model.
 };
 
 /// Takes each piece as it arrives; false cancels the work.
@@ -57,6 +59,8 @@
     double tokens_per_second = 0;
     bool loading = false;
     kernel::duration age{};
+    std::string role;
+    std::vector<std::string> adapters;
 };
 
 enum class order_kind { load_version, load_adapter, set_role };
@@ -68,7 +72,12 @@
     std::int64_t fence = 0;   ///< Fencing number of the lease under which it is given.
 };
 
-enum class order_answer { accepted, old_fence, failed };
+enum class order_verdict { accepted, old_fence, failed };
+
+struct order_answer {
+    order_verdict verdict = order_verdict::failed;
+    std::int64_t fence = 0; ///< With `old_fence`: the largest that the target has seen.
+};
 
 struct cache_change {
     bool added = false;
--- a/standins/internal/engine_model.hpp
+++ b/standins/internal/engine_model.hpp
@@ -36,6 +36,7 @@
     int max_tokens = 64;
     int priority = 0; ///< Higher runs first.
     std::uint64_t seed = 0;
+    std::string adapter; ///< Empty: the plain model.
 };
 
 struct piece {
--- a/standins/standin_engine.cpp
+++ b/standins/standin_engine.cpp
@@ -8,6 +8,7 @@
 #include <CLI/CLI.hpp>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <atomic>
 #include <iostream>
 #include <map>
@@ -56,8 +57,9 @@
     ++self.crashes;
 }
 
-json to_json(const piece& one) {
-    return {{"text", one.text}, {"tokens", one.tokens}, {"version", one.version}};
+json to_json(const piece& one, const std::string& adapter) {
+    return {
+        {"text", one.text}, {"tokens", one.tokens}, {"version", one.version}, {"adapter", adapter}};
 }
 
 void forget_text(engine& self, const std::string& request_id) {
@@ -80,7 +82,7 @@
             const std::lock_guard lock(self.mutex);
             self.texts[order.request_id] += next.text;
         }
-        alive = !arrived || reply.write_line(to_json(next).dump());
+        alive = !arrived || reply.write_line(to_json(next, order.adapter).dump());
     }
     forget_text(self, order.request_id);
     if (alive) {
@@ -101,6 +103,11 @@
     order.priority = body.value("priority", 0);
     order.seed = body.value("seed", std::uint64_t{0});
     const std::lock_guard lock(self.mutex);
+    // An adapter that is not loaded is not used, and the pieces say so.
+    const auto adapter = body.value("adapter", "");
+    if (std::ranges::find(self.adapters, adapter) != self.adapters.end()) {
+        order.adapter = adapter;
+    }
     const auto kv = self.kv.find(body.value("kv", ""));
     if (kv != self.kv.end()) {
         order.so_far = kv->second.so_far;
--- a/tests/daemon/step_runner_tests.cpp
+++ b/tests/daemon/step_runner_tests.cpp
@@ -36,7 +36,7 @@
     const int last = first == 0 ? words_of_a_sample / 2 : words_of_a_sample;
     for (int i = first; i < last; ++i) {
         ++engine.tokens;
-        if (!sink({item.body + std::to_string(i) + " ", 1, 1})) {
+        if (!sink({item.body + std::to_string(i) + " ", 1, 1, {}})) {
             return {targets::ending::cancelled, {}, "not wanted"};
         }
     }
@@ -48,7 +48,11 @@
 }
 
 kernel::result<targets::load> report_load(const transport::endpoint&, kernel::duration) {
-    return targets::load{.version = 1, .capacity = 8, .tokens_per_second = 1000};
+    targets::load report;
+    report.version = 1;
+    report.capacity = 8;
+    report.tokens_per_second = 1000;
+    return report;
 }
 
 const kernel::registration<targets::target_kind> registered{
