--- a/bench/internal/fleet.cpp
+++ b/bench/internal/fleet.cpp
@@ -54,7 +54,7 @@
 
 double cpu_seconds(int pid) {
     std::ifstream in("/proc/" + std::to_string(pid) + "/stat");
-    std::string text((std::istreambuf_iterator<char>(in)), std::istreambuf_iterator<char>());
+    const std::string text((std::istreambuf_iterator<char>(in)), std::istreambuf_iterator<char>());
     const auto end_of_name = text.rfind(')');
     if (end_of_name == std::string::npos) {
         return 0;
@@ -87,6 +87,7 @@
     std::mutex mutex;
     std::vector<double> found;
     std::vector<std::thread> watchers;
+    watchers.reserve(daemons.size());
     for (const auto& daemon : daemons) {
         watchers.emplace_back([&, daemon] {
             while (steady::now() - start < longest_wait) {
--- a/cmake/cornelloom_dependencies.cmake
+++ b/cmake/cornelloom_dependencies.cmake
@@ -10,5 +10,5 @@
 target_link_libraries(cornelloom_json_deps INTERFACE nlohmann_json::nlohmann_json CLI11::CLI11)
 
 add_library(cornelloom_transport_deps INTERFACE)
-target_link_libraries(cornelloom_transport_deps INTERFACE PkgConfig::cxxtools_http
+target_link_libraries(cornelloom_transport_deps INTERFACE 
     PkgConfig::nghttp2 PkgConfig::sodium OpenSSL::SSL nlohmann_json::nlohmann_json)
--- a/src/daemon/answer.cpp
+++ b/src/daemon/answer.cpp
@@ -86,7 +86,7 @@
         too_deep = too_deep || depth > max_json_depth;
         return !too_deep;
     };
-    const auto refuse = [](std::string detail) {
+    const auto refuse = [](const std::string& detail) {
         return parsed_body{
             {},
             kernel::refusal{
--- a/src/daemon/caller_routes.cpp
+++ b/src/daemon/caller_routes.cpp
@@ -1,10 +1,10 @@
 #include "daemon/caller_routes.hpp"
 
 #include "daemon/answer.hpp"
+#include "kernel/number.hpp"
 
 #include <algorithm>
 #include <array>
-#include <charconv>
 
 namespace cornelloom::daemon {
 
@@ -24,13 +24,6 @@
     return {refusal_reason::malformed, run_state::not_run, {}, std::move(detail)};
 }
 
-std::optional<std::int64_t> parse_number(std::string_view text) {
-    std::int64_t value = 0;
-    const auto* end = text.data() + text.size();
-    const auto [stop, fault] = std::from_chars(text.data(), end, value);
-    return fault == std::errc{} && stop == end ? std::optional(value) : std::nullopt;
-}
-
 struct checked_deadline {
     kernel::duration value{};
     std::optional<refusal> fault;
@@ -41,7 +34,7 @@
     if (!header) {
         return {otherwise, std::nullopt};
     }
-    const auto ms = parse_number(*header);
+    const auto ms = kernel::parse_integer<std::int64_t>(*header);
     if (!ms || *ms <= 0 || std::chrono::milliseconds{*ms} > longest_deadline) {
         return {{}, malformed("X-Deadline-Ms must be 1 to 3600000 milliseconds")};
     }
@@ -226,7 +219,7 @@
                            const http_request& request) {
     const auto key = transport::find_header(request.headers, "Idempotency-Key");
     const auto issued = transport::find_header(request.headers, "X-Issued-Ms");
-    const auto issued_ms = issued ? parse_number(*issued) : std::nullopt;
+    const auto issued_ms = issued ? kernel::parse_integer<std::int64_t>(*issued) : std::nullopt;
     constexpr std::size_t max_key_bytes = 256;
     if (!key || key->empty() || key->size() > max_key_bytes || !issued_ms) {
         return refuse_request(
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -6,11 +6,11 @@
 #include "daemon/scheduler_feed.hpp"
 #include "daemon/target_poller.hpp"
 #include "daemon/wire.hpp"
+#include "kernel/number.hpp"
 #include "transport/http_server.hpp"
 #include "transport/platform_client.hpp"
 
 #include <algorithm>
-#include <charconv>
 #include <thread>
 
 namespace cornelloom::daemon {
@@ -59,12 +59,6 @@
     return limits;
 }
 
-std::uint64_t parse_number(std::string_view text) {
-    std::uint64_t value = 0;
-    std::from_chars(text.data(), text.data() + text.size(), value);
-    return value;
-}
-
 constexpr const char* quarantine_kind = "quarantine";
 
 } // namespace
@@ -219,8 +213,8 @@
         });
     }
     if (key.kind == quarantine_kind) {
-        const auto digest = parse_number(key.name);
-        const auto crashed = parse_number(item.payload);
+        const auto digest = kernel::parse_integer<std::uint64_t>(key.name).value_or(0);
+        const auto crashed = kernel::parse_integer<std::uint64_t>(item.payload).value_or(0);
         requests.with_scheduler([&](auto& scheduler, auto now) {
             decide::on_quarantine(scheduler, {digest, item.expires - now, crashed}, now);
         });
--- a/src/daemon/lease_runner.cpp
+++ b/src/daemon/lease_runner.cpp
@@ -75,6 +75,7 @@
 std::vector<lease_runner::view> lease_runner::list() const {
     const std::lock_guard lock(mutex_);
     std::vector<view> all;
+    all.reserve(leases_.size());
     for (const auto& [name, one] : leases_) {
         all.push_back({name, one.state.role, one.state.fence});
     }
--- a/src/daemon/request_runner.cpp
+++ b/src/daemon/request_runner.cpp
@@ -101,7 +101,7 @@
         todo = decide::next_dispatches(scheduler_, now);
     }
     shared_.trace.add(id, "admitted");
-    carry_out(std::move(todo));
+    carry_out(todo);
     return std::nullopt;
 }
 
@@ -118,7 +118,7 @@
         todo = decide::on_cancelled(scheduler_, id, shared_.clock.now());
     }
     shared_.trace.add(id, "cancelled: nobody wants the answer any more");
-    carry_out(std::move(todo));
+    carry_out(todo);
 }
 
 void request_runner::cancel_sending(const kernel::request_id& id, std::uint32_t attempt) {
@@ -141,7 +141,7 @@
     return entries_.size();
 }
 
-void request_runner::carry_out(decide::actions todo) {
+void request_runner::carry_out(const decide::actions& todo) {
     for (const auto& what : todo.cancellations) {
         cancel_sending(what.request, what.attempt);
     }
@@ -259,7 +259,7 @@
     if (end.won) {
         finish_request(which.request, {std::nullopt, end.result.response});
     }
-    carry_out(std::move(outcome.follow_up));
+    carry_out(outcome.follow_up);
 }
 
 void request_runner::report_failure(const sending& which, const std::shared_ptr<entry>& owner,
@@ -289,7 +289,7 @@
     end.retried = std::ranges::none_of(
         todo.refusals, [&](const auto& one) { return one.request == which.request; });
     owner->observer.on_end(which, end);
-    carry_out(std::move(todo));
+    carry_out(todo);
 }
 
 void request_runner::finish_request(const kernel::request_id& id, const final_answer& answer) {
@@ -318,7 +318,7 @@
             }
             todo = decide::tick(scheduler_, shared_.clock.now());
         }
-        carry_out(std::move(todo));
+        carry_out(todo);
     }
 }
 
--- a/src/daemon/request_runner.hpp
+++ b/src/daemon/request_runner.hpp
@@ -86,7 +86,7 @@
     struct running_sending;
     using sending_key = std::pair<kernel::request_id, std::uint32_t>;
 
-    void carry_out(decide::actions todo);
+    void carry_out(const decide::actions& todo);
     void start_sending(const decide::dispatch& what);
     void run_sending(const decide::dispatch& what, const std::shared_ptr<entry>& owner,
                      const std::shared_ptr<running_sending>& state);
--- a/src/daemon/step_runner.cpp
+++ b/src/daemon/step_runner.cpp
@@ -305,11 +305,11 @@
     auto effects = rollout::take_effects(step_);
     changed_.notify_all();
     lock.unlock();
-    carry_out(std::move(effects));
+    carry_out(effects);
     lock.lock();
 }
 
-void step_runner::carry_out(rollout::step_effects effects) {
+void step_runner::carry_out(const rollout::step_effects& effects) {
     for (const auto& what : effects.cancel) {
         cancel_attempt(what);
     }
--- a/src/daemon/step_runner.hpp
+++ b/src/daemon/step_runner.hpp
@@ -67,7 +67,7 @@
     void on_end(const sending& which, const sending_end& end);
     void on_final(rollout::slot_index slot, const final_answer& answer);
     void give_back(rollout::slot_index slot, const kernel::refusal& why);
-    void carry_out(rollout::step_effects effects);
+    void carry_out(const rollout::step_effects& effects);
     void cancel_attempt(const rollout::cancel_attempt& what);
     void after_change(std::unique_lock<std::mutex>& lock);
 
--- a/src/daemon/version_board.cpp
+++ b/src/daemon/version_board.cpp
@@ -1,6 +1,6 @@
 #include "daemon/version_board.hpp"
 
-#include <charconv>
+#include "kernel/number.hpp"
 
 namespace cornelloom::daemon {
 
@@ -13,13 +13,6 @@
 // Longer than weights stay in use; a restarted host gets the item again from any other host.
 constexpr kernel::duration item_lifetime = 24h;
 
-std::optional<std::uint64_t> parse_version(std::string_view text) {
-    std::uint64_t value = 0;
-    const auto* end = text.data() + text.size();
-    const auto [stop, fault] = std::from_chars(text.data(), end, value);
-    return fault == std::errc{} && stop == end ? std::optional(value) : std::nullopt;
-}
-
 // Conditional and only upward: two hosts may store announcements in the wrong order.
 void store_version(platform_runner& platform, const kernel::pool_id& pool, std::uint64_t version) {
     constexpr int tries = 4;
@@ -28,7 +21,7 @@
         const auto outcome = platform.call(coord::call_kind::step_state, coord::get_object{key});
         std::uint64_t expected = 0;
         if (const auto* found = std::get_if<coord::call_object>(&outcome)) {
-            if (parse_version(found->object.value).value_or(0) >= version) {
+            if (kernel::parse_integer<std::uint64_t>(found->object.value).value_or(0) >= version) {
                 return;
             }
             expected = found->object.version;
@@ -74,7 +67,7 @@
     }
     for (const auto& one : listing->objects) {
         const kernel::pool_id pool(one.key.name);
-        const auto version = parse_version(one.value);
+        const auto version = kernel::parse_integer<std::uint64_t>(one.value);
         if (version && raise(pool, *version)) {
             publish(pool, *version);
         }
--- a/src/daemon/weights_runner.cpp
+++ b/src/daemon/weights_runner.cpp
@@ -2,8 +2,8 @@
 
 #include "daemon/events.hpp"
 #include "daemon/succession.hpp"
+#include "kernel/number.hpp"
 
-#include <charconv>
 #include <ranges>
 #include <set>
 
@@ -31,7 +31,7 @@
     switch (order.kind) {
     case rollout::order_kind::load_version:
         out.kind = targets::order_kind::load_version;
-        std::from_chars(order.value.data(), order.value.data() + order.value.size(), out.version);
+        out.version = kernel::parse_integer<std::int64_t>(order.value).value_or(0);
         break;
     case rollout::order_kind::load_adapter:
         out.kind = targets::order_kind::load_adapter;
@@ -209,6 +209,7 @@
 std::vector<weights_runner::view> weights_runner::list() const {
     const std::lock_guard lock(mutex_);
     std::vector<view> all;
+    all.reserve(stewards_.size());
     for (const auto& [pool, steward] : stewards_) {
         all.push_back(
             {pool, steward.fence, steward.wanted.value_or(0), rollout::progress(steward)});
--- a/src/kernel/kernel.hpp
+++ b/src/kernel/kernel.hpp
@@ -8,6 +8,7 @@
 #include "kernel/hash.hpp"
 #include "kernel/identifiers.hpp"
 #include "kernel/metrics.hpp"
+#include "kernel/number.hpp"
 #include "kernel/refusal.hpp"
 #include "kernel/registry.hpp"
 #include "kernel/result.hpp"
--- a/src/kernel/registry.hpp
+++ b/src/kernel/registry.hpp
@@ -29,6 +29,7 @@
 
     [[nodiscard]] std::vector<std::string> names() const {
         std::vector<std::string> all;
+        all.reserve(plugins_.size());
         for (const auto& [name, plugin] : plugins_) {
             all.push_back(name);
         }
