--- a/src/daemon/claims_runner.cpp
+++ b/src/daemon/claims_runner.cpp
@@ -57,7 +57,7 @@
     });
 }
 
-void claims_runner::tick() {
+void claims_runner::choose_shards() {
     const auto live = members_.live();
     for (std::uint32_t shard = 0; shard < shard_count; ++shard) {
         // By rendezvous hash, so that the shards spread evenly and few move when a host comes or
@@ -71,6 +71,9 @@
             leases_.stop_waiting(lease_name(shard));
         }
     }
+}
+
+void claims_runner::tick() {
     std::vector<std::uint32_t> mine;
     {
         const std::lock_guard lock(mutex_);
--- a/src/daemon/claims_runner.hpp
+++ b/src/daemon/claims_runner.hpp
@@ -33,7 +33,10 @@
     /// A call that another host passed on.
     [[nodiscard]] peer_reply handle(const std::string& body);
 
-    /// Wants the leases of the shards that this host should hold, and lets time pass in them.
+    /// Wants the leases of the shards that this host should hold. Looks at every host.
+    void choose_shards();
+
+    /// Lets time pass in the shards that are served here.
     void tick();
 
     /// Commits what is known of outcomes, before the leases are given back.
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -255,6 +255,7 @@
 
 void daemon::parts::tick_slow() {
     steps.tick();
+    claims.choose_shards();
     weights.tick();
     replicas.tick();
 }
