The daemon hashes tokens with transport's token_hash

Change: the copy is gone. Behaviour is the same. bearer_token stays unused there: it also takes 'bearer' in lower case and refuses two headers, which would change what is accepted.

--- a/src/daemon/access.cpp
+++ b/src/daemon/access.cpp
@@ -1,21 +1,9 @@
 #include "daemon/access.hpp"
 
-#include <sodium.h>
-
-#include <array>
+#include "transport/bearer_token.hpp"
 
 namespace cornelloom::daemon {
 
-std::string sha256_hex(std::string_view text) {
-    std::array<unsigned char, crypto_hash_sha256_BYTES> digest{};
-    crypto_hash_sha256(digest.data(), reinterpret_cast<const unsigned char*>(text.data()),
-                       text.size());
-    std::string hex(digest.size() * 2 + 1, '\0');
-    sodium_bin2hex(hex.data(), hex.size(), digest.data(), digest.size());
-    hex.pop_back();
-    return hex;
-}
-
 std::optional<authenticated> authenticate(const context& shared,
                                           const transport::http_request& request) {
     constexpr std::string_view scheme = "Bearer ";
@@ -25,8 +13,8 @@
     }
     // Only hashes are compared, so the time that the search takes tells nothing about a token.
     auto active = shared.configuration.read();
-    const auto* caller =
-        config::find_caller_by_token(active->declared, sha256_hex(header->substr(scheme.size())));
+    const auto* caller = config::find_caller_by_token(
+        active->declared, transport::token_hash(header->substr(scheme.size())));
     if (caller == nullptr) {
         return std::nullopt;
     }
--- a/src/daemon/access.hpp
+++ b/src/daemon/access.hpp
@@ -16,9 +16,6 @@
 [[nodiscard]] std::optional<authenticated> authenticate(const context& shared,
                                                         const transport::http_request& request);
 
-/// Lower-case hexadecimal SHA-256, the form in which configurations keep tokens.
-[[nodiscard]] std::string sha256_hex(std::string_view text);
-
 /// The refusal for a missing token or a missing right.
 [[nodiscard]] kernel::refusal unauthorized(std::string detail);
 
