--- a/cmake/cornelloom_targets.cmake
+++ b/cmake/cornelloom_targets.cmake
@@ -52,6 +52,24 @@
     endforeach()
 endfunction()
 
+# platform/: the adapter to the users' platform. An object library, for it registers itself.
+function(cornelloom_add_platform)
+    file(GLOB sources CONFIGURE_DEPENDS "${PROJECT_SOURCE_DIR}/platform/*.cpp")
+    add_library(cornelloom_platform OBJECT ${sources})
+    target_compile_options(cornelloom_platform PRIVATE ${CORNELLOOM_WARNINGS})
+    target_include_directories(cornelloom_platform PUBLIC "${PROJECT_SOURCE_DIR}")
+    target_link_libraries(cornelloom_platform PUBLIC cornelloom_front)
+endfunction()
+
+# apps/front/: the daemon for the users' platform. It links only what it needs: its resident memory
+# and its start are paid for on each host.
+function(cornelloom_add_front_program)
+    add_executable(cornelloom_frontd "${PROJECT_SOURCE_DIR}/apps/front/cornelloom_frontd.cpp")
+    target_compile_options(cornelloom_frontd PRIVATE ${CORNELLOOM_WARNINGS})
+    target_link_libraries(cornelloom_frontd PRIVATE cornelloom_platform)
+    target_link_options(cornelloom_frontd PRIVATE -Wl,--as-needed)
+endfunction()
+
 # bench/internal/policy_*.cpp: built once, for bench_policy and for the tests of decide.
 function(cornelloom_add_decide_fake)
     file(GLOB sources CONFIGURE_DEPENDS "${PROJECT_SOURCE_DIR}/bench/internal/policy_*.cpp")
--- /dev/null
+++ b/src/front/adapter.hpp
@@ -0,0 +1,165 @@
+#pragma once
+
+#include "front/types.hpp"
+#include "kernel/result.hpp"
+#include "loop/exchange.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace cornelloom::front {
+
+/// The kinds of objects that the system reads or keeps on the platform.
+enum class object_kind {
+    configuration,
+    targets,
+    versions,
+    retirements,
+    hosts,       ///< Hosts of the system, for their peers.
+    batches,     ///< Accepted batches.
+    batch_parts, ///< Pieces of batches that are too large for one object.
+    batch_log,   ///< What has happened to a batch, entry by entry.
+    order_lease, ///< Who may give orders to targets.
+};
+
+struct stored_object {
+    std::string name;
+    std::uint64_t revision = 0;
+    nlohmann::json specification;
+    nlohmann::json status;
+};
+
+struct object_page {
+    std::vector<stored_object> items;
+    bool more = false;
+    std::uint64_t at = 0; ///< The platform's revision that the page shows.
+};
+
+struct object_change {
+    stored_object object;
+    bool deleted = false;
+};
+
+struct object_changes {
+    std::vector<object_change> changes;
+    std::uint64_t at = 0;
+};
+
+/// A request of a caller, as far as routing and forwarding need it.
+struct caller_request {
+    std::string id;
+    std::string host;
+    std::optional<milliseconds> time_left;
+    std::int64_t last_event = 0; ///< The last event that the caller has; 0: none.
+};
+
+/// The calls on batches that a caller may make.
+struct batch_call {
+    enum class verb { read_results, read_item, end };
+    verb what = verb::read_results;
+    std::string batch;
+    std::string item;         ///< For `read_item`.
+    std::size_t position = 0; ///< For `read_results`: the first position wanted.
+    milliseconds wait{0};     ///< How long it may wait for a result.
+};
+
+/// What goes along with a request to a target.
+struct forward_terms {
+    std::string target_id; ///< Another target at that address refuses.
+    std::optional<milliseconds> time_left;
+    std::int64_t resume_after = 0; ///< The target goes on after this event; 0: from the start.
+};
+
+/// An order to load a version of a model.
+struct load_order {
+    enum class mode { wait, truncate, keep };
+    std::string model;
+    int version = 0;
+    mode runs = mode::keep; ///< What becomes of the requests that run.
+    std::string holder;
+    std::uint64_t fence = 0;
+    std::int64_t expected_orders = 0; ///< Orders that the target has accepted so far.
+};
+
+enum class order_outcome {
+    accepted,
+    holds_already,
+    busy_or_changed,
+    fenced,
+    invalid,
+    other_target
+};
+
+/// A target's own report.
+struct target_report {
+    std::int64_t orders = 0; ///< Accepted since its start.
+    bool busy = false;       ///< An order is in progress.
+    int running = 0;
+    int waiting = 0;
+    std::map<std::string, int, std::less<>> versions;
+};
+
+/// Everything that depends on the platform's names and formats. The one implementation registers
+/// itself as `platform`; each function is pure.
+struct adapter {
+    kernel::result<host_settings> (*settings)(std::string_view text);
+
+    // The platform's object store.
+    transport::http_request (*list)(object_kind kind, std::string_view after);
+    transport::http_request (*watch)(object_kind kind, std::uint64_t at, milliseconds wait);
+    transport::http_request (*get)(object_kind kind, std::string_view name, bool may_be_stale);
+    transport::http_request (*create)(object_kind kind, std::string_view name,
+                                      std::string_view specification);
+    /// `revision` 0: whatever the object's revision is.
+    transport::http_request (*replace)(object_kind kind, std::string_view name,
+                                       std::string_view specification, std::uint64_t revision);
+    transport::http_request (*replace_status)(object_kind kind, std::string_view name,
+                                              std::string_view status);
+    kernel::result<object_page> (*page)(std::string_view body);
+    kernel::result<object_changes> (*changes)(std::string_view body);
+    kernel::result<stored_object> (*object)(std::string_view body);
+
+    // Documents of operators, targets and trainers.
+    kernel::result<configuration> (*configuration_of)(const nlohmann::json& specification);
+    kernel::result<target_entry> (*target)(const stored_object& object);
+    kernel::result<named_version> (*version)(const nlohmann::json& specification);
+    std::string (*retirement_done)();
+
+    // Callers.
+    caller_request (*request)(const transport::http_request& message);
+    std::optional<batch_call> (*batch)(const transport::http_request& message);
+    kernel::result<batch_spec> (*submission)(const nlohmann::json& body);
+    /// The results from a position on, at most about a megabyte of them.
+    std::string (*results)(std::size_t total, std::size_t position,
+                           const std::vector<item_result>& all);
+    /// When a refused caller may come again.
+    transport::http_header (*retry_after)(milliseconds pause);
+    bool (*is_readiness)(const transport::http_request& message);
+
+    // Targets.
+    transport::http_request (*forward)(const transport::http_request& message,
+                                       const forward_terms& terms);
+    transport::http_request (*item)(const batch_item& item, std::string_view host,
+                                    const forward_terms& terms);
+    transport::http_request (*scoring)(const scoring_call& scoring, const forward_terms& terms);
+    target_answer (*answer)(const std::vector<transport::http_header>& headers);
+    /// The headers of a target's answer that its caller gets.
+    std::vector<transport::http_header> (*answer_headers)(
+        const std::vector<transport::http_header>& headers);
+    /// Takes the complete events off the front of `bytes`.
+    std::vector<stream_event> (*events)(std::string& bytes);
+    transport::http_request (*order)(const load_order& order, std::string_view target_id);
+    order_outcome (*order_answer)(int status);
+    transport::http_request (*report)(std::string_view target_id);
+    kernel::result<target_report> (*report_of)(std::string_view body);
+};
+
+/// The adapter that is linked in. Ends the process with a message when there is none.
+[[nodiscard]] const adapter& the_adapter();
+
+} // namespace cornelloom::front
--- /dev/null
+++ b/src/front/answers.cpp
@@ -0,0 +1,41 @@
+#include "front/answers.hpp"
+
+#include <array>
+
+namespace cornelloom::front {
+
+namespace {
+
+void count_refusal(host& self, std::string_view reason, std::string_view state) {
+    const std::array labels{kernel::label{"reason", reason}, kernel::label{"state", state}};
+    self.metrics.count("cornelloom_refusals_total", labels);
+}
+
+} // namespace
+
+loop::task<void> refuse(host& self, loop::served_request& request, std::string_view id,
+                        std::string_view reason, milliseconds come_back, int status) {
+    count_refusal(self, reason, "not_run");
+    note(self, request_refused, {{"id", id}, {"why", reason}, {"status", status}});
+    transport::http_response answer{status, {self.wire.retry_after(come_back)}, {}};
+    co_await request.answer(std::move(answer));
+}
+
+loop::task<void> fail(host& self, loop::served_request& request, std::string_view id,
+                      std::string_view reason, bool time_is_up) {
+    const int status = time_is_up ? 504 : 502;
+    count_refusal(self, reason, "unknown");
+    note(self, request_failed, {{"id", id}, {"why", reason}, {"status", status}});
+    transport::http_response answer{status, {}, {}};
+    co_await request.answer(std::move(answer));
+}
+
+loop::task<void> reject(host& self, loop::served_request& request, std::string_view id,
+                        std::string_view reason, int status) {
+    count_refusal(self, reason, "not_run");
+    note(self, request_refused, {{"id", id}, {"why", reason}, {"status", status}});
+    transport::http_response answer{status, {}, {}};
+    co_await request.answer(std::move(answer));
+}
+
+} // namespace cornelloom::front
--- /dev/null
+++ b/src/front/batch_desk.cpp
@@ -0,0 +1,427 @@
+#include "front/batch_desk.hpp"
+
+#include "front/answers.hpp"
+#include "front/batch_drive.hpp"
+#include "front/batch_log.hpp"
+
+#include <algorithm>
+
+namespace cornelloom::front {
+
+namespace {
+
+/// The owner answers a waiting read after `wait`; what it may take beyond: two round trips between
+/// regions and a slice of processor time on a small host.
+constexpr milliseconds owner_allowance{700};
+constexpr loop::milliseconds owner_connect{300};
+/// A read that is passed on waits no longer than this, so that a dead owner shows soon.
+constexpr milliseconds passed_wait{600};
+/// Entries that move the owner or end a batch: their caller waits, at most this long.
+constexpr milliseconds entry_patience{2000};
+/// A batch that nobody has asked for is forgotten; it can be loaded again.
+constexpr std::chrono::seconds unused_most{45};
+/// When a process ends, a batch whose hand-over takes longer than this is left to its readers.
+constexpr milliseconds hand_over_patience{1500};
+
+constexpr int status_other_owner = 409;
+
+loop::task<void> answer_json(loop::served_request& request, std::string body) {
+    transport::http_response answer{200, {{"Content-Type", "application/json"}}, std::move(body)};
+    co_await request.answer(std::move(answer));
+}
+
+loop::task<void> answer_status(loop::served_request& request, int status) {
+    transport::http_response answer{status, {}, {}};
+    co_await request.answer(std::move(answer));
+}
+
+/// Loads a batch once, however many calls ask for it.
+loop::task<loaded_batch> get_batch(std::shared_ptr<batch_desk> desk, std::string id) {
+    for (;;) {
+        const auto found = desk->known.find(id);
+        if (found != desk->known.end()) {
+            co_return loaded_batch{found->second, false};
+        }
+        const auto pending = desk->loading.find(id);
+        if (pending == desk->loading.end()) {
+            break;
+        }
+        const auto gate = pending->second;
+        co_await gate->wait(loop::after(store_call_limit));
+    }
+    auto gate = std::make_shared<loop::gate>(desk->self->io);
+    desk->loading.emplace(id, gate);
+    auto loaded = co_await load_batch(desk->self, id);
+    if (loaded.batch) {
+        loaded.batch->used = desk->self->now();
+        desk->known.emplace(id, loaded.batch);
+    }
+    desk->loading.erase(id);
+    gate->open();
+    co_return loaded;
+}
+
+bool owns_by_log(const live_batch& one) {
+    return one.state.header.owner == one.self->settings.host;
+}
+
+/// Makes this host the owner, unless the batch is over or another host was quicker.
+loop::task<void> take_over(live_batch_ptr one, std::string reason) {
+    if (one->owned || is_over(one->state)) {
+        co_return;
+    }
+    auto self = one->self;
+    const auto before = one->state.header.owner;
+    const auto seen = one->state.next_entry;
+    if (!owns_by_log(*one)) {
+        const auto make = [self, before, seen](const live_batch& now) -> std::optional<log_entry> {
+            const bool moved = now.state.next_entry != seen && now.state.header.owner != before;
+            if (moved || is_over(now.state)) {
+                return std::nullopt;
+            }
+            log_entry entry;
+            entry.new_owner = self->settings.host;
+            entry.new_owner_at = self->settings.peers;
+            return entry;
+        };
+        const bool stored = co_await append_entry(one, make, self->now() + entry_patience);
+        if (!stored) {
+            co_return;
+        }
+    }
+    if (owns_by_log(*one) && !is_over(one->state)) {
+        note(*self, batch_taken, {{"id", one->state.header.id}, {"from", before}, {"why", reason}});
+        start_driving(one);
+    }
+}
+
+/// The reads of a batch from what this host holds, waiting for a result if the caller wants that.
+loop::task<void> answer_results(live_batch_ptr one, loop::served_request& request,
+                                batch_call call) {
+    auto self = one->self;
+    const auto until = self->now() + call.wait;
+    while (one->state.listed.size() <= call.position && !is_over(one->state) && one->owned &&
+           self->now() < until && !request.gone()) {
+        co_await one->changed.wait(to_deadline(*self, until));
+    }
+    co_await answer_json(request, self->wire.results(one->state.spec.items.size(), call.position,
+                                                     one->state.listed));
+}
+
+loop::task<void> answer_body(live_batch_ptr one, loop::served_request& request, std::string item) {
+    const auto found = one->state.index.find(item);
+    if (found == one->state.index.end() || one->state.ended) {
+        co_await answer_status(request, 404);
+        co_return;
+    }
+    transport::http_response answer{200, {}, one->state.spec.items[found->second].body};
+    co_await request.answer(std::move(answer));
+}
+
+loop::task<void> answer_end(live_batch_ptr one, loop::served_request& request) {
+    auto self = one->self;
+    bool done = one->state.ended;
+    if (!done) {
+        const auto make = [](const live_batch& now) -> std::optional<log_entry> {
+            if (now.state.ended) {
+                return std::nullopt;
+            }
+            auto entry = now.owned ? next_entry(now.state) : log_entry{};
+            entry.partials.clear();
+            entry.ends = true;
+            return entry;
+        };
+        co_await append_entry(one, make, self->now() + entry_patience);
+        done = one->state.ended;
+    }
+    one->changed.open();
+    if (done) {
+        co_await answer_status(request, 200);
+    } else {
+        co_await fail(*self, request, one->state.header.id, "end not stored", true);
+    }
+}
+
+loop::task<void> answer_call(live_batch_ptr one, loop::served_request& request, batch_call call) {
+    one->used = one->self->now();
+    switch (call.what) {
+    case batch_call::verb::read_results:
+        co_await answer_results(one, request, call);
+        break;
+    case batch_call::verb::read_item:
+        co_await answer_body(one, request, call.item);
+        break;
+    case batch_call::verb::end:
+        co_await answer_end(one, request);
+        break;
+    }
+}
+
+enum class owner_answer { answered, is_other, silent };
+
+/// Passes a call on to the batch's owner.
+loop::task<owner_answer> ask_owner(std::shared_ptr<batch_desk> desk, loop::served_request& request,
+                                   batch_call call, transport::endpoint owner) {
+    auto self = desk->self;
+    transport::http_request message = request.message;
+    message.path.insert(0, passed_path);
+    const auto wait = std::min(call.wait, passed_wait);
+    auto outcome = co_await loop::call(
+        self->connections, owner, std::move(message),
+        loop::after(wait + owner_allowance +
+                    (call.what == batch_call::verb::end ? entry_patience : milliseconds(0))),
+        owner_connect);
+    if (outcome.fault != loop::exchange_fault::none || outcome.answer.status >= 500) {
+        note(*self, read_forwarded_failed,
+             {{"id", call.batch},
+              {"owner_at", to_string(owner)},
+              {"fault", to_string(outcome.fault)},
+              {"status", outcome.answer.status}});
+        co_return owner_answer::silent;
+    }
+    if (outcome.answer.status == status_other_owner) {
+        co_return owner_answer::is_other;
+    }
+    auto& answer = outcome.answer;
+    std::erase_if(answer.headers, [](const transport::http_header& header) {
+        return header.name != "Content-Type";
+    });
+    co_await request.answer(std::move(answer));
+    co_return owner_answer::answered;
+}
+
+/// A caller's call on a batch that another host runs.
+loop::task<bool> try_owner(std::shared_ptr<batch_desk> desk, loop::served_request& request,
+                           batch_call call, transport::endpoint owner) {
+    const auto said = co_await ask_owner(desk, request, call, owner);
+    if (said == owner_answer::answered) {
+        desk->owners.insert_or_assign(call.batch, owner);
+        co_return true;
+    }
+    desk->owners.erase(call.batch);
+    co_return false;
+}
+
+/// A call that a peer has passed on: answered only if this host owns the batch, or nothing is left
+/// to run.
+loop::task<void> serve_passed(std::shared_ptr<batch_desk> desk, loop::served_request& request,
+                              batch_call call) {
+    auto loaded = co_await get_batch(desk, call.batch);
+    if (!loaded.batch) {
+        co_await answer_status(request, loaded.missing ? 404 : 503);
+        co_return;
+    }
+    auto one = loaded.batch;
+    if (!one->owned && owns_by_log(*one) && !is_over(one->state)) {
+        // This process has started anew, or the caller came before the submission was answered.
+        const bool whole = co_await catch_up(one);
+        if (whole && owns_by_log(*one)) {
+            co_await take_over(one, "asked as owner");
+        }
+    }
+    if (!one->owned && !is_over(one->state)) {
+        co_await answer_status(request, status_other_owner);
+        co_return;
+    }
+    call.wait = std::min(call.wait, passed_wait);
+    co_await answer_call(one, request, call);
+}
+
+loop::task<void> announce(std::shared_ptr<host> self, std::string id) {
+    transport::http_request message;
+    message.method = "POST";
+    message.path = owner_path;
+    message.query = "id=" + id + "&at=" + to_string(self->settings.peers);
+    message.headers.push_back({"Host", "peer"});
+    for (const auto& [name, peer] : std::map(self->peers)) {
+        if (peer.zone == self->settings.zone) {
+            co_await loop::call(self->connections, peer.where, message,
+                                loop::after(owner_allowance), owner_connect);
+        }
+    }
+}
+
+} // namespace
+
+loop::task<void> submit_batch(std::shared_ptr<batch_desk> desk, loop::served_request& request,
+                              caller_request facts) {
+    auto self = desk->self;
+    const auto body = nlohmann::json::parse(request.message.body, nullptr, false);
+    auto spec = self->wire.submission(body);
+    if (!spec) {
+        co_await reject(*self, request, facts.id, spec.error().detail, 400);
+        co_return;
+    }
+    const auto received = self->now();
+    batch_header header;
+    header.id = facts.id;
+    header.host = facts.host;
+    header.path = request.message.path;
+    header.owner = self->settings.host;
+    header.owner_at = self->settings.peers;
+    header.received_ms = self->clock.wall_now().unix_ms;
+    const auto stored = co_await store_batch(self, header, request.message.body);
+    if (stored == store_fault::refused) {
+        note(*self, batch_refused, {{"id", facts.id}, {"why", "store out of reach"}});
+        co_await refuse(*self, request, facts.id, "platform_unavailable", come_back_later);
+        co_return;
+    }
+    if (stored != store_fault::none && stored != store_fault::conflict) {
+        // It may exist, and then another submission of it finds it.
+        note(*self, batch_refused, {{"id", facts.id}, {"why", to_string(stored)}});
+        co_await fail(*self, request, facts.id, "store did not answer", true);
+        co_return;
+    }
+    note(*self, batch_accepted,
+         {{"id", facts.id},
+          {"again", stored == store_fault::conflict},
+          {"items", static_cast<std::uint64_t>(spec.value().items.size())},
+          {"oldest_version", spec.value().oldest_version},
+          {"wanted", spec.value().groups_wanted},
+          {"bytes", static_cast<std::uint64_t>(request.message.body.size())},
+          {"ms", ms_between(received, self->now())}});
+    if (stored == store_fault::none && !desk->known.contains(facts.id)) {
+        auto one = std::make_shared<live_batch>(
+            self, make_batch(std::move(header), std::move(spec.value()), received));
+        one->used = self->now();
+        desk->known.emplace(facts.id, one);
+        start_driving(one);
+        loop::asio::co_spawn(self->io, announce(self, facts.id), loop::asio::detached);
+    }
+    co_await answer_status(request, 202);
+}
+
+loop::task<void> serve_batch_call(std::shared_ptr<batch_desk> desk, loop::served_request& request,
+                                  batch_call call, bool by_peer) {
+    auto self = desk->self;
+    if (by_peer) {
+        co_await serve_passed(desk, request, call);
+        co_return;
+    }
+    const auto known = desk->known.find(call.batch);
+    if (known != desk->known.end() && (known->second->owned || is_over(known->second->state))) {
+        co_await answer_call(known->second, request, call);
+        co_return;
+    }
+    const auto owner = desk->owners.find(call.batch);
+    if (owner != desk->owners.end()) {
+        const transport::endpoint where = owner->second;
+        const bool served = co_await try_owner(desk, request, call, where);
+        if (served) {
+            co_return;
+        }
+    }
+    auto loaded = co_await get_batch(desk, call.batch);
+    if (loaded.missing) {
+        co_await answer_status(request, 404);
+        co_return;
+    }
+    const bool whole = loaded.batch && co_await catch_up(loaded.batch);
+    if (!whole) {
+        co_await refuse(*self, request, call.batch, "platform_unavailable", come_back_later);
+        co_return;
+    }
+    auto one = loaded.batch;
+    if (!one->owned && !is_over(one->state) && !owns_by_log(*one)) {
+        const bool served = co_await try_owner(desk, request, call, one->state.header.owner_at);
+        if (served) {
+            co_return;
+        }
+    }
+    if (call.what == batch_call::verb::read_results) {
+        co_await take_over(one, "owner silent");
+    }
+    co_await answer_call(one, request, call);
+}
+
+loop::task<void> adopt_batch(std::shared_ptr<batch_desk> desk, std::string id) {
+    auto loaded = co_await get_batch(desk, id);
+    if (!loaded.batch) {
+        co_return;
+    }
+    const bool whole = co_await catch_up(loaded.batch);
+    if (whole && owns_by_log(*loaded.batch)) {
+        loaded.batch->used = desk->self->now();
+        co_await take_over(loaded.batch, "handed over");
+    }
+}
+
+void note_owner(batch_desk& desk, std::string id, transport::endpoint owner) {
+    desk.owners.insert_or_assign(std::move(id), std::move(owner));
+}
+
+namespace {
+
+/// The peer that takes the batches: one of this zone if there is any.
+std::optional<host_entry> choose_heir(host& self) {
+    std::vector<host_entry> near;
+    std::vector<host_entry> far;
+    for (const auto& [name, peer] : self.peers) {
+        (peer.zone == self.settings.zone ? near : far).push_back(peer);
+    }
+    const auto& from = near.empty() ? far : near;
+    if (from.empty()) {
+        return std::nullopt;
+    }
+    return from[self.random() % from.size()];
+}
+
+loop::task<void> hand_over(std::shared_ptr<batch_desk> desk, live_batch_ptr one) {
+    auto self = desk->self;
+    const auto heir = choose_heir(*self);
+    if (!heir) {
+        co_return;
+    }
+    transport::http_request message;
+    message.method = "POST";
+    message.path = adopt_path;
+    message.query = "id=" + one->state.header.id;
+    message.headers.push_back({"Host", "peer"});
+    const auto make = [heir](const live_batch& now) -> std::optional<log_entry> {
+        if (!now.owned) {
+            return std::nullopt;
+        }
+        auto entry = next_entry(now.state);
+        for (std::size_t at = 0; at < now.state.items.size(); ++at) {
+            const auto& done = now.state.items[at].done;
+            if (done.whole || done.last_event > now.state.items[at].saved_event) {
+                entry.partials.insert_or_assign(now.state.spec.items[at].id, done);
+            }
+        }
+        entry.new_owner = heir->name;
+        entry.new_owner_at = heir->where;
+        return entry;
+    };
+    // The runs stop first: what is handed over must not go on here.
+    one->handing_over = true;
+    stop_runs(*one);
+    const bool stored = co_await append_entry(one, make, self->now() + hand_over_patience);
+    one->handing_over = false;
+    if (!stored) {
+        co_return;
+    }
+    desk->owners.insert_or_assign(one->state.header.id, heir->where);
+    co_await loop::call(self->connections, heir->where, std::move(message),
+                        loop::after(hand_over_patience), owner_connect);
+}
+
+} // namespace
+
+loop::task<void> hand_over_all(std::shared_ptr<batch_desk> desk) {
+    const auto all = desk->known;
+    for (const auto& [id, one] : all) {
+        if (one->owned && !is_over(one->state)) {
+            loop::asio::co_spawn(desk->self->io, hand_over(desk, one), loop::asio::detached);
+        }
+    }
+    co_return;
+}
+
+void forget_unused(batch_desk& desk) {
+    const auto now = desk.self->now();
+    std::erase_if(desk.known, [now](const auto& entry) {
+        return !entry.second->owned && now - entry.second->used > unused_most;
+    });
+}
+
+} // namespace cornelloom::front
--- /dev/null
+++ b/src/front/batch_drive.hpp
@@ -0,0 +1,13 @@
+#pragma once
+
+#include "front/live_batch.hpp"
+
+namespace cornelloom::front {
+
+/// Starts to run the batch's items on this host, which must be its owner by the batch's log.
+void start_driving(live_batch_ptr one);
+
+/// Stops every run of the batch; items go on from what their texts have.
+void stop_runs(live_batch& one);
+
+} // namespace cornelloom::front
--- /dev/null
+++ b/src/front/batch_log.cpp
@@ -0,0 +1,240 @@
+#include "front/batch_log.hpp"
+
+#include "front/records.hpp"
+
+namespace cornelloom::front {
+
+namespace {
+
+/// Between two tries of a write that the store has not taken.
+constexpr loop::milliseconds retry_pause{120};
+/// Tries of each call of a submission: its caller waits and comes again at another host.
+constexpr int store_tries = 3;
+/// Clocks of two hosts may differ by so much; an item is rather given up late than early.
+constexpr milliseconds clock_margin{2500};
+
+/// Creates an object whose content is fixed by its name: it exists already after a lost answer.
+loop::task<store_fault> create_once(std::shared_ptr<host> self, object_kind kind, std::string name,
+                                    std::string value) {
+    store_fault last = store_fault::refused;
+    bool doubtful = false;
+    for (int tries = 0; tries < store_tries; ++tries) {
+        auto answer = co_await call_store(self->store, self->wire.create(kind, name, value));
+        last = answer.fault;
+        if (last != store_fault::refused && last != store_fault::unknown) {
+            co_return last;
+        }
+        doubtful = doubtful || last == store_fault::unknown;
+        co_await loop::pause_for(self->io, retry_pause);
+    }
+    co_return doubtful ? store_fault::unknown : last;
+}
+
+loop::task<std::optional<std::string>> read_parts(std::shared_ptr<host> self, std::string id,
+                                                  int parts) {
+    std::string text;
+    for (int part = 0; part < parts; ++part) {
+        const auto name = entry_name(id, static_cast<std::uint64_t>(part));
+        auto answer =
+            co_await call_store(self->store, self->wire.get(object_kind::batch_parts, name, false));
+        if (answer.fault != store_fault::none) {
+            co_return std::nullopt;
+        }
+        const auto object = self->wire.object(answer.body);
+        if (!object || !object.value().specification.is_string()) {
+            note(*self, object_unreadable, {{"kind", "batch_parts"}, {"id", name}});
+            co_return std::nullopt;
+        }
+        text += object.value().specification.get<std::string>();
+    }
+    co_return text;
+}
+
+enum class log_read { entry, end, unreadable, unavailable };
+
+struct read_entry_result {
+    log_read what = log_read::unavailable;
+    log_entry entry{};
+};
+
+std::optional<log_entry> entry_in(host& self, std::string_view name, std::string_view body) {
+    const auto object = self.wire.object(body);
+    if (object) {
+        auto entry = decode_entry(object.value().specification);
+        if (entry) {
+            return std::move(entry.value());
+        }
+    }
+    note(self, object_unreadable, {{"kind", "batch_log"}, {"id", name}});
+    return std::nullopt;
+}
+
+loop::task<read_entry_result> read_entry(std::shared_ptr<host> self, std::string name) {
+    auto answer =
+        co_await call_store(self->store, self->wire.get(object_kind::batch_log, name, false));
+    read_entry_result out;
+    if (answer.fault == store_fault::not_found) {
+        out.what = log_read::end;
+    } else if (answer.fault == store_fault::none) {
+        auto entry = entry_in(*self, name, answer.body);
+        out.what = entry ? log_read::entry : log_read::unreadable;
+        out.entry = entry.value_or(log_entry{});
+    }
+    co_return out;
+}
+
+/// Another host may have become the owner, or the caller may have ended the batch.
+void take_entry(live_batch& one, const log_entry& entry) {
+    apply_entry(one.state, entry);
+    const auto& own = one.self->settings.host;
+    if (one.owned && one.state.header.owner != own) {
+        one.owned = false;
+        note(*one.self, batch_left,
+             {{"id", one.state.header.id},
+              {"owner", one.state.header.owner},
+              {"entry", one.state.next_entry}});
+    }
+    one.changed.open();
+}
+
+} // namespace
+
+loop::task<store_fault> store_batch(std::shared_ptr<host> self, batch_header header,
+                                    std::string_view submission) {
+    const auto pieces = split_submission(submission, self->settings.value_bytes);
+    header.parts = static_cast<int>(pieces.size());
+    for (std::size_t part = 0; part < pieces.size(); ++part) {
+        const auto made = co_await create_once(self, object_kind::batch_parts,
+                                               entry_name(header.id, part), pieces[part]);
+        if (made != store_fault::none && made != store_fault::conflict) {
+            // The header is missing, so the batch does not exist, whatever became of this part.
+            co_return store_fault::refused;
+        }
+    }
+    const auto made =
+        co_await create_once(self, object_kind::batches, header.id, encode_header(header));
+    co_return made;
+}
+
+loop::task<loaded_batch> load_batch(std::shared_ptr<host> self, std::string id) {
+    loaded_batch out;
+    auto answer = co_await call_store(self->store, self->wire.get(object_kind::batches, id, false));
+    if (answer.fault == store_fault::not_found) {
+        out.missing = true;
+        co_return out;
+    }
+    if (answer.fault != store_fault::none) {
+        co_return out;
+    }
+    const auto object = self->wire.object(answer.body);
+    if (!object) {
+        note(*self, object_unreadable, {{"kind", "batches"}, {"id", id}});
+        co_return out;
+    }
+    auto header = decode_header(id, object.value().specification);
+    if (!header) {
+        note(*self, object_unreadable, {{"kind", "batches"}, {"id", id}});
+        co_return out;
+    }
+    auto text = co_await read_parts(self, id, header.value().parts);
+    if (!text) {
+        co_return out;
+    }
+    const auto body = nlohmann::json::parse(*text, nullptr, false);
+    auto spec = self->wire.submission(body);
+    if (!spec) {
+        note(*self, object_unreadable, {{"kind", "batches"}, {"id", id}});
+        co_return out;
+    }
+    const auto age = milliseconds(self->clock.wall_now().unix_ms - header.value().received_ms);
+    const auto known_age = std::max(age - clock_margin, milliseconds(0));
+    auto one = std::make_shared<live_batch>(
+        self,
+        make_batch(std::move(header.value()), std::move(spec.value()), self->now() - known_age));
+    const bool whole = co_await catch_up(one);
+    if (whole) {
+        out.batch = one;
+    }
+    co_return out;
+}
+
+loop::task<bool> catch_up(live_batch_ptr one) {
+    for (;;) {
+        const auto number = one->state.next_entry;
+        auto read = co_await read_entry(one->self, entry_name(one->state.header.id, number));
+        if (read.what == log_read::end) {
+            co_return true;
+        }
+        if (read.what != log_read::entry) {
+            co_return false;
+        }
+        // Someone else may have taken this entry in while the call was on its way.
+        if (one->state.next_entry == number) {
+            take_entry(*one, read.entry);
+        }
+    }
+}
+
+loop::task<bool> append_entry(live_batch_ptr one, entry_maker make, time_point until) {
+    auto self = one->self;
+    while (one->appending) {
+        co_await one->changed.wait(to_deadline(*self, until));
+        if (self->now() >= until) {
+            co_return false;
+        }
+    }
+    one->appending = true;
+    bool stored = false;
+    while (!stored) {
+        auto entry = make(*one);
+        if (!entry) {
+            break;
+        }
+        entry->writer = self->settings.host;
+        entry->nonce = self->random();
+        const auto number = one->state.next_entry;
+        const auto name = entry_name(one->state.header.id, number);
+        const auto value = encode_entry(*entry);
+        bool settled = false;
+        while (!settled && self->now() < until) {
+            auto answer = co_await call_store(
+                self->store, self->wire.create(object_kind::batch_log, name, value));
+            if (answer.fault == store_fault::none) {
+                take_entry(*one, *entry);
+                stored = settled = true;
+            } else if (answer.fault == store_fault::conflict) {
+                const auto there = entry_in(*self, name, answer.body);
+                if (!there) {
+                    break;
+                }
+                stored = there->nonce == entry->nonce;
+                take_entry(*one, *there);
+                settled = true;
+            } else {
+                note(*self, log_delayed,
+                     {{"id", one->state.header.id},
+                      {"entry", number},
+                      {"fault", to_string(answer.fault)}});
+                co_await loop::pause_for(self->io, retry_pause);
+            }
+        }
+        if (!settled) {
+            break;
+        }
+        if (stored) {
+            note(*self, log_written,
+                 {{"id", one->state.header.id},
+                  {"entry", number},
+                  {"results", static_cast<std::uint64_t>(entry->results.size())},
+                  {"partials", static_cast<std::uint64_t>(entry->partials.size())},
+                  {"ends", entry->ends},
+                  {"new_owner", entry->new_owner}});
+        }
+    }
+    one->appending = false;
+    one->state.last_flush = self->now();
+    one->changed.open();
+    co_return stored;
+}
+
+} // namespace cornelloom::front
--- /dev/null
+++ b/src/front/follower.cpp
@@ -0,0 +1,294 @@
+#include "front/follower.hpp"
+
+#include "front/records.hpp"
+
+#include <algorithm>
+#include <functional>
+#include <map>
+
+namespace cornelloom::front {
+
+namespace {
+
+/// A waiting call costs as much as any other: the longer it waits, the cheaper. Probes on the
+/// connection show a silent path within three seconds.
+constexpr loop::milliseconds watch_wait{20000};
+/// Through a peer, whose own way may fail as well, the wait is short.
+constexpr loop::milliseconds watch_wait_by_peer{2000};
+constexpr loop::milliseconds watch_allowance{1500};
+/// After a failed call.
+constexpr loop::milliseconds retry_pause{150};
+/// Changes of the list of targets come in bursts, one for each load of weights; waiting a little
+/// makes one call carry several. Far below the shortest bound, 2.5 s for a leaving target.
+constexpr loop::milliseconds targets_pause{250};
+/// Entries of one kind that vanish together: the platform has lost heartbeats, not targets.
+constexpr std::size_t vanish_together = 3;
+
+/// One kind of objects and what its changes mean.
+struct followed {
+    object_kind kind;
+    loop::milliseconds pause;
+    std::function<void(std::vector<stored_object>)> replace;
+    std::function<void(std::vector<object_change>)> change;
+    std::uint64_t at = 0; ///< Changes from this revision on are still to come; 0: list first.
+    bool out_of_touch = false;
+};
+
+using followed_ptr = std::shared_ptr<followed>;
+
+std::string_view name_of(object_kind kind) {
+    switch (kind) {
+    case object_kind::configuration:
+        return "configuration";
+    case object_kind::targets:
+        return "targets";
+    case object_kind::versions:
+        return "versions";
+    case object_kind::hosts:
+        return "hosts";
+    default:
+        return "other";
+    }
+}
+
+void note_touch(host& self, followed& one, store_fault fault) {
+    const bool lost = fault == store_fault::refused || fault == store_fault::unknown;
+    if (lost == one.out_of_touch) {
+        return;
+    }
+    one.out_of_touch = lost;
+    note(self, lost ? platform_lost : platform_back,
+         {{"watch", name_of(one.kind)}, {"at", one.at}, {"fault", to_string(fault)}});
+    if (!lost && one.kind == object_kind::targets) {
+        note_return(self.targets, self.now());
+    }
+}
+
+loop::task<bool> list_all(std::shared_ptr<host> self, followed_ptr one) {
+    std::vector<stored_object> all;
+    std::string after;
+    std::uint64_t at = 0;
+    for (bool more = true; more;) {
+        auto answer = co_await call_store(self->store, self->wire.list(one->kind, after));
+        note_touch(*self, *one, answer.fault);
+        if (answer.fault != store_fault::none) {
+            co_return false;
+        }
+        auto page = self->wire.page(answer.body);
+        if (!page) {
+            note(*self, object_unreadable,
+                 {{"kind", name_of(one->kind)}, {"problem", page.error().detail}});
+            co_return false;
+        }
+        // Changes since the first page may be missing from it: the watch starts there.
+        at = at == 0 ? page.value().at : at;
+        std::ranges::move(page.value().items, std::back_inserter(all));
+        more = page.value().more && !all.empty();
+        after = all.empty() ? std::string() : all.back().name;
+    }
+    one->replace(std::move(all));
+    one->at = at;
+    self->beliefs_changed.open();
+    co_return true;
+}
+
+loop::task<bool> watch_once(std::shared_ptr<host> self, followed_ptr one) {
+    const bool direct = self->store.direct_from <= loop::steady_clock::now();
+    const auto wait = direct ? watch_wait : watch_wait_by_peer;
+    auto answer = co_await call_store(self->store, self->wire.watch(one->kind, one->at, wait),
+                                      wait + watch_allowance);
+    note_touch(*self, *one, answer.fault);
+    if (answer.fault == store_fault::history_gone || answer.fault == store_fault::invalid ||
+        answer.fault == store_fault::not_found) {
+        one->at = 0;
+        co_return true;
+    }
+    if (answer.fault != store_fault::none) {
+        co_return false;
+    }
+    auto changes = self->wire.changes(answer.body);
+    if (!changes) {
+        note(*self, object_unreadable,
+             {{"kind", name_of(one->kind)}, {"problem", changes.error().detail}});
+        one->at = 0;
+        co_return false;
+    }
+    one->at = std::max(one->at, changes.value().at);
+    if (!changes.value().changes.empty()) {
+        one->change(std::move(changes.value().changes));
+        self->beliefs_changed.open();
+        co_await loop::pause_for(self->io, one->pause);
+    }
+    co_return true;
+}
+
+loop::task<void> follow(std::shared_ptr<host> self, followed_ptr one) {
+    for (;;) {
+        bool done = false;
+        if (one->at == 0) {
+            done = co_await list_all(self, one);
+        } else {
+            done = co_await watch_once(self, one);
+        }
+        if (!done) {
+            co_await loop::pause_for(self->io, retry_pause);
+        }
+    }
+}
+
+void start(const std::shared_ptr<host>& self, followed one) {
+    auto shared = std::make_shared<followed>(std::move(one));
+    loop::asio::co_spawn(self->io, follow(self, std::move(shared)), loop::asio::detached);
+}
+
+void take_configuration(host& self, const stored_object& object) {
+    auto read = self.wire.configuration_of(object.specification);
+    if (!read) {
+        note(self, object_unreadable,
+             {{"kind", "configuration"}, {"problem", read.error().detail}});
+        return;
+    }
+    const auto known = self.routes ? self.routes->source.version : 0;
+    // Never an older version than one that was in force in this process.
+    if (read.value().version <= known) {
+        return;
+    }
+    self.routes = index_routes(std::move(read.value()));
+    self.metrics.set("cornelloom_configuration_generation",
+                     static_cast<double>(self.routes->source.version));
+    note(self, configuration_in_force,
+         {{"version", self.routes->source.version},
+          {"before", known},
+          {"revision", object.revision},
+          {"routes", static_cast<std::uint64_t>(self.routes->source.routes.size())}});
+}
+
+std::optional<target_entry> read_target(host& self, const stored_object& object) {
+    auto read = self.wire.target(object);
+    if (!read) {
+        note(self, object_unreadable,
+             {{"kind", "targets"}, {"id", object.name}, {"problem", read.error().detail}});
+        return std::nullopt;
+    }
+    return read.value();
+}
+
+void note_target(host& self, const target_entry& entry) {
+    std::string versions;
+    for (const auto& [model, version] : entry.versions) {
+        versions += (versions.empty() ? "" : ",") + model + ":" + std::to_string(version);
+    }
+    note(self, target_changed,
+         {{"target", entry.id},
+          {"service", entry.service},
+          {"at", to_string(entry.where)},
+          {"draining", entry.draining},
+          {"versions", versions},
+          {"revision", entry.revision}});
+}
+
+void list_targets(host& self, std::vector<stored_object> all) {
+    std::vector<target_entry> entries;
+    for (const auto& object : all) {
+        if (auto entry = read_target(self, object)) {
+            entries.push_back(std::move(*entry));
+        }
+    }
+    replace_targets(self.targets, std::move(entries), self.now());
+}
+
+void change_targets(host& self, const std::vector<object_change>& changes) {
+    const auto gone = std::ranges::count_if(changes, &object_change::deleted);
+    if (static_cast<std::size_t>(gone) >= vanish_together) {
+        note_return(self.targets, self.now());
+    }
+    for (const auto& change : changes) {
+        if (change.deleted) {
+            note(self, target_changed, {{"target", change.object.name}, {"gone", true}});
+            remove_target(self.targets, change.object.name, self.now());
+            continue;
+        }
+        if (auto entry = read_target(self, change.object)) {
+            note_target(self, *entry);
+            put_target(self.targets, std::move(*entry), self.now());
+        } else {
+            remove_target(self.targets, change.object.name, self.now());
+        }
+    }
+}
+
+void take_version(host& self, const stored_object& object) {
+    auto read = self.wire.version(object.specification);
+    if (!read) {
+        note(self, object_unreadable, {{"kind", "versions"}, {"problem", read.error().detail}});
+        return;
+    }
+    auto& known = self.named_versions[read.value().model];
+    if (read.value().version > known) {
+        known = read.value().version;
+        note(self, version_named,
+             {{"model", read.value().model}, {"version", known}, {"revision", object.revision}});
+    }
+}
+
+void take_peer(host& self, const stored_object& object) {
+    if (object.name == self.settings.host) {
+        return;
+    }
+    auto read = decode_host(object.name, object.specification);
+    if (read) {
+        self.peers[object.name] = std::move(read.value());
+    } else {
+        note(self, object_unreadable, {{"kind", "hosts"}, {"problem", read.error().detail}});
+    }
+}
+
+/// Kinds whose objects are taken one by one and never forgotten.
+followed take_each(const std::shared_ptr<host>& self, object_kind kind,
+                   void (*take)(host&, const stored_object&)) {
+    return {kind, loop::milliseconds{0},
+            [self, take](std::vector<stored_object> all) {
+                std::ranges::for_each(all,
+                                      [&](const stored_object& object) { take(*self, object); });
+            },
+            [self, take](std::vector<object_change> changes) {
+                for (const auto& change : changes) {
+                    if (!change.deleted) {
+                        take(*self, change.object);
+                    }
+                }
+            }};
+}
+
+loop::task<void> keep_announcing(std::shared_ptr<host> self) {
+    const host_entry own{self->settings.host, self->settings.zone, self->settings.peers};
+    const auto record = encode_host(own);
+    const auto kind = object_kind::hosts;
+    for (;;) {
+        auto made = co_await call_store(self->store, self->wire.create(kind, own.name, record));
+        if (made.fault == store_fault::conflict) {
+            made = co_await call_store(self->store, self->wire.replace(kind, own.name, record, 0));
+        }
+        if (made.fault == store_fault::none) {
+            co_return;
+        }
+        co_await loop::pause_for(self->io, retry_pause);
+    }
+}
+
+} // namespace
+
+void follow_platform(const std::shared_ptr<host>& self) {
+    start(self, take_each(self, object_kind::configuration, take_configuration));
+    start(self, take_each(self, object_kind::versions, take_version));
+    start(self, take_each(self, object_kind::hosts, take_peer));
+    start(self, {object_kind::targets, targets_pause,
+                 [self](std::vector<stored_object> all) { list_targets(*self, std::move(all)); },
+                 [self](std::vector<object_change> changes) { change_targets(*self, changes); }});
+}
+
+void announce_host(const std::shared_ptr<host>& self) {
+    loop::asio::co_spawn(self->io, keep_announcing(self), loop::asio::detached);
+}
+
+} // namespace cornelloom::front
--- /dev/null
+++ b/src/front/host.cpp
@@ -0,0 +1,43 @@
+#include "front/host.hpp"
+
+#include "kernel/hash.hpp"
+#include "kernel/registry.hpp"
+
+#include <cstdlib>
+#include <iostream>
+
+namespace cornelloom::front {
+
+const adapter& the_adapter() {
+    const auto* found = kernel::plugin_registry<adapter>::instance().find("platform");
+    if (found == nullptr) {
+        std::cerr << "cornelloom: built without the platform's adapter\n";
+        std::exit(EXIT_FAILURE);
+    }
+    return *found;
+}
+
+host::host(loop::io_context& loop, const adapter& platform, host_settings given)
+    : io(loop), wire(platform), settings(std::move(given)), connections(loop),
+      store(connections, settings.platform),
+      random(kernel::hash64(settings.host) ^ static_cast<std::uint64_t>(clock.wall_now().unix_ms)),
+      beliefs_changed(loop) {}
+
+void note(host& self, const kernel::event& kind, std::initializer_list<kernel::field> fields) {
+    auto& rate = self.line_rates[kind.number];
+    const auto now = self.now();
+    if (now - rate.second >= std::chrono::seconds(1)) {
+        if (rate.dropped > 0) {
+            kernel::log(lines_dropped, {{"of", kind.name}, {"lines", rate.dropped}});
+        }
+        rate = {now, 0, 0};
+    }
+    if (++rate.lines > lines_per_second_most) {
+        ++rate.dropped;
+        self.metrics.count("cornelloom_log_lines_dropped_total");
+        return;
+    }
+    kernel::log(kind, fields);
+}
+
+} // namespace cornelloom::front
--- /dev/null
+++ b/src/front/host.hpp
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "front/adapter.hpp"
+#include "front/events.hpp"
+#include "front/routing.hpp"
+#include "front/store_client.hpp"
+#include "front/targets.hpp"
+#include "kernel/clock.hpp"
+#include "kernel/metrics.hpp"
+#include "loop/gate.hpp"
+
+#include <initializer_list>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+
+namespace cornelloom::front {
+
+/// What one process believes; everything on its loop works on this.
+struct host {
+    host(loop::io_context& loop, const adapter& platform, host_settings given);
+
+    loop::io_context& io;
+    const adapter& wire;
+    host_settings settings;
+    kernel::runtime_clock clock{};
+    kernel::metrics metrics{};
+    loop::connection_pool connections;
+    store_client store;
+    std::mt19937_64 random;
+    std::uint64_t salt = random();
+
+    std::shared_ptr<const route_index> routes{}; ///< Null until a configuration is known.
+    target_table targets{};
+    std::map<std::string, int, std::less<>> named_versions{}; ///< By model.
+    std::map<std::string, host_entry, std::less<>> peers{};   ///< Without this host.
+    loop::gate beliefs_changed; ///< Opened when any of the above changes.
+    bool stopping = false;
+
+    struct line_rate {
+        time_point second{};
+        std::uint64_t lines = 0;
+        std::uint64_t dropped = 0;
+    };
+
+    std::map<int, line_rate> line_rates{}; ///< By event number.
+
+    [[nodiscard]] time_point now() const { return clock.now(); }
+
+    [[nodiscard]] distance here() const { return {salt, settings.zone, &settings.region_of_zone}; }
+};
+
+/// Lines of one kind in a second: at the busiest days of both users under fifty; a hundred times
+/// the load costs no more than this.
+inline constexpr std::uint64_t lines_per_second_most = 100;
+
+/// Writes a line, unless its kind has had its lines of this second.
+void note(host& self, const kernel::event& kind, std::initializer_list<kernel::field> fields);
+
+/// Milliseconds between two points of time.
+[[nodiscard]] inline double ms_between(time_point from, time_point to) {
+    return std::chrono::duration<double, std::milli>(to - from).count();
+}
+
+/// The deadline of socket operations that is this far from the host's `now`.
+[[nodiscard]] inline loop::deadline to_deadline(const host& self, time_point when) {
+    return loop::steady_clock::now() +
+           std::chrono::duration_cast<loop::steady_clock::duration>(when - self.now());
+}
+
+} // namespace cornelloom::front
--- /dev/null
+++ b/src/front/load_plan.cpp
@@ -0,0 +1,117 @@
+#include "front/load_plan.hpp"
+
+#include <algorithm>
+#include <optional>
+#include <tuple>
+
+namespace cornelloom::front {
+
+namespace {
+
+int version_at(const load_candidate& target, std::string_view model) {
+    const auto found = target.versions.find(model);
+    return found == target.versions.end() ? 0 : found->second;
+}
+
+/// Other models that the target serves fresh: each of them shares its slots.
+int other_models(const load_candidate& target, std::span<const model_need> needs,
+                 std::string_view model) {
+    return static_cast<int>(std::ranges::count_if(needs, [&](const model_need& need) {
+        return need.model != model && need.version > 1 &&
+               version_at(target, need.model) >= std::max(need.version - 1, 2);
+    }));
+}
+
+/// Smaller is better. A target with the version before serves the running step and is taken last;
+/// one of two versions before belongs to the model already.
+auto rank(const load_candidate& target, std::span<const model_need> needs, const model_need& need) {
+    const int has = version_at(target, need.model);
+    const bool serves_now = has == need.version - 1 && has > 1;
+    const bool belongs = has >= need.version - 2 && has > 1;
+    return std::tuple(serves_now, !belongs, other_models(target, needs, need.model),
+                      target.running);
+}
+
+const load_candidate* best_target(std::span<const load_candidate> targets,
+                                  std::span<const model_need> needs, const model_need& need) {
+    const load_candidate* best = nullptr;
+    for (const auto& target : targets) {
+        if (target.busy || !target.usable || version_at(target, need.model) >= need.version) {
+            continue;
+        }
+        if (best == nullptr || rank(target, needs, need) < rank(*best, needs, need)) {
+            best = &target;
+        }
+    }
+    return best;
+}
+
+std::size_t count_at_least(std::span<const load_candidate> targets, const model_need& need,
+                           int version) {
+    return static_cast<std::size_t>(std::ranges::count_if(targets, [&](const auto& target) {
+        return target.usable && version_at(target, need.model) >= version;
+    }));
+}
+
+/// How far a model is from what it should have; 0: it has enough.
+double lack(std::span<const load_candidate> targets, const model_need& need, std::size_t share) {
+    const std::size_t newest_wanted = (share + 1) / 2;
+    const auto newest = count_at_least(targets, need, need.version);
+    const auto fresh = count_at_least(targets, need, need.version - 1);
+    if (newest < newest_wanted) {
+        return 1 + static_cast<double>(newest_wanted - newest) / static_cast<double>(newest_wanted);
+    }
+    return fresh < share ? static_cast<double>(share - fresh) / static_cast<double>(share) : 0;
+}
+
+} // namespace
+
+std::size_t loads_at_once(std::size_t targets) {
+    constexpr std::size_t fewest = 2;
+    constexpr std::size_t targets_for_each = 5;
+    return std::max(fewest, targets / targets_for_each);
+}
+
+std::size_t targets_per_model(std::size_t targets, std::size_t models) {
+    if (models == 0 || targets == 0) {
+        return 0;
+    }
+    // One more than an equal share: a model goes on with two targets while one of them is slow.
+    return std::min(targets, std::max<std::size_t>(2, (targets + models - 1) / models + 1));
+}
+
+std::vector<load_choice> plan_loads(std::span<const model_need> needs,
+                                    std::span<const load_candidate> targets, std::size_t at_once) {
+    std::vector<load_candidate> state(targets.begin(), targets.end());
+    const auto usable = static_cast<std::size_t>(
+        std::ranges::count_if(state, [](const load_candidate& target) { return target.usable; }));
+    auto busy = static_cast<std::size_t>(
+        std::ranges::count_if(state, [](const load_candidate& target) { return target.busy; }));
+    const auto share = targets_per_model(usable, needs.size());
+    std::vector<load_choice> out;
+    while (busy < at_once) {
+        const model_need* neediest = nullptr;
+        double most = 0;
+        for (const auto& need : needs) {
+            const double lacks = need.version > 1 ? lack(state, need, share) : 0;
+            if (lacks > most && best_target(state, needs, need) != nullptr) {
+                neediest = &need;
+                most = lacks;
+            }
+        }
+        if (neediest == nullptr) {
+            break;
+        }
+        const auto* chosen = best_target(state, needs, *neediest);
+        auto& target = state[static_cast<std::size_t>(chosen - state.data())];
+        target.versions[neediest->model] = neediest->version;
+        target.busy = true;
+        ++busy;
+        const auto runs =
+            neediest->single_version ? load_order::mode::wait : load_order::mode::keep;
+        out.push_back({target.id, neediest->model, neediest->version, runs});
+    }
+    return out;
+}
+
+} // namespace cornelloom::front
--- /dev/null
+++ b/src/front/placement.cpp
@@ -0,0 +1,133 @@
+#include "front/placement.hpp"
+
+#include <algorithm>
+
+namespace cornelloom::front {
+
+namespace {
+
+/// A target counts as slow at this multiple of the median pace. A full batch costs 12%, two paces
+/// of prefill more; impaired targets of both users run at 2.7 times and more.
+constexpr double slow_factor = 1.7;
+/// Gain that a move must promise, in ms: a cancelled request, a round trip, the prompt once more.
+constexpr double move_gain_ms = 250;
+/// Silence that a load of new weights (0.9 s, longer when several load) does not explain.
+constexpr double silent_limit_ms = 1300;
+/// A run that has not begun waits for a slot behind others; it goes where there is one.
+constexpr double queue_limit_ms = 400;
+/// Beyond this a target that has not begun a run is taken for dead.
+constexpr double start_limit_ms = 4000;
+/// Before any pace is known, in ms an event: both users' engines are near it.
+constexpr double first_pace_ms = 40;
+/// Items of this host that may wait at a target for their first event, as a part of its slots.
+/// Other hosts fill the same slots; a full target shows by events that do not come, and this is
+/// what it can hold up. An empty one has taken 16 items after four round trips.
+constexpr int unstarted_share = 4;
+/// What one more run adds to the time of each token on a target, as a share.
+constexpr double share_per_run = 0.008;
+
+double pace_of(const target_table& table, const target_state& target) {
+    if (target.pace_ms > 0) {
+        return target.pace_ms;
+    }
+    return median_pace(table, target.entry.service).value_or(first_pace_ms);
+}
+
+bool serves(const target_state& target, const run_need& need, time_point now) {
+    if (target.entry.service != need.service || target.entry.draining) {
+        return false;
+    }
+    const auto loading = target.loading_until.find(need.model);
+    if (loading != target.loading_until.end() && loading->second > now) {
+        return false;
+    }
+    const auto loaded = target.entry.versions.find(need.model);
+    if (loaded == target.entry.versions.end()) {
+        return need.model.empty();
+    }
+    return need.exact_version > 0 ? loaded->second == need.exact_version
+                                  : loaded->second >= need.oldest_version;
+}
+
+bool has_room(const target_state& target) {
+    const int slots = std::max(target.entry.slots, 1);
+    return target.running < slots && target.unstarted < std::max(1, slots / unstarted_share);
+}
+
+/// Time to the end of the item at that target.
+double end_ms(const target_table& table, const target_state& target, double events_left,
+              const distance& from) {
+    return events_left * pace_of(table, target) * (1 + share_per_run * target.running) +
+           distance_ms(from, target.entry.zone) / 2 + spread(from, target.entry.id);
+}
+
+} // namespace
+
+std::optional<double> median_pace(const target_table& table, std::string_view service) {
+    std::vector<double> paces;
+    for (const auto& [id, target] : table.by_id) {
+        if (target.entry.service == service && target.pace_ms > 0) {
+            paces.push_back(target.pace_ms);
+        }
+    }
+    if (paces.empty()) {
+        return std::nullopt;
+    }
+    const auto middle = paces.begin() + static_cast<std::ptrdiff_t>((paces.size() - 1) / 2);
+    std::ranges::nth_element(paces, middle);
+    return *middle;
+}
+
+bool is_slow(const target_table& table, const target_state& target) {
+    const auto usual = median_pace(table, target.entry.service);
+    return usual && target.pace_ms > slow_factor * *usual;
+}
+
+target_state* choose_run(target_table& table, const run_need& need, const distance& from,
+                         time_point now) {
+    // Tokens and events differ by a constant; only the order of the targets counts.
+    constexpr double tokens_per_event = 47;
+    const double events = std::max(need.tokens_left / tokens_per_event, 1.0);
+    target_state* best = nullptr;
+    double best_end = 0;
+    for (auto& [id, target] : table.by_id) {
+        if (!serves(target, need, now) || !has_room(target) || target.avoid_until > now ||
+            id == need.avoid) {
+            continue;
+        }
+        const double end = end_ms(table, target, events, from);
+        if (best == nullptr || end < best_end) {
+            best = &target;
+            best_end = end;
+        }
+    }
+    return best;
+}
+
+run_verdict judge_run(target_table& table, const target_state& current,
+                      const run_progress& progress, const run_need& need, const distance& from,
+                      time_point now) {
+    const double limit = progress.started ? silent_limit_ms : start_limit_ms;
+    if (progress.silent_ms > limit) {
+        return run_verdict::move_silent;
+    }
+    const bool queued = !progress.started && progress.silent_ms > queue_limit_ms;
+    if (!queued && (!is_slow(table, current) || !progress.started)) {
+        return run_verdict::stay;
+    }
+    run_need elsewhere = need;
+    elsewhere.avoid = current.entry.id;
+    const auto* other = choose_run(table, elsewhere, from, now);
+    if (queued) {
+        return other != nullptr && other->unstarted == 0 ? run_verdict::move_queued
+                                                         : run_verdict::stay;
+    }
+    if (other == nullptr || is_slow(table, *other)) {
+        return run_verdict::stay;
+    }
+    const double here = end_ms(table, current, progress.events_left, from);
+    const double there = end_ms(table, *other, progress.events_left, from);
+    return here - there > move_gain_ms ? run_verdict::move_slow : run_verdict::stay;
+}
+
+} // namespace cornelloom::front
--- /dev/null
+++ b/src/front/placement.hpp
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "front/targets.hpp"
+
+#include <optional>
+#include <string_view>
+
+namespace cornelloom::front {
+
+/// What an item needs of a target.
+struct run_need {
+    std::string_view service;
+    std::string_view model;
+    int oldest_version = 0;
+    int exact_version = 0; ///< 0: any that is new enough.
+    double tokens_left = 0;
+    std::string_view avoid; ///< The target that it has just left; empty: none.
+};
+
+/// The target where the item is expected to end soonest, or null while none has room.
+///
+/// Load it is made for: bursts of some tens of items of very unequal length, on targets that batch
+/// up to `slots` of them at little cost and of which one may be several times slower than the
+/// others. It prevents long items on a slow target while quicker ones have slots, and never puts
+/// more of this host's items on a target than it has slots, so that what waits here can still go
+/// elsewhere.
+[[nodiscard]] target_state* choose_run(target_table& table, const run_need& need,
+                                       const distance& from, time_point now);
+
+/// Events that one token stands for in the estimate of a pace: unknown strides cancel out, because
+/// all targets of a service share them.
+struct run_progress {
+    double events_left = 0; ///< Expected.
+    double silent_ms = 0;   ///< Since the last event, or since the request was sent.
+    bool started = false;   ///< An event has come.
+};
+
+enum class run_verdict { stay, move_slow, move_silent, move_queued };
+
+/// Whether a run should be taken from its target and continued elsewhere.
+///
+/// A move costs a cancelled request, one round trip and the prompt once more, some 60 ms in all; a
+/// target three times as slow costs seconds over a long item. It moves when another target with
+/// room is expected to end it earlier by more than that, or when the target has been silent for
+/// longer than a load of new weights or a stolen slice of processor explains.
+[[nodiscard]] run_verdict judge_run(target_table& table, const target_state& current,
+                                    const run_progress& progress, const run_need& need,
+                                    const distance& from, time_point now);
+
+/// Usual pace of the service's targets in ms an event; nothing before any was measured.
+[[nodiscard]] std::optional<double> median_pace(const target_table& table,
+                                                std::string_view service);
+
+/// Whether the target is so much slower than the others that it gets no new weights.
+[[nodiscard]] bool is_slow(const target_table& table, const target_state& target);
+
+} // namespace cornelloom::front
--- /dev/null
+++ b/src/front/plain_call.hpp
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "front/host.hpp"
+
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace cornelloom::front {
+
+/// A request with a whole answer, for a target of a service.
+struct plain_call {
+    std::string id;
+    std::string service;
+    bool idempotent = false;
+    int runs_most = 1;         ///< Targets that may run it.
+    milliseconds objective{0}; ///< The latency objective of its route; 0: none.
+    time_point deadline{};
+    /// The request for a target, with what is left of the time.
+    std::function<transport::http_request(const forward_terms&)> make;
+};
+
+struct plain_outcome {
+    enum class state {
+        answered, ///< A target's answer, a failure of its own included.
+        not_run,  ///< No target has run it or will.
+        unknown,  ///< It may have run, and no answer is known.
+    };
+    state what = state::not_run;
+    transport::http_response answer{};
+    target_answer facts{};
+    std::string reason{}; ///< Of the last failed attempt.
+    int sends = 0;
+    int failures = 0; ///< Answers of status 500 among the attempts.
+};
+
+/// Lets a caller's side give a call up.
+struct call_control {
+    bool cancelled = false;
+    std::function<void()> cancel = [] {};
+};
+
+/// Sends the call to targets until one has answered it, as often as its kind allows.
+///
+/// Load it is made for: short requests with an objective of a few times their work, on targets of
+/// which some are slow, full or dying. A second target is asked when the first has taken three
+/// times the usual; a target that states that it did not run the request costs nothing but its
+/// round trip.
+loop::task<plain_outcome> run_plain(std::shared_ptr<host> self, plain_call call,
+                                    std::shared_ptr<call_control> control);
+
+/// When a second target is asked, counted from the first send.
+[[nodiscard]] milliseconds hedge_after(milliseconds objective, double usual_ms);
+
+} // namespace cornelloom::front
--- /dev/null
+++ b/src/front/process.cpp
@@ -0,0 +1,252 @@
+#include "front/process.hpp"
+
+#include "front/batch_desk.hpp"
+#include "front/follower.hpp"
+#include "front/gateway.hpp"
+#include "front/order_giver.hpp"
+
+#include <boost/asio/signal_set.hpp>
+
+#include <csignal>
+#include <fstream>
+#include <iostream>
+#include <iterator>
+
+namespace cornelloom::front {
+
+namespace {
+
+constexpr int settings_are_wrong = 2;
+constexpr int cannot_start = 3;
+
+/// Housekeeping: idle connections, vanished targets, unused batches.
+constexpr loop::milliseconds tick{250};
+/// The part of the time of grace after which the process ends by itself.
+constexpr double grace_used = 0.88;
+/// Descriptors that files, the log and the process's own sockets need.
+constexpr int reserved_descriptors = 400;
+/// Calls between hosts are small, but a peer may pass a whole submission on to the store.
+constexpr std::size_t peer_body_most = 64U << 20U;
+/// Connections between hosts are kept for longer than any pause between two calls.
+constexpr loop::milliseconds peer_idle{30000};
+/// How often a host that keeps nothing looks whether it is to be taken away.
+constexpr loop::milliseconds retirement_wait{20000};
+constexpr loop::milliseconds retry_pause{300};
+
+std::string read_file(const std::string& name) {
+    std::ifstream in(name, std::ios::binary);
+    return {std::istreambuf_iterator<char>(in), std::istreambuf_iterator<char>()};
+}
+
+void connect_peers(const std::shared_ptr<host>& self) {
+    // The store client belongs to the host, so it must not keep it alive.
+    auto* raw = self.get();
+    self->store.peers = [raw] {
+        std::vector<transport::endpoint> out;
+        for (const auto& [name, peer] : raw->peers) {
+            out.push_back(peer.where);
+        }
+        for (const auto& seed : raw->settings.seeds) {
+            if (seed != raw->settings.peers) {
+                out.push_back(seed);
+            }
+        }
+        std::ranges::shuffle(out, raw->random);
+        return out;
+    };
+    self->store.count = [raw](std::string_view outcome) {
+        const std::array labels{kernel::label{"outcome", outcome}};
+        raw->metrics.count("cornelloom_store_calls_total", labels);
+    };
+}
+
+void listen_for_callers(const std::shared_ptr<batch_desk>& desk) {
+    auto self = desk->self;
+    auto server = std::make_shared<loop::listener>();
+    server->io = &self->io;
+    server->handler = [desk](loop::served_request& request) { return serve_caller(desk, request); };
+    server->limits = [self] {
+        loop::caller_limits out;
+        if (self->routes) {
+            const auto& bounds = self->routes->source.bounds;
+            out = {bounds.header_bytes, bounds.body_bytes, bounds.header_time, bounds.idle_time};
+        }
+        return out;
+    };
+    server->closing = [self] { return self->stopping; };
+    server->open_connections_most = static_cast<std::size_t>(
+        std::max(self->settings.file_descriptors - reserved_descriptors, 100));
+    loop::start_listening(server, self->settings.callers);
+}
+
+/// Ready: a configuration is in force, and the process isn't about to end.
+loop::task<void> answer_readiness(std::shared_ptr<host> self, loop::served_request& request) {
+    const bool ready = self->routes != nullptr && !self->stopping;
+    transport::http_response answer{ready ? 200 : 503, {}, {}};
+    co_await request.answer(std::move(answer));
+}
+
+loop::task<void> answer_metrics(std::shared_ptr<host> self, loop::served_request& request) {
+    self->metrics.set("cornelloom_log_lines_lost", static_cast<double>(kernel::lost_lines()));
+    self->metrics.set("cornelloom_connections_opened",
+                      static_cast<double>(self->connections.opened));
+    transport::http_response answer{200, {{"Content-Type", "text/plain"}}, self->metrics.text()};
+    co_await request.answer(std::move(answer));
+}
+
+void listen_simply(const std::shared_ptr<host>& self, const transport::endpoint& where,
+                   loop::request_handler handler) {
+    auto server = std::make_shared<loop::listener>();
+    server->io = &self->io;
+    server->handler = std::move(handler);
+    server->limits = [] {
+        loop::caller_limits out;
+        out.body_bytes = peer_body_most;
+        out.idle_time = peer_idle;
+        return out;
+    };
+    loop::start_listening(server, where);
+}
+
+loop::task<void> keep_house(std::shared_ptr<batch_desk> desk) {
+    auto self = desk->self;
+    for (;;) {
+        co_await loop::pause_for(self->io, tick);
+        loop::close_stale(self->connections);
+        expire_vanished(self->targets, self->now());
+        forget_unused(*desk);
+    }
+}
+
+loop::task<void> stop(std::shared_ptr<batch_desk> desk) {
+    auto self = desk->self;
+    self->stopping = true;
+    note(*self, front_stopping, {{"host", self->settings.host}});
+    co_await hand_over_all(desk);
+    const auto grace =
+        std::chrono::duration_cast<loop::milliseconds>(self->settings.grace * grace_used);
+    co_await loop::pause_for(self->io, grace);
+    note(*self, front_stopped, {{"host", self->settings.host}});
+    self->io.stop();
+}
+
+/// Nothing in the settings can change while the process runs but what its next start needs; the
+/// signal is answered with a line, and open connections stay.
+void await_reload(const std::shared_ptr<host>& self, boost::asio::signal_set& signals,
+                  const std::string& file) {
+    signals.async_wait([&signals, self, file](const boost::system::error_code& ec, int) {
+        if (ec) {
+            return;
+        }
+        const auto read = self->wire.settings(read_file(file));
+        note(
+            *self, settings_reloaded,
+            {{"sound", read.has_value()}, {"problem", read ? std::string() : read.error().detail}});
+        await_reload(self, signals, file);
+    });
+}
+
+/// A host that only stores data has none of the system's: it may go at once.
+loop::task<void> answer_retirements(std::shared_ptr<host> self) {
+    const auto kind = object_kind::retirements;
+    const auto& name = self->settings.host;
+    std::uint64_t at = 0;
+    for (;;) {
+        auto found = co_await call_store(self->store, self->wire.get(kind, name, false));
+        if (found.fault == store_fault::none) {
+            const auto object = self->wire.object(found.body);
+            if (object && !object.value().status.is_object()) {
+                const auto done = co_await call_store(
+                    self->store,
+                    self->wire.replace_status(kind, name, self->wire.retirement_done()));
+                note(*self, retirement_answered,
+                     {{"host", name}, {"fault", to_string(done.fault)}});
+            }
+        }
+        auto page = co_await call_store(self->store, self->wire.list(kind, ""));
+        const auto read = self->wire.page(page.body);
+        at = page.fault == store_fault::none && read ? read.value().at : 0;
+        bool waiting = at != 0;
+        while (waiting) {
+            auto changes =
+                co_await call_store(self->store, self->wire.watch(kind, at, retirement_wait),
+                                    retirement_wait + store_call_limit);
+            const auto news = self->wire.changes(changes.body);
+            waiting = changes.fault == store_fault::none && news && news.value().changes.empty();
+            at = waiting ? news.value().at : at;
+        }
+        co_await loop::pause_for(self->io, retry_pause);
+    }
+}
+
+void start_serving(const std::shared_ptr<batch_desk>& desk) {
+    auto self = desk->self;
+    listen_for_callers(desk);
+    listen_simply(self, self->settings.readiness, [self](loop::served_request& request) {
+        return answer_readiness(self, request);
+    });
+    listen_simply(self, self->settings.peers,
+                  [desk](loop::served_request& request) { return serve_peer(desk, request); });
+    follow_platform(self);
+    announce_host(self);
+    start_order_giver(self);
+    loop::asio::co_spawn(self->io, keep_house(desk), loop::asio::detached);
+}
+
+} // namespace
+
+int run_process(const process_options& options) {
+    const auto& wire = the_adapter();
+    auto settings = wire.settings(read_file(options.settings_file));
+    if (!settings) {
+        std::cerr << options.settings_file << ": " << settings.error().detail << '\n';
+        return settings_are_wrong;
+    }
+    kernel::configure_log(kernel::log_format::json, kernel::event_level::info,
+                          kernel::log_sink::standard_output_async);
+    std::signal(SIGPIPE, SIG_IGN);
+    loop::io_context io(1);
+    auto self = std::make_shared<host>(io, wire, std::move(settings.value()));
+    connect_peers(self);
+    auto desk = std::make_shared<batch_desk>(self);
+    boost::asio::signal_set ends(io, SIGTERM, SIGINT);
+    boost::asio::signal_set reloads(io, SIGHUP);
+    try {
+        if (self->settings.serves_callers) {
+            start_serving(desk);
+        } else {
+            loop::asio::co_spawn(io, answer_retirements(self), loop::asio::detached);
+        }
+        if (options.metrics_port != 0) {
+            const transport::endpoint where{"0.0.0.0", options.metrics_port};
+            listen_simply(self, where, [self](loop::served_request& request) {
+                return answer_metrics(self, request);
+            });
+        }
+    } catch (const boost::system::system_error& problem) {
+        std::cerr << "cornelloom_frontd: " << problem.what() << '\n';
+        return cannot_start;
+    }
+    await_reload(self, reloads, options.settings_file);
+    ends.async_wait([&](const boost::system::error_code& ec, int) {
+        if (ec) {
+            return;
+        }
+        if (self->settings.serves_callers) {
+            loop::asio::co_spawn(io, stop(desk), loop::asio::detached);
+        } else {
+            note(*self, front_stopped, {{"host", self->settings.host}});
+            io.stop();
+        }
+    });
+    note(*self, front_started,
+         {{"host", self->settings.host},
+          {"zone", self->settings.zone},
+          {"serves_callers", self->settings.serves_callers}});
+    io.run();
+    // What still waits on the loop has no end of its own, so the process ends without unwinding it.
+    kernel::close_log();
+    std::_Exit(0);
+}
+
+} // namespace cornelloom::front
--- /dev/null
+++ b/src/front/records.cpp
@@ -0,0 +1,173 @@
+#include "front/records.hpp"
+
+#include <algorithm>
+
+namespace cornelloom::front {
+
+namespace {
+
+using json = nlohmann::json;
+
+kernel::error bad(std::string_view what) {
+    return {kernel::error_code::invalid_input, std::string(what)};
+}
+
+std::string dump(const json& value) {
+    return value.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+json encode_result(const item_result& result) {
+    return {{"id", result.id},       {"completed", result.completed},
+            {"text", result.text},   {"versions", result.versions},
+            {"score", result.score}, {"scored", result.scored}};
+}
+
+item_result decode_result(const json& value) {
+    item_result out;
+    out.id = value.at("id").get<std::string>();
+    out.completed = value.at("completed").get<bool>();
+    out.text = value.at("text").get<std::string>();
+    out.versions = value.at("versions").get<std::vector<int>>();
+    out.score = value.at("score").get<std::string>();
+    out.scored = value.at("scored").get<bool>();
+    return out;
+}
+
+partial_text decode_partial(const json& value) {
+    partial_text out;
+    out.last_event = value.at("last_event").get<std::int64_t>();
+    out.text = value.at("text").get<std::string>();
+    out.versions = value.at("versions").get<std::vector<int>>();
+    out.whole = value.at("whole").get<bool>();
+    return out;
+}
+
+/// The library reports a field that is missing or of another type by an exception.
+template <class Read>
+auto guarded(std::string_view what, Read read) -> kernel::result<decltype(read())> {
+    try {
+        return read();
+    } catch (const json::exception& fault) {
+        return bad(std::string(what) + ": " + fault.what());
+    }
+}
+
+transport::endpoint endpoint_of(const json& value, const char* name) {
+    const auto parsed = transport::parse_endpoint(value.at(name).get<std::string>());
+    return parsed ? parsed.value() : transport::endpoint{};
+}
+
+} // namespace
+
+std::string encode_header(const batch_header& header) {
+    return dump({{"host", header.host},
+                 {"path", header.path},
+                 {"owner", header.owner},
+                 {"owner_at", to_string(header.owner_at)},
+                 {"received_ms", header.received_ms},
+                 {"parts", header.parts}});
+}
+
+kernel::result<batch_header> decode_header(std::string_view id, const json& value) {
+    return guarded("batch", [&] {
+        batch_header out;
+        out.id = id;
+        out.host = value.at("host").get<std::string>();
+        out.path = value.at("path").get<std::string>();
+        out.owner = value.at("owner").get<std::string>();
+        out.owner_at = endpoint_of(value, "owner_at");
+        out.received_ms = value.at("received_ms").get<std::int64_t>();
+        out.parts = value.at("parts").get<int>();
+        return out;
+    });
+}
+
+std::string encode_entry(const log_entry& entry) {
+    json out = {{"writer", entry.writer}, {"nonce", entry.nonce}};
+    for (const auto& result : entry.results) {
+        out["results"].push_back(encode_result(result));
+    }
+    for (const auto& [id, partial] : entry.partials) {
+        out["partials"][id] = {{"last_event", partial.last_event},
+                               {"text", partial.text},
+                               {"versions", partial.versions},
+                               {"whole", partial.whole}};
+    }
+    if (entry.ends) {
+        out["ends"] = true;
+    }
+    if (!entry.new_owner.empty()) {
+        out["new_owner"] = entry.new_owner;
+        out["new_owner_at"] = to_string(entry.new_owner_at);
+    }
+    return dump(out);
+}
+
+kernel::result<log_entry> decode_entry(const json& value) {
+    return guarded("log entry", [&] {
+        log_entry out;
+        out.writer = value.at("writer").get<std::string>();
+        out.nonce = value.at("nonce").get<std::uint64_t>();
+        for (const auto& result : value.value("results", json::array())) {
+            out.results.push_back(decode_result(result));
+        }
+        const auto partials = value.value("partials", json::object());
+        for (const auto& [id, partial] : partials.items()) {
+            out.partials.emplace(id, decode_partial(partial));
+        }
+        out.ends = value.value("ends", false);
+        out.new_owner = value.value("new_owner", "");
+        if (!out.new_owner.empty()) {
+            out.new_owner_at = endpoint_of(value, "new_owner_at");
+        }
+        return out;
+    });
+}
+
+std::string encode_host(const host_entry& host) {
+    return dump({{"zone", host.zone}, {"at", to_string(host.where)}});
+}
+
+kernel::result<host_entry> decode_host(std::string_view name, const json& value) {
+    return guarded("host", [&] {
+        host_entry out;
+        out.name = name;
+        out.zone = value.at("zone").get<std::string>();
+        out.where = endpoint_of(value, "at");
+        return out;
+    });
+}
+
+std::string encode_lease(std::string_view holder, std::uint64_t renewal) {
+    // The counter makes each renewal a change: an equal write would leave the revision as it is.
+    return dump({{"holder", holder}, {"renewal", renewal}});
+}
+
+kernel::result<std::string> decode_lease(const json& value) {
+    return guarded("order lease", [&] { return value.at("holder").get<std::string>(); });
+}
+
+std::vector<std::string> split_submission(std::string_view text, std::size_t value_bytes) {
+    // As a JSON string each quote takes two bytes; the name and the revision stand beside it.
+    const std::size_t piece = std::max<std::size_t>(value_bytes / 2 - 512, 512);
+    std::vector<std::string> out;
+    std::size_t start = 0;
+    while (start < text.size() || out.empty()) {
+        auto stop = std::min(start + piece, text.size());
+        // No cut inside a character of several bytes.
+        while (stop < text.size() && stop > start + 1 &&
+               (static_cast<unsigned char>(text[stop]) & 0xC0U) == 0x80U) {
+            --stop;
+        }
+        out.push_back(dump(json(text.substr(start, stop - start))));
+        start = stop;
+    }
+    return out;
+}
+
+std::string entry_name(std::string_view batch, std::uint64_t number) {
+    const auto digits = std::to_string(1000000 + number).substr(1);
+    return std::string(batch) + "." + digits;
+}
+
+} // namespace cornelloom::front
--- /dev/null
+++ b/src/front/store_client.hpp
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "loop/exchange.hpp"
+
+#include <functional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace cornelloom::front {
+
+/// What became of a call to the platform's store.
+enum class store_fault {
+    none,
+    not_found,
+    conflict,     ///< The object exists, or has another revision; the answer holds it.
+    history_gone, ///< The watch asked for changes that are dropped.
+    refused,      ///< Nothing was done.
+    unknown,      ///< It may have been done, or will be seconds later.
+    invalid,      ///< The store did not take the call as it is.
+};
+
+[[nodiscard]] std::string_view to_string(store_fault fault);
+
+struct store_answer {
+    store_fault fault = store_fault::none;
+    std::string body{};
+    bool by_peer = false; ///< A peer passed the call on.
+};
+
+/// The one way to the platform's store.
+///
+/// The store may turn away this host while it serves others. Then calls go through a peer, which
+/// passes them on; each has an answer of the store itself, so nothing is believed that a peer says.
+struct store_client {
+    store_client(loop::connection_pool& pool, transport::endpoint platform)
+        : connections(&pool), address(std::move(platform)) {}
+
+    loop::connection_pool* connections;
+    transport::endpoint address;
+    std::function<std::vector<transport::endpoint>()> peers = [] {
+        return std::vector<transport::endpoint>();
+    }; ///< Those to ask, in this order.
+    std::function<void(std::string_view outcome)> count = [](std::string_view) {};
+    loop::deadline direct_from{}; ///< The direct way is tried again from then on.
+};
+
+/// Answers take 4 ms, some 250 ms on slow days; both users' stores come back or fail within
+/// seconds.
+inline constexpr loop::milliseconds store_call_limit{1500};
+
+/// Makes the call, directly or through a peer. `patience` is how long the store may think.
+loop::task<store_answer> call_store(store_client& client, transport::http_request request,
+                                    loop::milliseconds patience = store_call_limit);
+
+/// The path under which a host passes calls of its peers on to the store.
+inline constexpr std::string_view relay_path = "/relay";
+/// Tells that host for how long the store may think, in milliseconds.
+inline constexpr std::string_view patience_header = "Cornelloom-Patience-Ms";
+
+/// Passes a peer's call on. 503: nothing was done; 504: it may have been done.
+loop::task<transport::http_response>
+relay_call(store_client& client, transport::http_request request, loop::milliseconds patience);
+
+} // namespace cornelloom::front
--- a/src/kernel/event.cpp
+++ b/src/kernel/event.cpp
@@ -1,6 +1,7 @@
 #include "kernel/event.hpp"
 
 #include <fmt/format.h>
+#include <spdlog/async.h>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
@@ -11,6 +12,9 @@
 
 namespace {
 
+/// Lines that wait for the log's thread: some seconds of a busy host, under 2 MB.
+constexpr std::size_t queued_lines = 2048;
+
 std::atomic<log_format> current_format{log_format::text};
 
 spdlog::level::level_enum to_spdlog(event_level level) {
@@ -73,10 +77,18 @@
 
 } // namespace
 
-void configure_log(log_format format, event_level least) {
+void configure_log(log_format format, event_level least, log_sink sink) {
     current_format = format;
-    auto logger = std::make_shared<spdlog::logger>(
-        "cornelloom", std::make_shared<spdlog::sinks::stderr_sink_mt>());
+    std::shared_ptr<spdlog::logger> logger;
+    if (sink == log_sink::standard_output_async) {
+        spdlog::init_thread_pool(queued_lines, 1);
+        logger = std::make_shared<spdlog::async_logger>(
+            "cornelloom", std::make_shared<spdlog::sinks::stdout_sink_mt>(), spdlog::thread_pool(),
+            spdlog::async_overflow_policy::overrun_oldest);
+    } else {
+        logger = std::make_shared<spdlog::logger>(
+            "cornelloom", std::make_shared<spdlog::sinks::stderr_sink_mt>());
+    }
     logger->set_pattern(format == log_format::json
                             ? R"({"time":"%Y-%m-%dT%H:%M:%S.%e%z","level":"%l",%v})"
                             : "%Y-%m-%dT%H:%M:%S.%e %l %v");
@@ -85,6 +97,15 @@
     spdlog::set_default_logger(std::move(logger));
 }
 
+void close_log() {
+    spdlog::shutdown();
+}
+
+std::size_t lost_lines() {
+    const auto pool = spdlog::thread_pool();
+    return pool ? pool->overrun_counter() : 0;
+}
+
 void log(const event& kind, std::initializer_list<field> fields) {
     const auto level = to_spdlog(kind.level);
     if (!spdlog::should_log(level)) {
--- a/src/kernel/event.hpp
+++ b/src/kernel/event.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <initializer_list>
 #include <string>
@@ -12,7 +13,7 @@
 
 /// A kind of log line. Every definition stands in a file `src/<library>/events.hpp` and in
 /// docs/EVENTS.md; CI compares the two. Number ranges: kernel 1000, decide 2000, coord 3000,
-/// rollout 4000, transport 5000, config 6000, daemon 7000, command line 8000.
+/// rollout 4000, transport 5000, config 6000, daemon 7000, command line 8000, front 9000.
 struct event {
     int number;
     std::string_view name;
@@ -44,8 +45,22 @@
 
 enum class log_format { text, json };
 
-/// Sends the log to standard error in this format. Call once, before threads start.
-void configure_log(log_format format, event_level least);
+enum class log_sink {
+    standard_error,
+    /// Written by a thread of its own from a bounded queue: a line never waits for a slow reader.
+    /// When the queue is full, the oldest lines are lost; `lost_lines` counts them.
+    standard_output_async,
+};
+
+/// Sends the log to that sink in this format. Call once, before threads start.
+void configure_log(log_format format, event_level least,
+                   log_sink sink = log_sink::standard_error);
+
+/// Waits until every queued line is written. Call before the process ends.
+void close_log();
+
+/// Lines that a full queue has cost so far.
+[[nodiscard]] std::size_t lost_lines();
 
 void log(const event& kind, std::initializer_list<field> fields);
 
--- /dev/null
+++ b/src/loop/exchange.hpp
@@ -0,0 +1,114 @@
+#pragma once
+
+#include "loop/task.hpp"
+#include "transport/http.hpp"
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace cornelloom::loop {
+
+/// Why an exchange with a server ended without its whole answer.
+enum class exchange_fault {
+    none,
+    not_connected, ///< No connection, so nothing was sent.
+    broken,        ///< The connection ended early: what was sent may have run.
+    garbled,       ///< What came back is not an answer to this request.
+    timed_out,     ///< The deadline of the step passed.
+    aborted,       ///< This side gave it up.
+};
+
+[[nodiscard]] std::string_view to_string(exchange_fault fault);
+
+/// An open connection that no request uses.
+struct idle_connection {
+    std::unique_ptr<boost::beast::tcp_stream> stream;
+    deadline usable_until;
+};
+
+/// Connections kept open between exchanges, by server.
+struct connection_pool {
+    explicit connection_pool(io_context& loop) : io(&loop) {}
+
+    io_context* io;
+    std::map<transport::endpoint, std::vector<idle_connection>> idle;
+    std::uint64_t opened = 0; ///< New connections so far.
+};
+
+/// Closes what has been idle for too long. Call about once a second.
+void close_stale(connection_pool& pool);
+
+/// One request and its answer on one connection. At most one step runs at a time; `abort` may be
+/// called at any moment and ends the running step.
+class exchange {
+public:
+    exchange(connection_pool& pool, transport::endpoint server)
+        : pool_(&pool), server_(std::move(server)),
+          stream_(std::make_unique<boost::beast::tcp_stream>(*pool.io)) {}
+
+    /// Takes an idle connection if `reuse`, else opens one.
+    task<exchange_fault> open(deadline until, bool reuse);
+
+    /// Writes the request; a long body goes on in the background, for a server may answer first.
+    task<exchange_fault> send(const transport::http_request& request, deadline until);
+
+    task<exchange_fault> read_head(deadline until);
+
+    /// The next bytes of the body; none once the body is complete.
+    task<exchange_fault> read_piece(deadline until, std::string& piece);
+
+    /// What is left of the body, at most `limit` bytes.
+    task<exchange_fault> read_rest(deadline until, std::string& body, std::size_t limit);
+
+    [[nodiscard]] int status() const;
+
+    [[nodiscard]] const std::vector<transport::http_header>& headers() const { return headers_; }
+
+    [[nodiscard]] bool complete() const;
+
+    [[nodiscard]] const transport::endpoint& server() const { return server_; }
+
+    /// Closes the connection: a server drops the request.
+    void abort();
+
+    /// Gives the connection back if it is in a clean state, else closes it.
+    void finish();
+
+private:
+    task<exchange_fault> connect(deadline until);
+    bool take_idle();
+    [[nodiscard]] exchange_fault fault_of(const boost::system::error_code& ec) const;
+
+    connection_pool* pool_;
+    transport::endpoint server_;
+    std::unique_ptr<boost::beast::tcp_stream> stream_;
+    boost::beast::flat_buffer buffer_;
+    std::optional<boost::beast::http::response_parser<boost::beast::http::string_body>> parser_;
+    std::vector<transport::http_header> headers_;
+    std::shared_ptr<bool> body_written_ = std::make_shared<bool>(true);
+    bool aborted_ = false;
+    bool connected_ = false;
+};
+
+/// A whole answer, or why there is none.
+struct call_outcome {
+    exchange_fault fault = exchange_fault::none;
+    bool sent = false; ///< Some of the request may have reached the server.
+    transport::http_response answer{};
+};
+
+/// Sends one request and reads its whole answer.
+task<call_outcome> call(connection_pool& pool, transport::endpoint server,
+                        transport::http_request request, deadline until,
+                        milliseconds connect_limit);
+
+} // namespace cornelloom::loop
--- /dev/null
+++ b/src/loop/listener.cpp
@@ -0,0 +1,323 @@
+#include "loop/listener.hpp"
+
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <array>
+#include <limits>
+#include <optional>
+
+namespace cornelloom::loop {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+namespace {
+
+/// A caller that reads nothing for so long is taken for gone.
+constexpr milliseconds write_limit{10000};
+/// Unread bytes at a close reset the connection, and the caller may lose the answer: what it still
+/// sends is read for this long, this many bytes at most.
+constexpr milliseconds linger_limit{300};
+constexpr std::size_t linger_bytes = 1U << 20U;
+/// Space for one read of a request's head.
+constexpr std::size_t read_bytes = 4096;
+/// Accepting again after the process ran out of descriptors.
+constexpr milliseconds accept_pause{50};
+
+using request_parser = http::request_parser<http::string_body>;
+
+std::string chunk(std::string_view bytes) {
+    constexpr std::string_view digits = "0123456789abcdef";
+    std::string size;
+    for (auto rest = bytes.size(); rest > 0; rest /= 16) {
+        size.insert(size.begin(), digits[rest % 16]);
+    }
+    std::string out = size + "\r\n";
+    out += bytes;
+    return out + "\r\n";
+}
+
+/// Tells the owner of a request when its caller closes. Shared with the pending wait, which may end
+/// after the request.
+struct close_watch {
+    std::shared_ptr<bool> gone;
+    std::shared_ptr<std::function<void()>> notify;
+    bool over = false;
+};
+
+void watch_close(tcp::socket& socket, const std::shared_ptr<close_watch>& watch) {
+    socket.async_wait(tcp::socket::wait_read, [&socket, watch](const auto& ec) {
+        if (watch->over || ec) {
+            return;
+        }
+        char byte = 0;
+        const auto got = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        if (got > 0) {
+            return; // the next request waits already; its close shows when it is read
+        }
+        if (got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
+            watch_close(socket, watch);
+            return;
+        }
+        *watch->gone = true;
+        if (*watch->notify) {
+            (*watch->notify)();
+        }
+    });
+}
+
+int status_of(const boost::system::error_code& ec) {
+    if (ec == http::error::header_limit || ec == http::error::buffer_overflow) {
+        return 431;
+    }
+    if (ec == http::error::body_limit) {
+        return 413;
+    }
+    return 400;
+}
+
+bool is_protocol_fault(const boost::system::error_code& ec) {
+    return ec.category() == http::make_error_code(http::error::bad_version).category() &&
+           ec != http::error::end_of_stream && ec != http::error::partial_message;
+}
+
+transport::http_request to_request(http::request<http::string_body>&& in) {
+    transport::http_request out;
+    out.method = std::string(in.method_string());
+    const std::string target(in.target());
+    const auto mark = target.find('?');
+    out.path = target.substr(0, mark);
+    out.query = mark == std::string::npos ? std::string() : target.substr(mark + 1);
+    for (const auto& field : in.base()) {
+        out.headers.push_back({std::string(field.name_string()), std::string(field.value())});
+    }
+    out.body = std::move(in.body());
+    return out;
+}
+
+} // namespace
+
+served_request::served_request(beast::tcp_stream& stream, transport::http_request received,
+                               bool keep_open)
+    : message(std::move(received)), stream_(&stream), keep_open_(keep_open) {}
+
+task<void> served_request::answer(transport::http_response response) {
+    http::response<http::string_body> out;
+    out.version(11);
+    out.result(static_cast<unsigned>(response.status));
+    for (const auto& header : response.headers) {
+        out.insert(header.name, header.value);
+    }
+    out.keep_alive(keep_open_);
+    out.body() = std::move(response.body);
+    out.content_length(out.body().size());
+    stream_->expires_after(write_limit);
+    boost::system::error_code ec;
+    co_await http::async_write(*stream_, out, asio::redirect_error(asio::use_awaitable, ec));
+    answered_ = !ec;
+}
+
+task<void> served_request::begin(int status, std::vector<transport::http_header> headers) {
+    http::response<http::empty_body> out;
+    out.version(11);
+    out.result(static_cast<unsigned>(status));
+    for (const auto& header : headers) {
+        out.insert(header.name, header.value);
+    }
+    out.keep_alive(keep_open_);
+    out.chunked(true);
+    http::response_serializer<http::empty_body> writer(out);
+    stream_->expires_after(write_limit);
+    boost::system::error_code ec;
+    co_await http::async_write_header(*stream_, writer,
+                                      asio::redirect_error(asio::use_awaitable, ec));
+    *gone_ = *gone_ || ec;
+}
+
+task<void> served_request::piece(std::string_view bytes) {
+    if (bytes.empty() || gone()) {
+        co_return;
+    }
+    const auto framed = chunk(bytes);
+    stream_->expires_after(write_limit);
+    boost::system::error_code ec;
+    co_await asio::async_write(*stream_, asio::buffer(framed),
+                               asio::redirect_error(asio::use_awaitable, ec));
+    *gone_ = *gone_ || ec;
+}
+
+task<void> served_request::end() {
+    const std::string last = "0\r\n\r\n";
+    stream_->expires_after(write_limit);
+    boost::system::error_code ec;
+    co_await asio::async_write(*stream_, asio::buffer(last),
+                               asio::redirect_error(asio::use_awaitable, ec));
+    answered_ = !ec;
+}
+
+/// One connection of a caller.
+struct session {
+    std::shared_ptr<listener> server;
+    beast::tcp_stream stream;
+    beast::flat_buffer buffer{};
+
+    explicit session(std::shared_ptr<listener> owner, tcp::socket socket)
+        : server(std::move(owner)), stream(std::move(socket)) {
+        ++server->open_connections;
+    }
+
+    ~session() { --server->open_connections; }
+
+    session(const session&) = delete;
+    session& operator=(const session&) = delete;
+
+    /// Waits for the first byte of a request.
+    task<bool> wait_for_bytes(milliseconds limit) {
+        if (buffer.size() > 0) {
+            co_return true;
+        }
+        stream.expires_after(limit);
+        boost::system::error_code ec;
+        const auto space = buffer.prepare(read_bytes);
+        const auto got =
+            co_await stream.async_read_some(space, asio::redirect_error(asio::use_awaitable, ec));
+        buffer.commit(got);
+        co_return !ec;
+    }
+
+    task<boost::system::error_code> read(request_parser& parser, const caller_limits& limits) {
+        parser.header_limit(static_cast<std::uint32_t>(
+            std::min<std::size_t>(limits.header_bytes, std::numeric_limits<std::uint32_t>::max())));
+        parser.body_limit(limits.body_bytes);
+        stream.expires_after(limits.header_time);
+        boost::system::error_code ec;
+        co_await http::async_read_header(stream, buffer, parser,
+                                         asio::redirect_error(asio::use_awaitable, ec));
+        if (ec) {
+            co_return ec;
+        }
+        if (parser.get()[http::field::expect] == "100-continue") {
+            const std::string go_on = "HTTP/1.1 100 Continue\r\n\r\n";
+            co_await asio::async_write(stream, asio::buffer(go_on),
+                                       asio::redirect_error(asio::use_awaitable, ec));
+        }
+        while (!ec && !parser.is_done()) {
+            stream.expires_after(limits.idle_time);
+            co_await http::async_read_some(stream, buffer, parser,
+                                           asio::redirect_error(asio::use_awaitable, ec));
+        }
+        co_return ec;
+    }
+
+    task<void> refuse(int status) {
+        served_request fault(stream, {}, false);
+        co_await fault.answer({status, {}, {}});
+        co_await linger();
+    }
+
+    /// Reads what the caller still sends, so that closing does not reset the answer away.
+    task<void> linger() {
+        boost::system::error_code ec;
+        stream.socket().shutdown(tcp::socket::shutdown_send, ec);
+        stream.expires_after(linger_limit);
+        std::array<char, read_bytes> sink{};
+        std::size_t total = 0;
+        while (!ec && total < linger_bytes) {
+            total += co_await stream.async_read_some(asio::buffer(sink),
+                                                     asio::redirect_error(asio::use_awaitable, ec));
+        }
+    }
+
+    /// Serves one request; whether another one may follow.
+    task<bool> serve_next() {
+        const auto limits = server->limits();
+        const bool alive = co_await wait_for_bytes(limits.idle_time);
+        if (!alive) {
+            co_return false;
+        }
+        request_parser parser;
+        const auto ec = co_await read(parser, limits);
+        if (ec) {
+            if (is_protocol_fault(ec)) {
+                co_await refuse(status_of(ec));
+            }
+            co_return false;
+        }
+        const bool keep = parser.get().keep_alive() && !server->closing();
+        served_request request(stream, to_request(parser.release()), keep);
+        auto watch = std::make_shared<close_watch>();
+        watch->gone = request.gone_;
+        watch->notify = request.notify_;
+        watch_close(stream.socket(), watch);
+        co_await server->handler(request);
+        watch->over = true;
+        if (request.keeps_open()) {
+            stream.socket().cancel();
+            co_return true;
+        }
+        if (request.answered() && !request.abandoned_) {
+            stream.socket().cancel();
+            co_await linger();
+        }
+        co_return false;
+    }
+
+    task<void> run() {
+        boost::system::error_code ignored; // without it the connection still works
+        stream.socket().set_option(tcp::no_delay(true), ignored);
+        bool more = true;
+        while (more) {
+            more = co_await serve_next();
+        }
+        stream.socket().close(ignored);
+    }
+};
+
+namespace {
+
+task<void> serve(std::shared_ptr<listener> server, tcp::socket socket) {
+    session one(std::move(server), std::move(socket));
+    co_await one.run();
+}
+
+task<void> accept_all(std::shared_ptr<listener> server, tcp::acceptor acceptor) {
+    for (;;) {
+        boost::system::error_code ec;
+        tcp::socket socket =
+            co_await acceptor.async_accept(asio::redirect_error(asio::use_awaitable, ec));
+        if (ec == asio::error::operation_aborted) {
+            co_return;
+        }
+        if (ec) {
+            co_await pause_for(*server->io, accept_pause);
+            continue;
+        }
+        const auto most = server->open_connections_most;
+        if (most == 0 || server->open_connections < most) {
+            asio::co_spawn(*server->io, serve(server, std::move(socket)), asio::detached);
+        }
+    }
+}
+
+} // namespace
+
+void start_listening(std::shared_ptr<listener> server, const transport::endpoint& where) {
+    const tcp::endpoint address(asio::ip::make_address(where.address), where.port);
+    tcp::acceptor acceptor(*server->io);
+    acceptor.open(address.protocol());
+    acceptor.set_option(tcp::acceptor::reuse_address(true));
+    acceptor.bind(address);
+    acceptor.listen(asio::socket_base::max_listen_connections);
+    auto& io = *server->io;
+    asio::co_spawn(io, accept_all(std::move(server), std::move(acceptor)), asio::detached);
+}
+
+} // namespace cornelloom::loop
--- /dev/null
+++ b/src/loop/listener.hpp
@@ -0,0 +1,83 @@
+#pragma once
+
+#include "loop/task.hpp"
+#include "transport/http.hpp"
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace cornelloom::loop {
+
+/// What a caller may send and how long it may take. Read anew for each request.
+struct caller_limits {
+    std::size_t header_bytes = 16384;
+    std::size_t body_bytes = 33554432;
+    milliseconds header_time{3000}; ///< From the first byte of a request to the end of its head.
+    milliseconds idle_time{15000};  ///< Between two requests.
+};
+
+/// One request of a caller, and the way to answer it. Lives until its handler has returned.
+class served_request {
+public:
+    served_request(boost::beast::tcp_stream& stream, transport::http_request received,
+                   bool keep_open);
+
+    transport::http_request message; ///< With all headers as received, `Host` among them.
+
+    /// Writes a whole answer.
+    task<void> answer(transport::http_response response);
+
+    /// Starts an answer whose body follows in pieces.
+    task<void> begin(int status, std::vector<transport::http_header> headers);
+    task<void> piece(std::string_view bytes);
+    /// Ends the body; without it the caller sees an answer that broke off.
+    task<void> end();
+
+    /// The connection closes without (the rest of) an answer.
+    void abandon() { abandoned_ = true; }
+
+    /// Whether the caller has closed the connection.
+    [[nodiscard]] bool gone() const { return *gone_; }
+
+    /// Called once when the caller closes. Replaces an earlier one.
+    void on_gone(std::function<void()> notify) { *notify_ = std::move(notify); }
+
+    [[nodiscard]] bool answered() const { return answered_; }
+
+    [[nodiscard]] bool keeps_open() const { return keep_open_ && answered_ && !abandoned_; }
+
+    /// The connection closes after this answer.
+    void close_after() { keep_open_ = false; }
+
+private:
+    friend struct session;
+    boost::beast::tcp_stream* stream_;
+    std::shared_ptr<bool> gone_ = std::make_shared<bool>(false);
+    std::shared_ptr<std::function<void()>> notify_ = std::make_shared<std::function<void()>>();
+    bool keep_open_;
+    bool answered_ = false;
+    bool abandoned_ = false;
+};
+
+using request_handler = std::function<task<void>(served_request&)>;
+
+/// Accepts connections and serves their requests one after another.
+struct listener {
+    io_context* io = nullptr;
+    request_handler handler;
+    std::function<caller_limits()> limits;
+    /// Asked before each answer: when true, the connection closes after it.
+    std::function<bool()> closing = [] { return false; };
+    std::size_t open_connections = 0;
+    std::size_t open_connections_most = 0; ///< 0: no bound. Beyond it, connections are reset.
+};
+
+/// Binds and serves until the loop ends. Throws when the address can't be bound.
+void start_listening(std::shared_ptr<listener> server, const transport::endpoint& where);
+
+} // namespace cornelloom::loop
--- /dev/null
+++ b/src/loop/loop.hpp
@@ -0,0 +1,8 @@
+#pragma once
+
+/// HTTP/1.1 on one event loop: exchanges with servers, and a listener for callers.
+
+#include "loop/exchange.hpp"
+#include "loop/gate.hpp"
+#include "loop/listener.hpp"
+#include "loop/task.hpp"
