Watches that were cut list again; a process that ends refuses what it can't answer

Ruled out: a cut host, an answer that skips changes. It now refuses from 0.8 of the grace on and ends when none is open.

--- a/src/front/follower.cpp
+++ b/src/front/follower.cpp
@@ -95,8 +95,9 @@
 loop::task<bool> watch_once(std::shared_ptr<host> self, followed_ptr one) {
     const bool direct = self->store.direct_from <= loop::steady_clock::now();
     const auto wait = direct ? watch_wait : watch_wait_by_peer;
+    const auto asked = loop::steady_clock::now();
     auto answer = co_await call_store(self->store, self->wire.watch(one->kind, one->at, wait),
-                                      wait + watch_allowance);
+                                      wait + watch_allowance, store_way::direct_if_open);
     note_touch(*self, *one, answer.fault);
     if (answer.fault == store_fault::history_gone || answer.fault == store_fault::invalid ||
         answer.fault == store_fault::not_found) {
@@ -104,6 +105,9 @@
         co_return true;
     }
     if (answer.fault != store_fault::none) {
+        // A watch that was cut may have missed changes whose history is dropped, and one that
+        // starts from before them may hear nothing: what there is now is listed.
+        one->at = 0;
         co_return false;
     }
     auto changes = self->wire.changes(answer.body);
@@ -113,6 +117,13 @@
         one->at = 0;
         co_return false;
     }
+    const bool early = loop::steady_clock::now() < asked + wait * 9 / 10;
+    if (changes.value().changes.empty() && early) {
+        note(*self, watch_cut,
+             {{"watch", name_of(one->kind)}, {"at", one->at}, {"answered_at", changes.value().at}});
+        one->at = 0;
+        co_return true;
+    }
     one->at = std::max(one->at, changes.value().at);
     if (!changes.value().changes.empty()) {
         one->change(std::move(changes.value().changes));
@@ -156,7 +167,7 @@
     self.routes = index_routes(std::move(read.value()));
     self.metrics.set("cornelloom_configuration_generation",
                      static_cast<double>(self.routes->source.version));
-    note(self, configuration_in_force,
+    note(self, configuration_taken,
          {{"version", self.routes->source.version},
           {"before", known},
           {"revision", object.revision},
--- a/src/front/gateway.cpp
+++ b/src/front/gateway.cpp
@@ -58,9 +58,11 @@
     call.objective = way.objective;
     call.deadline = deadline_of(*self, way, facts);
     const auto deadline = call.deadline;
-    // The handler outlives the call, and with it the request that this refers to.
-    call.make = [self, &request](const forward_terms& terms) {
-        return self->wire.forward(request.message, terms);
+    // An attempt that lost may end after the handler, so it has the message to itself.
+    const auto message =
+        std::make_shared<const transport::http_request>(std::move(request.message));
+    call.make = [self, message](const forward_terms& terms) {
+        return self->wire.forward(*message, terms);
     };
     auto control = std::make_shared<call_control>();
     request.on_gone([control] { control->cancel(); });
@@ -93,6 +95,10 @@
 loop::task<void> serve_caller(std::shared_ptr<batch_desk> desk, loop::served_request& request) {
     auto self = desk->self;
     auto facts = self->wire.request(request.message);
+    if (self->closing_soon) {
+        co_await refuse(*self, request, facts.id, "shutting_down", milliseconds(0));
+        co_return;
+    }
     if (!self->routes) {
         co_await refuse(*self, request, facts.id, "not_ready", come_back_later);
         co_return;
--- a/src/front/host.hpp
+++ b/src/front/host.hpp
@@ -38,6 +38,8 @@
     std::map<std::string, host_entry, std::less<>> peers{};   ///< Without this host.
     loop::gate beliefs_changed; ///< Opened when any of the above changes.
     bool stopping = false;
+    bool closing_soon = false; ///< New requests are refused: the process ends in a moment.
+    int in_flight = 0;         ///< Requests of callers that are being served.
 
     struct line_rate {
         time_point second{};
--- a/src/front/plain_call.cpp
+++ b/src/front/plain_call.cpp
@@ -179,6 +179,9 @@
     const auto started = self.now();
     auto link = std::make_shared<loop::exchange>(self.connections, std::move(where));
     one->live.push_back(link);
+    if (one->decided) {
+        link->abort(); // decided before this attempt began to run
+    }
     auto result = co_await exchange_once(one, link, target_id, fresh);
     std::erase(one->live, link);
     --one->running;
--- a/src/front/process.cpp
+++ b/src/front/process.cpp
@@ -21,8 +21,12 @@
 
 /// Housekeeping: idle connections, vanished targets, unused batches.
 constexpr loop::milliseconds tick{250};
-/// The part of the time of grace after which the process ends by itself.
-constexpr double grace_used = 0.88;
+/// Parts of the time of grace: until the first, requests are served as before; until the second,
+/// new ones are refused and open ones end. A request that is taken and not answered is lost to its
+/// caller.
+constexpr double grace_serving = 0.8;
+constexpr double grace_ending = 0.95;
+constexpr loop::milliseconds ending_tick{20};
 /// Descriptors that files, the log and the process's own sockets need.
 constexpr int reserved_descriptors = 400;
 /// Calls between hosts are small, but a peer may pass a whole submission on to the store.
@@ -60,11 +64,19 @@
     };
 }
 
+loop::task<void> serve_counted(std::shared_ptr<batch_desk> desk, loop::served_request& request) {
+    ++desk->self->in_flight;
+    co_await serve_caller(desk, request);
+    --desk->self->in_flight;
+}
+
 void listen_for_callers(const std::shared_ptr<batch_desk>& desk) {
     auto self = desk->self;
     auto server = std::make_shared<loop::listener>();
     server->io = &self->io;
-    server->handler = [desk](loop::served_request& request) { return serve_caller(desk, request); };
+    server->handler = [desk](loop::served_request& request) {
+        return serve_counted(desk, request);
+    };
     server->limits = [self] {
         loop::caller_limits out;
         if (self->routes) {
@@ -123,9 +135,15 @@
     self->stopping = true;
     note(*self, front_stopping, {{"host", self->settings.host}});
     co_await hand_over_all(desk);
-    const auto grace =
-        std::chrono::duration_cast<loop::milliseconds>(self->settings.grace * grace_used);
-    co_await loop::pause_for(self->io, grace);
+    const auto asked = self->now();
+    const auto part = [self](double share) {
+        return std::chrono::duration_cast<loop::milliseconds>(self->settings.grace * share);
+    };
+    co_await loop::pause_for(self->io, part(grace_serving));
+    self->closing_soon = true;
+    while (self->in_flight > 0 && self->now() < asked + part(grace_ending)) {
+        co_await loop::pause_for(self->io, ending_tick);
+    }
     note(*self, front_stopped, {{"host", self->settings.host}});
     self->io.stop();
 }
--- a/src/front/store_client.cpp
+++ b/src/front/store_client.cpp
@@ -107,12 +107,12 @@
 }
 
 loop::task<store_answer> call_store(store_client& client, transport::http_request request,
-                                    loop::milliseconds patience) {
+                                    loop::milliseconds patience, store_way way) {
     const bool direct = client.direct_from <= loop::steady_clock::now();
     if (direct) {
         auto answer = co_await call_directly(client, request, patience);
         const bool repeatable = request.method == "GET" || answer.fault == store_fault::refused;
-        if (is_final(answer.fault) || !repeatable) {
+        if (is_final(answer.fault) || !repeatable || way == store_way::direct_if_open) {
             co_return answer;
         }
     }
--- a/src/front/store_client.hpp
+++ b/src/front/store_client.hpp
@@ -49,9 +49,16 @@
 /// seconds.
 inline constexpr loop::milliseconds store_call_limit{1500};
 
+/// Which ways a call may take.
+enum class store_way {
+    any,
+    direct_if_open, ///< Directly, or through a peer while the direct way is left alone; not both.
+};
+
 /// Makes the call, directly or through a peer. `patience` is how long the store may think.
 loop::task<store_answer> call_store(store_client& client, transport::http_request request,
-                                    loop::milliseconds patience = store_call_limit);
+                                    loop::milliseconds patience = store_call_limit,
+                                    store_way way = store_way::any);
 
 /// The path under which a host passes calls of its peers on to the store.
 inline constexpr std::string_view relay_path = "/relay";
--- a/src/loop/exchange.cpp
+++ b/src/loop/exchange.cpp
@@ -83,11 +83,11 @@
     return std::chrono::seconds(seconds);
 }
 
-/// Keeps the message alive until the write has ended.
-task<void> write_behind(beast::tcp_stream& stream, std::shared_ptr<request_message> message,
-                        std::shared_ptr<bool> written) {
+/// Keeps the message and the connection alive until the write has ended.
+task<void> write_behind(std::shared_ptr<beast::tcp_stream> stream,
+                        std::shared_ptr<request_message> message, std::shared_ptr<bool> written) {
     boost::system::error_code ec;
-    co_await http::async_write(stream, *message, asio::redirect_error(asio::use_awaitable, ec));
+    co_await http::async_write(*stream, *message, asio::redirect_error(asio::use_awaitable, ec));
     *written = !ec;
 }
 
@@ -192,7 +192,7 @@
     stream_->expires_at(until);
     if (request.body.size() > inline_body_bytes) {
         *body_written_ = false;
-        asio::co_spawn(stream_->get_executor(), write_behind(*stream_, message, body_written_),
+        asio::co_spawn(stream_->get_executor(), write_behind(stream_, message, body_written_),
                        asio::detached);
         co_return exchange_fault::none;
     }
--- a/src/loop/exchange.hpp
+++ b/src/loop/exchange.hpp
@@ -31,7 +31,7 @@
 
 /// An open connection that no request uses.
 struct idle_connection {
-    std::unique_ptr<boost::beast::tcp_stream> stream;
+    std::shared_ptr<boost::beast::tcp_stream> stream;
     deadline usable_until;
 };
 
@@ -53,7 +53,7 @@
 public:
     exchange(connection_pool& pool, transport::endpoint server)
         : pool_(&pool), server_(std::move(server)),
-          stream_(std::make_unique<boost::beast::tcp_stream>(*pool.io)) {}
+          stream_(std::make_shared<boost::beast::tcp_stream>(*pool.io)) {}
 
     /// Takes an idle connection if `reuse`, else opens one.
     task<exchange_fault> open(deadline until, bool reuse);
@@ -90,7 +90,7 @@
 
     connection_pool* pool_;
     transport::endpoint server_;
-    std::unique_ptr<boost::beast::tcp_stream> stream_;
+    std::shared_ptr<boost::beast::tcp_stream> stream_; ///< Shared with a write in the background.
     boost::beast::flat_buffer buffer_;
     std::optional<boost::beast::http::response_parser<boost::beast::http::string_body>> parser_;
     std::vector<transport::http_header> headers_;
