--- a/src/front/batch_drive.cpp
+++ b/src/front/batch_drive.cpp
@@ -62,6 +62,9 @@
             continue;
         }
         state.phase = item_phase::running;
+        // Counted here: the next item of this burst must see it.
+        ++target->running;
+        ++target->unstarted;
         loop::asio::co_spawn(self.io, run_item(one, index, target->entry.id), loop::asio::detached);
     }
 }
--- a/src/front/item_run.cpp
+++ b/src/front/item_run.cpp
@@ -259,12 +259,14 @@
     const auto* found = route_of_item(*one, one->state.spec.items[index]);
     const auto target = self->targets.by_id.find(target_id);
     if (found == nullptr || target == self->targets.by_id.end()) {
+        if (target != self->targets.by_id.end()) {
+            --target->second.running;
+            --target->second.unstarted;
+        }
         put_back(*one, index);
         co_return;
     }
     const route way = *found;
-    ++target->second.running;
-    ++target->second.unstarted;
     item_run run;
     run.link = std::make_shared<loop::exchange>(self->connections, target->second.entry.where);
     run.target = target_id;
