--- /dev/null
+++ b/src/front/feed.hpp
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "front/host.hpp"
+#include "loop/listener.hpp"
+
+#include <memory>
+#include <optional>
+
+namespace cornelloom::front {
+
+/// Passing on what the platform's store says to the other hosts of a zone.
+///
+/// Load it is made for: sixty hosts and more that each want to know of every change. The store
+/// charges each call, a waiting one as well, so watches of all hosts would be the largest cost of a
+/// day. Two hosts of a zone, the ones with the most processor time, watch the store; the others ask
+/// these, over connections inside their zone. Nothing depends on it: a host whose feeders don't
+/// answer, or have lost touch with the store, watches for itself.
+
+/// Hosts of a zone that watch the store: one may fail without its zone turning to the store.
+inline constexpr std::size_t feeders_per_zone = 2;
+
+/// A feeder without a sign of the store for longer than this passes nothing on: twice the usual
+/// pause between two of its calls, and far below the shortest bound on being up to date, 2.5 s.
+inline constexpr milliseconds feed_touch{1700};
+
+/// A fed host's question waits for so long; a suspended feeder shows after that and the allowance.
+inline constexpr milliseconds feed_wait{900};
+
+/// The feeder to ask now; nothing if this host watches the store itself.
+[[nodiscard]] std::optional<host_entry> choose_feeder(host& self);
+
+/// The feeder did not answer, or knows no better: it is left alone for a while.
+void avoid_feeder(host& self, std::string_view name);
+
+/// What a feeder knows of one kind, after a list.
+void keep_list(host& self, object_kind kind, const std::vector<stored_object>& all,
+               std::uint64_t at);
+/// The same after changes.
+void keep_changes(host& self, object_kind kind, const std::vector<object_change>& changes,
+                  std::uint64_t at);
+
+/// The path of the question.
+inline constexpr std::string_view feed_path = "/feed";
+
+/// A question for changes since `at`, 0 for everything.
+[[nodiscard]] transport::http_request feed_question(object_kind kind, std::uint64_t at);
+
+/// What a feeder answered: a whole list if it was asked for one, else changes.
+struct feed_answer {
+    std::uint64_t at = 0;
+    std::vector<object_change> changes;
+};
+
+[[nodiscard]] std::string encode_feed(const feed_answer& answer);
+[[nodiscard]] kernel::result<feed_answer> decode_feed(std::string_view body);
+
+/// Answers a fed host.
+loop::task<void> serve_feed(std::shared_ptr<host> self, loop::served_request& request);
+
+} // namespace cornelloom::front
--- a/src/front/follower.cpp
+++ b/src/front/follower.cpp
@@ -1,5 +1,6 @@
 #include "front/follower.hpp"
 
+#include "front/feed.hpp"
 #include "front/records.hpp"
 
 #include <algorithm>
@@ -23,6 +24,11 @@
 constexpr loop::milliseconds targets_pause{250};
 /// Entries of one kind that vanish together: the platform has lost heartbeats, not targets.
 constexpr std::size_t vanish_together = 3;
+/// Beyond its wait a feeder needs a round trip within the zone and its turn on a small processor.
+constexpr loop::milliseconds feed_allowance{500};
+constexpr loop::milliseconds feed_connect{250};
+/// Hosts start together; after this pause each knows most of the others of its zone.
+constexpr loop::milliseconds settle_pause{400};
 
 /// One kind of objects and what its changes mean.
 struct followed {
@@ -86,6 +92,7 @@
         more = page.value().more && !all.empty();
         after = all.empty() ? std::string() : all.back().name;
     }
+    keep_list(*self, one->kind, all, at);
     one->replace(std::move(all));
     one->at = at;
     self->beliefs_changed.open();
@@ -125,6 +132,7 @@
         co_return true;
     }
     one->at = std::max(one->at, changes.value().at);
+    keep_changes(*self, one->kind, changes.value().changes, one->at);
     if (!changes.value().changes.empty()) {
         one->change(std::move(changes.value().changes));
         self->beliefs_changed.open();
@@ -133,10 +141,50 @@
     co_return true;
 }
 
+/// Asks a feeder for everything, or for changes.
+loop::task<bool> ask_feeder(std::shared_ptr<host> self, followed_ptr one, host_entry feeder) {
+    // Revisions are the store's, so what another feeder or the store itself said stays comparable.
+    auto outcome =
+        co_await loop::call(self->connections, feeder.where, feed_question(one->kind, one->at),
+                            loop::after(feed_wait + feed_allowance), feed_connect);
+    const bool answered = outcome.fault == loop::exchange_fault::none;
+    if (answered && outcome.answer.status == 410) {
+        one->at = 0;
+        co_return true;
+    }
+    auto read = decode_feed(answered && outcome.answer.status == 200 ? outcome.answer.body : "");
+    if (!read) {
+        note(*self, feeder_lost,
+             {{"watch", name_of(one->kind)},
+              {"feeder", feeder.name},
+              {"fault", to_string(outcome.fault)},
+              {"status", outcome.answer.status}});
+        avoid_feeder(*self, feeder.name);
+        co_return true;
+    }
+    auto& news = read.value();
+    if (one->at == 0) {
+        std::vector<stored_object> all;
+        for (auto& change : news.changes) {
+            all.push_back(std::move(change.object));
+        }
+        one->replace(std::move(all));
+        self->beliefs_changed.open();
+    } else if (!news.changes.empty()) {
+        one->change(std::move(news.changes));
+        self->beliefs_changed.open();
+    }
+    one->at = news.at;
+    co_return true;
+}
+
 loop::task<void> follow(std::shared_ptr<host> self, followed_ptr one) {
     for (;;) {
         bool done = false;
-        if (one->at == 0) {
+        if (const auto feeder = choose_feeder(*self)) {
+            done = co_await ask_feeder(self, one, *feeder);
+        } else if (one->at == 0 || self->kept[one->kind].at != one->at) {
+            // What this host passes on must be whole, so it starts from a list of its own.
             done = co_await list_all(self, one);
         } else {
             done = co_await watch_once(self, one);
@@ -272,7 +320,8 @@
 }
 
 loop::task<void> keep_announcing(std::shared_ptr<host> self) {
-    const host_entry own{self->settings.host, self->settings.zone, self->settings.peers};
+    const host_entry own{self->settings.host, self->settings.zone, self->settings.peers,
+                         self->settings.processor};
     const auto record = encode_host(own);
     const auto kind = object_kind::hosts;
     for (;;) {
@@ -287,19 +336,23 @@
     }
 }
 
-} // namespace
-
-void follow_platform(const std::shared_ptr<host>& self) {
+/// Announces this host, learns of the others, and then follows all kinds.
+loop::task<void> start_following(std::shared_ptr<host> self) {
+    loop::asio::co_spawn(self->io, keep_announcing(self), loop::asio::detached);
     start(self, take_each(self, object_kind::configuration, take_configuration));
-    start(self, take_each(self, object_kind::versions, take_version));
+    co_await loop::pause_for(self->io, settle_pause);
     start(self, take_each(self, object_kind::hosts, take_peer));
+    co_await loop::pause_for(self->io, settle_pause / 4);
+    start(self, take_each(self, object_kind::versions, take_version));
     start(self, {object_kind::targets, targets_pause,
                  [self](std::vector<stored_object> all) { list_targets(*self, std::move(all)); },
                  [self](std::vector<object_change> changes) { change_targets(*self, changes); }});
 }
 
-void announce_host(const std::shared_ptr<host>& self) {
-    loop::asio::co_spawn(self->io, keep_announcing(self), loop::asio::detached);
+} // namespace
+
+void follow_platform(const std::shared_ptr<host>& self) {
+    loop::asio::co_spawn(self->io, start_following(self), loop::asio::detached);
 }
 
 } // namespace cornelloom::front
--- a/src/front/gateway.cpp
+++ b/src/front/gateway.cpp
@@ -1,6 +1,7 @@
 #include "front/gateway.hpp"
 
 #include "front/answers.hpp"
+#include "front/feed.hpp"
 #include "front/plain_call.hpp"
 #include "front/stream_call.hpp"
 #include "kernel/number.hpp"
@@ -146,6 +147,10 @@
         co_await relay(self, request);
         co_return;
     }
+    if (message.path == feed_path) {
+        co_await serve_feed(self, request);
+        co_return;
+    }
     if (message.path.starts_with(passed_path)) {
         message.path.erase(0, passed_path.size());
         if (const auto call = self->wire.batch(message)) {
--- a/src/front/host.cpp
+++ b/src/front/host.cpp
@@ -21,7 +21,7 @@
     : io(loop), wire(platform), settings(std::move(given)), connections(loop),
       store(connections, settings.platform),
       random(kernel::hash64(settings.host) ^ static_cast<std::uint64_t>(clock.wall_now().unix_ms)),
-      beliefs_changed(loop) {}
+      kept(loop), beliefs_changed(loop) {}
 
 void note(host& self, const kernel::event& kind, std::initializer_list<kernel::field> fields) {
     auto& rate = self.line_rates[kind.number];
--- a/src/front/host.hpp
+++ b/src/front/host.hpp
@@ -9,6 +9,7 @@
 #include "kernel/metrics.hpp"
 #include "loop/gate.hpp"
 
+#include <deque>
 #include <initializer_list>
 #include <map>
 #include <memory>
@@ -18,6 +19,36 @@
 
 namespace cornelloom::front {
 
+/// What a host passes on to others of its zone, for one kind of objects.
+struct kept_kind {
+    explicit kept_kind(loop::io_context& loop) : changed(loop) {}
+
+    struct step {
+        std::uint64_t at = 0;
+        std::vector<object_change> changes;
+    };
+
+    std::map<std::string, stored_object, std::less<>> objects{};
+    std::deque<step> recent{}; ///< Changes after `oldest`, in order.
+    std::uint64_t oldest = 0;
+    std::uint64_t at = 0; ///< The store's revision that all this shows; 0: nothing yet.
+    loop::gate changed;
+};
+
+/// Creates the entry of a kind at its first use.
+struct kept_kinds {
+    explicit kept_kinds(loop::io_context& loop) : io(&loop) {}
+
+    loop::io_context* io;
+    std::map<object_kind, kept_kind> by_kind{};
+
+    kept_kind& operator[](object_kind kind) { return by_kind.try_emplace(kind, *io).first->second; }
+
+    auto find(object_kind kind) { return by_kind.find(kind); }
+
+    auto end() { return by_kind.end(); }
+};
+
 /// What one process believes; everything on its loop works on this.
 struct host {
     host(loop::io_context& loop, const adapter& platform, host_settings given);
@@ -36,6 +67,8 @@
     target_table targets{};
     std::map<std::string, int, std::less<>> named_versions{}; ///< By model.
     std::map<std::string, host_entry, std::less<>> peers{};   ///< Without this host.
+    kept_kinds kept;
+    std::map<std::string, time_point, std::less<>> avoided_feeders{};
     loop::gate beliefs_changed; ///< Opened when any of the above changes.
     bool stopping = false;
     bool closing_soon = false; ///< New requests are refused: the process ends in a moment.
--- a/src/front/order_giver.cpp
+++ b/src/front/order_giver.cpp
@@ -17,6 +17,8 @@
 constexpr std::string_view lease_name = "loads";
 /// How often another host's lease is looked at: a stale read costs a tenth of a call.
 constexpr milliseconds look_every{700};
+/// The look is also the sign of the store by which a feeder knows that it is in touch.
+constexpr loop::milliseconds look_limit{600};
 /// How often the plan is made anew while this host gives orders.
 constexpr milliseconds plan_every{150};
 /// A target answers an order at once; beyond this it may still carry it out later.
@@ -72,8 +74,8 @@
 
 loop::task<void> look(giver_ptr one) {
     auto self = one->self;
-    auto answer = co_await call_store(self->store,
-                                      self->wire.get(object_kind::order_lease, lease_name, true));
+    auto answer = co_await call_store(
+        self->store, self->wire.get(object_kind::order_lease, lease_name, true), look_limit);
     if (answer.fault != store_fault::none) {
         co_return;
     }
--- a/src/front/process.cpp
+++ b/src/front/process.cpp
@@ -206,7 +206,6 @@
     listen_simply(self, self->settings.peers,
                   [desk](loop::served_request& request) { return serve_peer(desk, request); });
     follow_platform(self);
-    announce_host(self);
     start_order_giver(self);
     loop::asio::co_spawn(self->io, keep_house(desk), loop::asio::detached);
 }
--- a/src/front/records.cpp
+++ b/src/front/records.cpp
@@ -125,7 +125,8 @@
 }
 
 std::string encode_host(const host_entry& host) {
-    return dump({{"zone", host.zone}, {"at", to_string(host.where)}});
+    return dump(
+        {{"zone", host.zone}, {"at", to_string(host.where)}, {"processor", host.processor}});
 }
 
 kernel::result<host_entry> decode_host(std::string_view name, const json& value) {
@@ -134,6 +135,7 @@
         out.name = name;
         out.zone = value.at("zone").get<std::string>();
         out.where = endpoint_of(value, "at");
+        out.processor = value.at("processor").get<double>();
         return out;
     });
 }
--- a/src/front/store_client.cpp
+++ b/src/front/store_client.cpp
@@ -57,6 +57,7 @@
     client.count(to_string(answer.fault));
     if (is_final(answer.fault)) {
         client.direct_from = {};
+        client.last_direct_answer = loop::steady_clock::now();
     } else {
         client.direct_from = loop::after(direct_pause);
     }
--- a/src/front/store_client.hpp
+++ b/src/front/store_client.hpp
@@ -42,6 +42,7 @@
         return std::vector<transport::endpoint>();
     }; ///< Those to ask, in this order.
     std::function<void(std::string_view outcome)> count = [](std::string_view) {};
+    loop::deadline last_direct_answer{};
     loop::deadline direct_from{}; ///< The direct way is tried again from then on.
 };
 
--- a/src/front/types.hpp
+++ b/src/front/types.hpp
@@ -91,6 +91,7 @@
     std::string name;
     std::string zone;
     transport::endpoint where;
+    double processor = 0; ///< Share of a core that it has.
 };
 
 /// What a process learns from its settings file.
@@ -112,6 +113,7 @@
     milliseconds order_turn{3000};     ///< Least pause between orders of two holders to one target.
     milliseconds thaw{300};            ///< Added to it for a holder that was suspended.
     int file_descriptors = 1024;
+    double processor = 1; ///< Share of a core.
 };
 
 /// The call that gives the score of a sample.
