--- a/src/front/batch_drive.cpp
+++ b/src/front/batch_drive.cpp
@@ -200,7 +200,7 @@
     }
 }
 
-void start_driving(live_batch_ptr one) {
+void start_driving(const live_batch_ptr& one) {
     if (one->owned) {
         return;
     }
--- a/src/front/batch_drive.hpp
+++ b/src/front/batch_drive.hpp
@@ -5,7 +5,7 @@
 namespace cornelloom::front {
 
 /// Starts to run the batch's items on this host, which must be its owner by the batch's log.
-void start_driving(live_batch_ptr one);
+void start_driving(const live_batch_ptr& one);
 
 /// Stops every run of the batch; items go on from what their texts have.
 void stop_runs(live_batch& one);
--- a/src/front/follower.cpp
+++ b/src/front/follower.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <functional>
 #include <map>
+#include <span>
 
 namespace cornelloom::front {
 
@@ -34,8 +35,8 @@
 struct followed {
     object_kind kind;
     loop::milliseconds pause;
-    std::function<void(std::vector<stored_object>)> replace;
-    std::function<void(std::vector<object_change>)> change;
+    std::function<void(std::span<const stored_object>)> replace;
+    std::function<void(std::span<const object_change>)> change;
     std::uint64_t at = 0; ///< Changes from this revision on are still to come; 0: list first.
     bool out_of_touch = false;
 };
@@ -93,7 +94,7 @@
         after = all.empty() ? std::string() : all.back().name;
     }
     keep_list(*self, one->kind, all, at);
-    one->replace(std::move(all));
+    one->replace(all);
     one->at = at;
     self->beliefs_changed.open();
     co_return true;
@@ -134,7 +135,7 @@
     one->at = std::max(one->at, changes.value().at);
     keep_changes(*self, one->kind, changes.value().changes, one->at);
     if (!changes.value().changes.empty()) {
-        one->change(std::move(changes.value().changes));
+        one->change(changes.value().changes);
         self->beliefs_changed.open();
         co_await loop::pause_for(self->io, one->pause);
     }
@@ -165,13 +166,14 @@
     auto& news = read.value();
     if (one->at == 0) {
         std::vector<stored_object> all;
+        all.reserve(news.changes.size());
         for (auto& change : news.changes) {
             all.push_back(std::move(change.object));
         }
-        one->replace(std::move(all));
+        one->replace(all);
         self->beliefs_changed.open();
     } else if (!news.changes.empty()) {
-        one->change(std::move(news.changes));
+        one->change(news.changes);
         self->beliefs_changed.open();
     }
     one->at = std::max(one->at, news.at);
@@ -248,7 +250,7 @@
           {"revision", entry.revision}});
 }
 
-void list_targets(host& self, std::vector<stored_object> all) {
+void list_targets(host& self, std::span<const stored_object> all) {
     std::vector<target_entry> entries;
     for (const auto& object : all) {
         if (auto entry = read_target(self, object)) {
@@ -258,7 +260,7 @@
     replace_targets(self.targets, std::move(entries), self.now());
 }
 
-void change_targets(host& self, const std::vector<object_change>& changes) {
+void change_targets(host& self, std::span<const object_change> changes) {
     const auto gone = std::ranges::count_if(changes, &object_change::deleted);
     if (static_cast<std::size_t>(gone) >= vanish_together) {
         note_return(self.targets, self.now());
@@ -308,11 +310,11 @@
 followed take_each(const std::shared_ptr<host>& self, object_kind kind,
                    void (*take)(host&, const stored_object&)) {
     return {kind, loop::milliseconds{0},
-            [self, take](std::vector<stored_object> all) {
+            [self, take](std::span<const stored_object> all) {
                 std::ranges::for_each(all,
                                       [&](const stored_object& object) { take(*self, object); });
             },
-            [self, take](std::vector<object_change> changes) {
+            [self, take](std::span<const object_change> changes) {
                 for (const auto& change : changes) {
                     if (!change.deleted) {
                         take(*self, change.object);
@@ -346,9 +348,10 @@
     start(self, take_each(self, object_kind::hosts, take_peer));
     co_await loop::pause_for(self->io, settle_pause / 4);
     start(self, take_each(self, object_kind::versions, take_version));
-    start(self, {object_kind::targets, targets_pause,
-                 [self](std::vector<stored_object> all) { list_targets(*self, std::move(all)); },
-                 [self](std::vector<object_change> changes) { change_targets(*self, changes); }});
+    start(self,
+          {object_kind::targets, targets_pause,
+           [self](std::span<const stored_object> all) { list_targets(*self, all); },
+           [self](std::span<const object_change> changes) { change_targets(*self, changes); }});
 }
 
 } // namespace
--- a/src/front/plain_call.cpp
+++ b/src/front/plain_call.cpp
@@ -19,7 +19,7 @@
 constexpr double hedge_most = 0.6;
 /// Without an objective.
 constexpr milliseconds hedge_default{1000};
-constexpr std::size_t answer_bytes_most = 64U * 1024 * 1024;
+constexpr std::size_t answer_bytes_most = std::size_t{64} << 20U;
 
 /// The attempts of one call, which may run side by side.
 struct race {
@@ -158,9 +158,6 @@
         one.decided = result.end == attempt_end::answered;
         break;
     case attempt_end::not_run:
-        --one.may_have_run;
-        ++one.refusals;
-        break;
     case attempt_end::not_sent:
         --one.may_have_run;
         ++one.refusals;
--- a/src/front/process.cpp
+++ b/src/front/process.cpp
@@ -47,6 +47,7 @@
     auto* raw = self.get();
     self->store.peers = [raw] {
         std::vector<transport::endpoint> out;
+        out.reserve(raw->peers.size() + raw->settings.seeds.size());
         for (const auto& [name, peer] : raw->peers) {
             out.push_back(peer.where);
         }
--- a/src/loop/exchange.cpp
+++ b/src/loop/exchange.cpp
@@ -32,13 +32,13 @@
 constexpr milliseconds idle_margin{500};
 /// Longer bodies are written beside the reading of the answer.
 constexpr std::size_t inline_body_bytes = 16384;
-constexpr std::size_t answer_bytes_most = 64U * 1024 * 1024;
+constexpr std::size_t answer_bytes_most = std::size_t{64} << 20U;
 constexpr std::uint32_t header_bytes_most = 64U * 1024;
 
 void tune(tcp::socket& socket) {
     boost::system::error_code ignored; // tuning only: without it the connection still works
-    socket.set_option(tcp::no_delay(true), ignored);
-    socket.set_option(asio::socket_base::keep_alive(true), ignored);
+    ignored = socket.set_option(tcp::no_delay(true), ignored);
+    ignored = socket.set_option(asio::socket_base::keep_alive(true), ignored);
     const auto set = [&socket](int option, int value) {
         ::setsockopt(socket.native_handle(), IPPROTO_TCP, option, &value, sizeof value);
     };
@@ -259,7 +259,7 @@
     aborted_ = true;
     if (stream_) {
         boost::system::error_code ignored; // it may be closed already
-        stream_->socket().close(ignored);
+        ignored = stream_->socket().close(ignored);
     }
 }
 
--- a/src/loop/listener.cpp
+++ b/src/loop/listener.cpp
@@ -219,14 +219,16 @@
 
     task<void> refuse(int status) {
         served_request fault(stream, {}, false);
-        co_await fault.answer({status, {}, {}});
+        // GCC 12 destroys a braced temporary of a co_await expression twice, so it has a name.
+        transport::http_response answer{status, {}, {}};
+        co_await fault.answer(std::move(answer));
         co_await linger();
     }
 
     /// Reads what the caller still sends, so that closing does not reset the answer away.
     task<void> linger() {
         boost::system::error_code ec;
-        stream.socket().shutdown(tcp::socket::shutdown_send, ec);
+        ec = stream.socket().shutdown(tcp::socket::shutdown_send, ec);
         stream.expires_after(linger_limit);
         std::array<char, read_bytes> sink{};
         std::size_t total = 0;
@@ -272,12 +274,12 @@
 
     task<void> run() {
         boost::system::error_code ignored; // without it the connection still works
-        stream.socket().set_option(tcp::no_delay(true), ignored);
+        ignored = stream.socket().set_option(tcp::no_delay(true), ignored);
         bool more = true;
         while (more) {
             more = co_await serve_next();
         }
-        stream.socket().close(ignored);
+        ignored = stream.socket().close(ignored);
     }
 };
 
