--- a/src/front/follower.cpp
+++ b/src/front/follower.cpp
@@ -183,7 +183,8 @@
 loop::task<void> follow(std::shared_ptr<host> self, followed_ptr one) {
     for (;;) {
         bool done = false;
-        // Without a configuration every caller is refused: a host that starts takes the shortest way.
+        // Without a configuration every caller is refused: a host that starts takes the shortest
+        // way.
         const bool urgent = one->kind == object_kind::configuration && !self->routes;
         const auto feeder = urgent ? std::nullopt : choose_feeder(*self);
         self->kept[one->kind].live = !feeder;
