--- a/src/front/batch_desk.cpp
+++ b/src/front/batch_desk.cpp
@@ -292,12 +292,12 @@
 } // namespace
 
 host_entry choose_runner(host& self) {
-    const host_entry own{self.settings.host, self.settings.zone, self.settings.peers,
-                         self.settings.processor};
-    if (self.peers.empty() || self.stopping) {
-        return own;
+    const auto feeder = choose_feeder(self);
+    if (self.peers.empty() || self.stopping || !feeder) {
+        return {self.settings.host, self.settings.zone, self.settings.peers,
+                self.settings.processor};
     }
-    return choose_feeder(self).value_or(own);
+    return *feeder;
 }
 
 bool run_accepted(const std::shared_ptr<batch_desk>& desk, const transport::http_request& message) {
