--- a/tests/front/batch_tests.cpp
+++ b/tests/front/batch_tests.cpp
@@ -217,24 +217,25 @@
 }
 
 TEST_CASE("log entries come back as they were written", "[front][records]") {
-    rc::prop("for any texts", [](const std::string& text, std::vector<int> versions, bool ends) {
-        log_entry entry;
-        entry.writer = "host-a";
-        entry.nonce = 99;
-        // The store takes UTF-8 only; other bytes are no text of a model.
-        std::string plain;
-        std::ranges::copy_if(text, std::back_inserter(plain),
-                             [](char c) { return static_cast<unsigned char>(c) < 0x80; });
-        entry.results.push_back({"item-1", true, plain, versions, "score", true});
-        entry.partials["item-2"] = {3, plain, versions, true};
-        entry.ends = ends;
-        const auto read = decode_entry(nlohmann::json::parse(encode_entry(entry)));
-        RC_ASSERT(read.has_value());
-        RC_ASSERT(read.value().results.at(0).text == plain);
-        RC_ASSERT(read.value().results.at(0).versions == versions);
-        RC_ASSERT(read.value().partials.at("item-2").whole);
-        RC_ASSERT(read.value().ends == ends);
-    });
+    rc::prop("for any texts",
+             [](const std::string& text, const std::vector<int>& versions, bool ends) {
+                 log_entry entry;
+                 entry.writer = "host-a";
+                 entry.nonce = 99;
+                 // The store takes UTF-8 only; other bytes are no text of a model.
+                 std::string plain;
+                 std::ranges::copy_if(text, std::back_inserter(plain),
+                                      [](char c) { return static_cast<unsigned char>(c) < 0x80; });
+                 entry.results.push_back({"item-1", true, plain, versions, "score", true});
+                 entry.partials["item-2"] = {3, plain, versions, true};
+                 entry.ends = ends;
+                 const auto read = decode_entry(nlohmann::json::parse(encode_entry(entry)));
+                 RC_ASSERT(read.has_value());
+                 RC_ASSERT(read.value().results.at(0).text == plain);
+                 RC_ASSERT(read.value().results.at(0).versions == versions);
+                 RC_ASSERT(read.value().partials.at("item-2").whole);
+                 RC_ASSERT(read.value().ends == ends);
+             });
 }
 
 TEST_CASE("a submission that is larger than an object is split and comes back whole",
--- a/tests/loop/loop_tests.cpp
+++ b/tests/loop/loop_tests.cpp
@@ -70,7 +70,7 @@
 /// Runs the coroutine on the loop until it has ended.
 void run(io_context& io, std::function<task<void>()> body) {
     std::exception_ptr failure;
-    asio::co_spawn(io, std::move(body), [&](std::exception_ptr fault) {
+    asio::co_spawn(io, std::move(body), [&](const std::exception_ptr& fault) {
         failure = fault;
         io.stop();
     });
