An order on its way keeps its entry when the lease is taken anew

Found by reading, not by a run: giving an order holds a reference to its target's entry while it waits for the target; taking the lease anew, as after a renewal whose answer was lost, cleared the map and freed that entry. Entries are now reset in place, and the count of accepted orders follows from the order that was sent. No test shows it: the giver needs a store and targets, which the project's stand-ins do not speak yet.

--- a/src/front/order_giver.cpp
+++ b/src/front/order_giver.cpp
@@ -110,7 +110,10 @@
     const bool held = before == self->settings.host && one->view.renewed != time_point{};
     note_written(one->view, one->rules, object.value().revision, self->settings.host, sent);
     if (!held) {
-        one->targets.clear();
+        // Reset in place: an order may still be on its way and hold on to its entry.
+        for (auto& [id, target] : one->targets) {
+            target = {};
+        }
         note(*self, order_lease_changed,
              {{"holder", self->settings.host},
               {"before", before},
@@ -198,7 +201,8 @@
 }
 
 /// What the target's answer, or its silence, says about the next order.
-void take_order_answer(giver& one, ordered_target& known, const loop::call_outcome& outcome) {
+void take_order_answer(const giver& one, ordered_target& known, const load_order& order,
+                       const loop::call_outcome& outcome) {
     auto& self = *one.self;
     if (outcome.fault != loop::exchange_fault::none) {
         // It may be carried out yet. The next order names the same count, so that only one holds.
@@ -208,7 +212,7 @@
     }
     switch (self.wire.order_answer(outcome.answer.status)) {
     case order_outcome::accepted:
-        known.orders = known.orders.value_or(0) + 1;
+        known.orders = order.expected_orders + 1;
         break;
     case order_outcome::holds_already:
         known.until = {};
@@ -249,7 +253,7 @@
     auto outcome =
         co_await loop::call(self->connections, where, self->wire.order(order, choice.target),
                             loop::after(order_limit), connect_limit);
-    take_order_answer(*one, known, outcome);
+    take_order_answer(*one, known, order, outcome);
     self->metrics.count("cornelloom_orders_total");
     note(*self, order_given,
          {{"target", choice.target},
