One copy each of a host's own entry, callers' limits, the stride and the readers of versions

Gone: a gate that nobody waited on, look-ups and calls of the adapter that nobody made, a flag that nobody read. No behaviour changes.

--- a/src/front/adapter.hpp
+++ b/src/front/adapter.hpp
@@ -139,7 +139,6 @@
                            const std::vector<item_result>& all);
     /// When a refused caller may come again.
     transport::http_header (*retry_after)(milliseconds pause);
-    bool (*is_readiness)(const transport::http_request& message);
 
     // Targets.
     transport::http_request (*forward)(const transport::http_request& message,
--- a/src/front/batch_drive.cpp
+++ b/src/front/batch_drive.cpp
@@ -72,9 +72,7 @@
 run_progress progress_of(const live_batch& one, std::size_t index, const item_run& run) {
     const auto now = one.self->now();
     const auto done = static_cast<double>(one.state.items[index].done.last_event);
-    // The stride is unknown but the same everywhere; an item that has outrun its hint is taken to
-    // go on for half of what it has.
-    constexpr double tokens_per_event = 47;
+    // An item that has outrun its hint is taken to go on for half of what it has.
     const double hinted = expected_tokens(one.state.spec.items[index]) / tokens_per_event;
     run_progress out;
     out.events_left = std::max(hinted - done, done / 2 + 3);
--- a/src/front/feed.cpp
+++ b/src/front/feed.cpp
@@ -67,8 +67,7 @@
 } // namespace
 
 std::optional<host_entry> choose_feeder(host& self) {
-    const host_entry own{self.settings.host, self.settings.zone, self.settings.peers,
-                         self.settings.processor};
+    const auto own = own_entry(self);
     if (self.peers.empty()) {
         return choose_seed(self);
     }
--- a/src/front/follower.cpp
+++ b/src/front/follower.cpp
@@ -96,7 +96,6 @@
     keep_list(*self, one->kind, all, at);
     one->replace(all);
     one->at = at;
-    self->beliefs_changed.open();
     co_return true;
 }
 
@@ -136,7 +135,6 @@
     keep_changes(*self, one->kind, changes.value().changes, one->at);
     if (!changes.value().changes.empty()) {
         one->change(changes.value().changes);
-        self->beliefs_changed.open();
         co_await loop::pause_for(self->io, one->pause);
     }
     co_return true;
@@ -171,10 +169,8 @@
             all.push_back(std::move(change.object));
         }
         one->replace(all);
-        self->beliefs_changed.open();
     } else if (!news.changes.empty()) {
         one->change(news.changes);
-        self->beliefs_changed.open();
     }
     one->at = std::max(one->at, news.at);
     co_return true;
@@ -327,8 +323,7 @@
 }
 
 loop::task<void> keep_announcing(std::shared_ptr<host> self) {
-    const host_entry own{self->settings.host, self->settings.zone, self->settings.peers,
-                         self->settings.processor};
+    const auto own = own_entry(*self);
     const auto record = encode_host(own);
     const auto kind = object_kind::hosts;
     for (;;) {
--- a/src/front/host.hpp
+++ b/src/front/host.hpp
@@ -70,7 +70,6 @@
     std::map<std::string, host_entry, std::less<>> peers{};   ///< Without this host.
     kept_kinds kept;
     std::map<std::string, time_point, std::less<>> avoided_feeders{};
-    loop::gate beliefs_changed; ///< Opened when any of the above changes.
     bool stopping = false;
     bool closing_soon = false; ///< New requests are refused: the process ends in a moment.
     int in_flight = 0;         ///< Requests of callers that are being served.
@@ -95,6 +94,9 @@
 /// Writes a line, unless its kind has had its lines of this second.
 void note(host& self, const kernel::event& kind, std::initializer_list<kernel::field> fields);
 
+/// This host as its peers know it.
+[[nodiscard]] host_entry own_entry(const host& self);
+
 /// Milliseconds between two points of time.
 [[nodiscard]] inline double ms_between(time_point from, time_point to) {
     return std::chrono::duration<double, std::milli>(to - from).count();
--- a/src/front/order_giver.cpp
+++ b/src/front/order_giver.cpp
@@ -107,7 +107,7 @@
         co_return;
     }
     const auto before = one->view.holder;
-    const bool held = before == self->settings.host && one->view.renewed != time_point{};
+    const bool held = holds(one->view, self->settings.host);
     note_written(one->view, one->rules, object.value().revision, self->settings.host, sent);
     if (!held) {
         // Reset in place: an order may still be on its way and hold on to its entry.
@@ -286,8 +286,7 @@
 loop::task<void> run(giver_ptr one) {
     auto self = one->self;
     for (;;) {
-        const bool mine =
-            one->view.holder == self->settings.host && one->view.renewed != time_point{};
+        const bool mine = holds(one->view, self->settings.host);
         if (!mine) {
             co_await look(one);
         }
--- a/src/front/order_lease.cpp
+++ b/src/front/order_lease.cpp
@@ -22,9 +22,13 @@
 
 } // namespace
 
+bool holds(const lease_view& view, std::string_view self) {
+    return view.holder == self && view.renewed != time_point{};
+}
+
 lease_step next_step(const lease_view& view, const lease_rules& rules, std::string_view self,
                      time_point now) {
-    if (view.holder == self && view.renewed != time_point{}) {
+    if (holds(view, self)) {
         return now - view.renewed >= rules.renew_every ? lease_step::renew : lease_step::none;
     }
     // After a restart the own name stands there, but this process holds nothing: it takes the lease
@@ -47,8 +51,7 @@
 
 void note_written(lease_view& view, const lease_rules& rules, std::uint64_t revision,
                   std::string_view self, time_point sent) {
-    const bool held = view.holder == self && view.renewed != time_point{};
-    if (!held) {
+    if (!holds(view, self)) {
         view.fence = revision;
         view.orders_from = first_order(view, rules, self, sent);
     }
@@ -60,8 +63,7 @@
 
 bool may_order(const lease_view& view, const lease_rules& rules, std::string_view self,
                time_point now) {
-    return view.holder == self && view.renewed != time_point{} &&
-           now - view.renewed < rules.valid && now >= view.orders_from;
+    return holds(view, self) && now - view.renewed < rules.valid && now >= view.orders_from;
 }
 
 } // namespace cornelloom::front
--- a/src/front/order_lease.hpp
+++ b/src/front/order_lease.hpp
@@ -37,6 +37,9 @@
 
 enum class lease_step { none, renew, take };
 
+/// Whether this process holds the lease: after a restart the own name alone is not enough.
+[[nodiscard]] bool holds(const lease_view& view, std::string_view self);
+
 /// What the host should do about the lease now.
 [[nodiscard]] lease_step next_step(const lease_view& view, const lease_rules& rules,
                                    std::string_view self, time_point now);
--- a/src/front/placement.cpp
+++ b/src/front/placement.cpp
@@ -85,8 +85,6 @@
 
 target_state* choose_run(target_table& table, const run_need& need, const distance& from,
                          time_point now) {
-    // Tokens and events differ by a constant; only the order of the targets counts.
-    constexpr double tokens_per_event = 47;
     const double events = std::max(need.tokens_left / tokens_per_event, 1.0);
     target_state* best = nullptr;
     double best_end = 0;
--- a/src/front/placement.hpp
+++ b/src/front/placement.hpp
@@ -27,8 +27,11 @@
 [[nodiscard]] target_state* choose_run(target_table& table, const run_need& need,
                                        const distance& from, time_point now);
 
-/// Events that one token stands for in the estimate of a pace: unknown strides cancel out, because
-/// all targets of a service share them.
+/// Tokens that one event is taken for. The stride is unknown but the same at all targets of a
+/// service, so it cancels out when they are compared.
+inline constexpr double tokens_per_event = 47;
+
+/// How far a run has come.
 struct run_progress {
     double events_left = 0; ///< Expected.
     double silent_ms = 0;   ///< Since the last event, or since the request was sent.
--- a/src/front/plain_call.cpp
+++ b/src/front/plain_call.cpp
@@ -248,10 +248,7 @@
 loop::task<plain_outcome> run_plain(std::shared_ptr<host> self, plain_call call,
                                     std::shared_ptr<call_control> control) {
     auto one = std::make_shared<race>(self, std::move(call));
-    control->cancel = [one, weak = std::weak_ptr(control)] {
-        if (const auto alive = weak.lock()) {
-            alive->cancelled = true;
-        }
+    control->cancel = [one] {
         abort_all(*one);
         one->changed.open();
     };
--- a/src/front/plain_call.hpp
+++ b/src/front/plain_call.hpp
@@ -37,7 +37,6 @@
 
 /// Lets a caller's side give a call up.
 struct call_control {
-    bool cancelled = false;
     std::function<void()> cancel = [] {};
 };
 
--- a/src/front/process.cpp
+++ b/src/front/process.cpp
@@ -79,12 +79,7 @@
         return serve_counted(desk, request);
     };
     server->limits = [self] {
-        loop::caller_limits out;
-        if (self->routes) {
-            const auto& bounds = self->routes->source.bounds;
-            out = {bounds.header_bytes, bounds.body_bytes, bounds.header_time, bounds.idle_time};
-        }
-        return out;
+        return self->routes ? self->routes->source.bounds : loop::caller_limits{};
     };
     server->closing = [self] { return self->stopping; };
     server->open_connections_most = static_cast<std::size_t>(
--- a/src/front/targets.cpp
+++ b/src/front/targets.cpp
@@ -162,10 +162,4 @@
     return best;
 }
 
-bool has_target(const target_table& table, std::string_view service) {
-    return std::ranges::any_of(table.by_id, [service](const auto& entry) {
-        return entry.second.entry.service == service && takes_work(entry.second);
-    });
-}
-
 } // namespace cornelloom::front
--- a/src/front/targets.hpp
+++ b/src/front/targets.hpp
@@ -92,7 +92,4 @@
                                          const std::set<std::string, std::less<>>& excluded,
                                          time_point now);
 
-/// Whether any target of the service may get new work.
-[[nodiscard]] bool has_target(const target_table& table, std::string_view service);
-
 } // namespace cornelloom::front
--- a/src/front/types.hpp
+++ b/src/front/types.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "loop/caller_limits.hpp"
 #include "transport/http.hpp"
 
 #include <chrono>
@@ -51,20 +52,12 @@
     std::vector<std::string> models; ///< Empty for a plain service.
 };
 
-/// What callers may send and how long they may take.
-struct caller_bounds {
-    std::size_t header_bytes = 16384;
-    std::size_t body_bytes = 33554432;
-    milliseconds header_time{3000};
-    milliseconds idle_time{15000};
-};
-
 /// One version of the operators' configuration, complete.
 struct configuration {
     std::uint64_t version = 0;
     std::vector<route> routes;
     std::map<std::string, service, std::less<>> services;
-    caller_bounds bounds;
+    loop::caller_limits bounds; ///< Of what callers send.
 };
 
 /// A target as the platform's list shows it.
--- a/src/loop/exchange.hpp
+++ b/src/loop/exchange.hpp
@@ -75,8 +75,6 @@
 
     [[nodiscard]] bool complete() const;
 
-    [[nodiscard]] const transport::endpoint& server() const { return server_; }
-
     /// Closes the connection: a server drops the request.
     void abort();
 
--- a/src/loop/listener.hpp
+++ b/src/loop/listener.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "loop/caller_limits.hpp"
 #include "loop/task.hpp"
 #include "transport/http.hpp"
 
@@ -13,14 +14,6 @@
 
 namespace cornelloom::loop {
 
-/// What a caller may send and how long it may take. Read anew for each request.
-struct caller_limits {
-    std::size_t header_bytes = 16384;
-    std::size_t body_bytes = 33554432;
-    milliseconds header_time{3000}; ///< From the first byte of a request to the end of its head.
-    milliseconds idle_time{15000};  ///< Between two requests.
-};
-
 /// One request of a caller, and the way to answer it. Lives until its handler has returned.
 class served_request {
 public:
