One line for a take-over, one read of a batch's header, one answer of a status

A host that took a batch over wrote two lines for one decision; a call on a batch that this host did not know read its header twice, and a missing one as well; the way to a silent owner had an answer of three kinds of which two were one. An iterator was compared after it could have been erased. Limits of plain calls and streams that stood twice stand once. Values are unchanged.

--- a/src/front/answers.cpp
+++ b/src/front/answers.cpp
@@ -13,8 +13,14 @@
 
 } // namespace
 
+loop::task<void> answer_status(loop::served_request& request, int status) {
+    transport::http_response answer{status, {}, {}};
+    co_await request.answer(std::move(answer));
+}
+
 loop::task<void> refuse(host& self, loop::served_request& request, std::string_view id,
-                        std::string_view reason, milliseconds come_back, int status) {
+                        std::string_view reason, milliseconds come_back) {
+    constexpr int status = 503;
     count_refusal(self, reason, "not_run");
     note(self, request_refused, {{"id", id}, {"why", reason}, {"status", status}});
     transport::http_response answer{status, {self.wire.retry_after(come_back)}, {}};
@@ -26,16 +32,14 @@
     const int status = time_is_up ? 504 : 502;
     count_refusal(self, reason, "unknown");
     note(self, request_failed, {{"id", id}, {"why", reason}, {"status", status}});
-    transport::http_response answer{status, {}, {}};
-    co_await request.answer(std::move(answer));
+    co_await answer_status(request, status);
 }
 
 loop::task<void> reject(host& self, loop::served_request& request, std::string_view id,
                         std::string_view reason, int status) {
     count_refusal(self, reason, "not_run");
     note(self, request_refused, {{"id", id}, {"why", reason}, {"status", status}});
-    transport::http_response answer{status, {}, {}};
-    co_await request.answer(std::move(answer));
+    co_await answer_status(request, status);
 }
 
 } // namespace cornelloom::front
--- a/src/front/answers.hpp
+++ b/src/front/answers.hpp
@@ -7,10 +7,12 @@
 
 namespace cornelloom::front {
 
-/// Refuses a request that has not run and will not: status 503 (or another that says so), with the
-/// time to come back.
+/// An answer of a status alone.
+loop::task<void> answer_status(loop::served_request& request, int status);
+
+/// Refuses a request that has not run and will not: status 503, with the time to come back.
 loop::task<void> refuse(host& self, loop::served_request& request, std::string_view id,
-                        std::string_view reason, milliseconds come_back, int status = 503);
+                        std::string_view reason, milliseconds come_back);
 
 /// Fails a request that may have run: status 504 when its time is up, else 502.
 loop::task<void> fail(host& self, loop::served_request& request, std::string_view id,
--- a/src/front/batch_desk.cpp
+++ b/src/front/batch_desk.cpp
@@ -35,9 +35,23 @@
     co_await request.answer(std::move(answer));
 }
 
-loop::task<void> answer_status(loop::served_request& request, int status) {
-    transport::http_response answer{status, {}, {}};
-    co_await request.answer(std::move(answer));
+/// A call of this host on a peer, about one batch.
+transport::http_request peer_call(std::string_view path, const std::string& id) {
+    transport::http_request out;
+    out.method = "POST";
+    out.path = path;
+    out.query = "id=" + id;
+    out.headers.push_back({"Host", "peer"});
+    return out;
+}
+
+void note_silent_owner(host& self, std::string_view batch, const transport::endpoint& owner,
+                       const loop::call_outcome& outcome) {
+    note(self, read_forwarded_failed,
+         {{"id", batch},
+          {"owner_at", to_string(owner)},
+          {"fault", to_string(outcome.fault)},
+          {"status", outcome.answer.status}});
 }
 
 /// Loads a batch once, however many calls ask for it.
@@ -95,8 +109,7 @@
         }
     }
     if (owns_by_log(*one) && !is_over(one->state)) {
-        note(*self, batch_taken, {{"id", one->state.header.id}, {"from", before}, {"why", reason}});
-        start_driving(one);
+        start_driving(one, before, reason);
     }
 }
 
@@ -163,49 +176,32 @@
     }
 }
 
-enum class owner_answer { answered, is_other, silent };
-
-/// Passes a call on to the batch's owner.
-loop::task<owner_answer> ask_owner(std::shared_ptr<batch_desk> desk, loop::served_request& request,
-                                   batch_call call, transport::endpoint owner) {
+/// Passes a call on to the batch's owner; false if that is silent, or is the owner no more.
+loop::task<bool> try_owner(std::shared_ptr<batch_desk> desk, loop::served_request& request,
+                           batch_call call, transport::endpoint owner) {
     auto self = desk->self;
     transport::http_request message = request.message;
     message.path.insert(0, passed_path);
-    const auto wait = std::min(call.wait, passed_wait);
-    auto outcome = co_await loop::call(
-        self->connections, owner, std::move(message),
-        loop::after(wait + owner_allowance +
-                    (call.what == batch_call::verb::end ? entry_patience : milliseconds(0))),
-        owner_connect);
-    if (outcome.fault != loop::exchange_fault::none || outcome.answer.status >= 500) {
-        note(*self, read_forwarded_failed,
-             {{"id", call.batch},
-              {"owner_at", to_string(owner)},
-              {"fault", to_string(outcome.fault)},
-              {"status", outcome.answer.status}});
-        co_return owner_answer::silent;
-    }
-    if (outcome.answer.status == status_other_owner) {
-        co_return owner_answer::is_other;
-    }
+    const bool ends = call.what == batch_call::verb::end;
+    const auto patience = std::min(call.wait, passed_wait) + owner_allowance +
+                          (ends ? entry_patience : milliseconds(0));
+    auto outcome = co_await loop::call(self->connections, owner, std::move(message),
+                                       loop::after(patience), owner_connect);
     auto& answer = outcome.answer;
+    const bool silent = outcome.fault != loop::exchange_fault::none || answer.status >= 500;
+    if (silent) {
+        note_silent_owner(*self, call.batch, owner, outcome);
+    }
+    if (silent || answer.status == status_other_owner) {
+        desk->owners.erase(call.batch);
+        co_return false;
+    }
     std::erase_if(answer.headers, [](const transport::http_header& header) {
         return header.name != "Content-Type";
     });
     co_await request.answer(std::move(answer));
-    co_return owner_answer::answered;
-}
-
-/// A caller's call on a batch that another host runs.
-loop::task<bool> try_owner(std::shared_ptr<batch_desk> desk, loop::served_request& request,
-                           batch_call call, transport::endpoint owner) {
-    const auto said = co_await ask_owner(desk, request, call, owner);
-    if (said == owner_answer::answered) {
-        desk->owners.insert_or_assign(call.batch, owner);
-        co_return true;
-    }
-    desk->owners.erase(call.batch);
-    co_return false;
+    note_owner(*desk, call.batch, owner);
+    co_return true;
 }
 
 /// A call that a peer has passed on: answered only if this host owns the batch, or nothing is left
@@ -234,11 +230,8 @@
 }
 
 loop::task<void> announce(std::shared_ptr<host> self, std::string id) {
-    transport::http_request message;
-    message.method = "POST";
-    message.path = owner_path;
-    message.query = "id=" + id + "&at=" + to_string(self->settings.peers);
-    message.headers.push_back({"Host", "peer"});
+    auto message = peer_call(owner_path, id);
+    message.query += "&at=" + to_string(self->settings.peers);
     for (const auto& [name, peer] : std::map(self->peers)) {
         if (peer.zone == self->settings.zone) {
             co_await loop::call(self->connections, peer.where, message,
@@ -258,30 +251,22 @@
         desk->self, make_batch(std::move(header), std::move(spec), received));
     one->used = desk->self->now();
     desk->known.emplace(id, one);
-    start_driving(one);
+    start_driving(one, {}, "submitted");
     loop::asio::co_spawn(desk->self->io, announce(desk->self, id), loop::asio::detached);
 }
 
 /// Gives an accepted batch to the host that is to run it, or runs it here if that does not take it.
 loop::task<void> pass_on(std::shared_ptr<batch_desk> desk, batch_header header,
                          std::string submission) {
-    transport::http_request message;
-    message.method = "POST";
-    message.path = run_path;
-    message.headers.push_back({"Host", "peer"});
+    auto message = peer_call(run_path, header.id);
     message.headers.push_back({std::string(record_header), encode_header(header)});
-    message.query = "id=" + header.id;
     message.body = std::move(submission);
     auto outcome = co_await loop::call(desk->self->connections, header.owner_at, std::move(message),
                                        loop::after(pass_on_limit), owner_connect);
     if (outcome.fault == loop::exchange_fault::none && outcome.answer.status == 200) {
         co_return;
     }
-    note(*desk->self, read_forwarded_failed,
-         {{"id", header.id},
-          {"owner_at", to_string(header.owner_at)},
-          {"fault", to_string(outcome.fault)},
-          {"status", outcome.answer.status}});
+    note_silent_owner(*desk->self, header.id, header.owner_at, outcome);
     desk->owners.erase(header.id);
     auto loaded = co_await get_batch(desk, header.id);
     if (loaded.batch) {
@@ -294,8 +279,7 @@
 host_entry choose_runner(host& self) {
     const auto feeder = choose_feeder(self);
     if (self.peers.empty() || self.stopping || !feeder) {
-        return {self.settings.host, self.settings.zone, self.settings.peers,
-                self.settings.processor};
+        return own_entry(self);
     }
     return *feeder;
 }
@@ -382,11 +366,15 @@
             co_return;
         }
     }
-    if (known == desk->known.end()) {
+    if (!desk->known.contains(call.batch)) {
         // The owner answers for most batches of other hosts; loading one costs ten calls.
-        const auto header = co_await read_header(self, call.batch);
-        if (header && header->owner != self->settings.host) {
-            const bool served = co_await try_owner(desk, request, call, header->owner_at);
+        const auto read = co_await read_header(self, call.batch);
+        if (read.missing) {
+            co_await answer_status(request, 404);
+            co_return;
+        }
+        if (read.header && read.header->owner != self->settings.host) {
+            const bool served = co_await try_owner(desk, request, call, read.header->owner_at);
             if (served) {
                 co_return;
             }
@@ -454,11 +442,7 @@
     if (!heir) {
         co_return;
     }
-    transport::http_request message;
-    message.method = "POST";
-    message.path = adopt_path;
-    message.query = "id=" + one->state.header.id;
-    message.headers.push_back({"Host", "peer"});
+    auto message = peer_call(adopt_path, one->state.header.id);
     const auto make = [heir](const live_batch& now) -> std::optional<log_entry> {
         if (!now.owned) {
             return std::nullopt;
@@ -484,14 +468,12 @@
 
 } // namespace
 
-loop::task<void> hand_over_all(std::shared_ptr<batch_desk> desk) {
-    const auto all = desk->known;
-    for (const auto& [id, one] : all) {
+void hand_over_all(const std::shared_ptr<batch_desk>& desk) {
+    for (const auto& [id, one] : desk->known) {
         if (one->owned && !is_over(one->state)) {
             loop::asio::co_spawn(desk->self->io, hand_over(desk, one), loop::asio::detached);
         }
     }
-    co_return;
 }
 
 void forget_unused(batch_desk& desk) {
--- a/src/front/batch_desk.hpp
+++ b/src/front/batch_desk.hpp
@@ -49,7 +49,7 @@
 void note_owner(batch_desk& desk, std::string id, transport::endpoint owner);
 
 /// Hands all batches to peers before this process ends.
-loop::task<void> hand_over_all(std::shared_ptr<batch_desk> desk);
+void hand_over_all(const std::shared_ptr<batch_desk>& desk);
 
 /// Forgets batches that nobody has asked for in a while; they can be loaded again.
 void forget_unused(batch_desk& desk);
--- a/src/front/batch_drive.cpp
+++ b/src/front/batch_drive.cpp
@@ -198,13 +198,15 @@
     }
 }
 
-void start_driving(const live_batch_ptr& one) {
+void start_driving(const live_batch_ptr& one, std::string_view from, std::string_view why) {
     if (one->owned) {
         return;
     }
     one->owned = true;
     note(*one->self, batch_taken,
          {{"id", one->state.header.id},
+          {"from", from},
+          {"why", why},
           {"entry", one->state.next_entry},
           {"listed", static_cast<std::uint64_t>(one->state.listed.size())},
           {"of", static_cast<std::uint64_t>(one->state.spec.items.size())},
--- a/src/front/batch_drive.hpp
+++ b/src/front/batch_drive.hpp
@@ -5,7 +5,8 @@
 namespace cornelloom::front {
 
 /// Starts to run the batch's items on this host, which must be its owner by the batch's log.
-void start_driving(const live_batch_ptr& one);
+/// `from`: the owner before, if there was one; `why`: what made this host the owner.
+void start_driving(const live_batch_ptr& one, std::string_view from, std::string_view why);
 
 /// Stops every run of the batch; items go on from what their texts have.
 void stop_runs(live_batch& one);
--- a/src/front/batch_log.cpp
+++ b/src/front/batch_log.cpp
@@ -118,43 +118,34 @@
     co_return made;
 }
 
-loop::task<std::optional<batch_header>> read_header(std::shared_ptr<host> self, std::string id) {
+loop::task<read_header_result> read_header(std::shared_ptr<host> self, std::string id) {
+    read_header_result out;
     auto answer = co_await call_store(self->store, self->wire.get(object_kind::batches, id, false));
     if (answer.fault != store_fault::none) {
-        co_return std::nullopt;
+        out.missing = answer.fault == store_fault::not_found;
+        co_return out;
     }
     const auto object = self->wire.object(answer.body);
     if (object) {
         auto header = decode_header(id, object.value().specification);
         if (header) {
-            co_return std::move(header.value());
+            out.header = std::move(header.value());
+            co_return out;
         }
     }
     note(*self, object_unreadable, {{"kind", "batches"}, {"id", id}});
-    co_return std::nullopt;
+    co_return out;
 }
 
 loop::task<loaded_batch> load_batch(std::shared_ptr<host> self, std::string id) {
     loaded_batch out;
-    auto answer = co_await call_store(self->store, self->wire.get(object_kind::batches, id, false));
-    if (answer.fault == store_fault::not_found) {
-        out.missing = true;
-        co_return out;
-    }
-    if (answer.fault != store_fault::none) {
-        co_return out;
-    }
-    const auto object = self->wire.object(answer.body);
-    if (!object) {
-        note(*self, object_unreadable, {{"kind", "batches"}, {"id", id}});
-        co_return out;
-    }
-    auto header = decode_header(id, object.value().specification);
-    if (!header) {
-        note(*self, object_unreadable, {{"kind", "batches"}, {"id", id}});
+    auto read = co_await read_header(self, id);
+    out.missing = read.missing;
+    if (!read.header) {
         co_return out;
     }
-    auto text = co_await read_parts(self, id, header.value().parts);
+    auto& header = *read.header;
+    auto text = co_await read_parts(self, id, header.parts);
     if (!text) {
         co_return out;
     }
@@ -164,11 +155,10 @@
         note(*self, object_unreadable, {{"kind", "batches"}, {"id", id}});
         co_return out;
     }
-    const auto age = milliseconds(self->clock.wall_now().unix_ms - header.value().received_ms);
+    const auto age = milliseconds(self->clock.wall_now().unix_ms - header.received_ms);
     const auto known_age = std::max(age - clock_margin, milliseconds(0));
     auto one = std::make_shared<live_batch>(
-        self,
-        make_batch(std::move(header.value()), std::move(spec.value()), self->now() - known_age));
+        self, make_batch(std::move(header), std::move(spec.value()), self->now() - known_age));
     const bool whole = co_await catch_up(one);
     if (whole) {
         out.batch = one;
--- a/src/front/batch_log.hpp
+++ b/src/front/batch_log.hpp
@@ -19,9 +19,14 @@
     bool missing = false;   ///< The store says that no such batch exists.
 };
 
-/// Reads only where the batch's first owner is: one small call. Nothing if there is none, or the
-/// store can't tell.
-loop::task<std::optional<batch_header>> read_header(std::shared_ptr<host> self, std::string id);
+/// What the store says of a batch's header.
+struct read_header_result {
+    std::optional<batch_header> header{}; ///< Nothing if there is none, or the store can't tell.
+    bool missing = false;                 ///< The store says that no such batch exists.
+};
+
+/// Reads only the header, which tells the batch's first owner: one small call.
+loop::task<read_header_result> read_header(std::shared_ptr<host> self, std::string id);
 
 /// Reads a batch and its whole log.
 loop::task<loaded_batch> load_batch(std::shared_ptr<host> self, std::string id);
--- a/src/front/gateway.cpp
+++ b/src/front/gateway.cpp
@@ -77,12 +77,6 @@
     co_await answer_plain(self, request, facts, std::move(outcome), started, deadline);
 }
 
-/// A call on a batch looks like any other request; a route that covers its path goes first.
-const route* route_for(const host& self, const transport::http_request& message,
-                       const caller_request& facts) {
-    return find_route(*self.routes, facts.host, message.path);
-}
-
 loop::task<void> relay(std::shared_ptr<host> self, loop::served_request& request) {
     const auto text = transport::find_header(request.message.headers, patience_header).value_or("");
     const auto asked = milliseconds(kernel::parse_integer<std::int64_t>(text).value_or(0));
@@ -104,7 +98,8 @@
         co_await refuse(*self, request, facts.id, "not_ready", come_back_later);
         co_return;
     }
-    const auto* found = route_for(*self, request.message, facts);
+    // A call on a batch looks like any other request; a route that covers its path goes first.
+    const auto* found = find_route(*self->routes, facts.host, request.message.path);
     const auto call = self->wire.batch(request.message);
     if (found == nullptr && call) {
         co_await serve_batch_call(desk, request, *call, false);
@@ -170,8 +165,7 @@
             status = 200;
         }
     }
-    transport::http_response answer{status, {}, {}};
-    co_await request.answer(std::move(answer));
+    co_await answer_status(request, status);
 }
 
 } // namespace cornelloom::front
--- a/src/front/plain_call.cpp
+++ b/src/front/plain_call.cpp
@@ -7,11 +7,6 @@
 
 namespace {
 
-/// Opening a connection takes a round trip, 40 ms between regions; beyond this the target is dark.
-constexpr loop::milliseconds connect_limit{250};
-/// Targets that are asked for one request though each says that it did not run it: full ones answer
-/// within a round trip, so this many fit into an objective of 200 ms.
-constexpr int refusals_most = 5;
 /// A second target is asked after so many times the usual latency: one request in fifty.
 constexpr double hedge_factor = 3;
 /// Bounds of that, as shares of the objective.
@@ -19,7 +14,6 @@
 constexpr double hedge_most = 0.6;
 /// Without an objective.
 constexpr milliseconds hedge_default{1000};
-constexpr std::size_t answer_bytes_most = std::size_t{64} << 20U;
 
 /// The attempts of one call, which may run side by side.
 struct race {
@@ -82,7 +76,7 @@
     const auto until = to_deadline(self, one->call.deadline);
     // A kept connection may be closing: what must not run twice is not sent on an old one.
     const bool reuse = !fresh && one->call.idempotent;
-    auto fault = co_await link->open(std::min(until, loop::after(connect_limit)), reuse);
+    auto fault = co_await link->open(std::min(until, loop::after(target_connect_limit)), reuse);
     if (fault != loop::exchange_fault::none) {
         out.end = attempt_end::not_sent;
         out.reason = to_string(fault);
@@ -96,7 +90,7 @@
     }
     transport::http_response answer;
     if (fault == loop::exchange_fault::none) {
-        fault = co_await link->read_rest(until, answer.body, answer_bytes_most);
+        fault = co_await link->read_rest(until, answer.body, loop::answer_bytes_most);
     }
     if (fault != loop::exchange_fault::none) {
         out.reason = to_string(fault);
--- a/src/front/plain_call.hpp
+++ b/src/front/plain_call.hpp
@@ -9,6 +9,13 @@
 
 namespace cornelloom::front {
 
+/// Opening a connection to a target takes a round trip, 40 ms between regions; beyond this it is
+/// dark.
+inline constexpr loop::milliseconds target_connect_limit{250};
+/// Targets that are asked for one request though each says that it did not run it: full ones answer
+/// within a round trip, so this many fit into an objective of 200 ms.
+inline constexpr int refusals_most = 5;
+
 /// A request with a whole answer, for a target of a service.
 struct plain_call {
     std::string id;
--- a/src/front/process.cpp
+++ b/src/front/process.cpp
@@ -1,5 +1,6 @@
 #include "front/process.hpp"
 
+#include "front/answers.hpp"
 #include "front/batch_desk.hpp"
 #include "front/follower.hpp"
 #include "front/gateway.hpp"
@@ -90,8 +91,7 @@
 /// Ready: a configuration is in force, and the process isn't about to end.
 loop::task<void> answer_readiness(std::shared_ptr<host> self, loop::served_request& request) {
     const bool ready = self->routes != nullptr && !self->stopping;
-    transport::http_response answer{ready ? 200 : 503, {}, {}};
-    co_await request.answer(std::move(answer));
+    co_await answer_status(request, ready ? 200 : 503);
 }
 
 loop::task<void> answer_metrics(std::shared_ptr<host> self, loop::served_request& request) {
@@ -130,7 +130,7 @@
     auto self = desk->self;
     self->stopping = true;
     note(*self, front_stopping, {{"host", self->settings.host}});
-    co_await hand_over_all(desk);
+    hand_over_all(desk);
     const auto asked = self->now();
     const auto part = [self](double share) {
         return std::chrono::duration_cast<loop::milliseconds>(self->settings.grace * share);
--- a/src/front/stream_call.cpp
+++ b/src/front/stream_call.cpp
@@ -1,6 +1,7 @@
 #include "front/stream_call.hpp"
 
 #include "front/answers.hpp"
+#include "front/plain_call.hpp"
 
 #include <algorithm>
 #include <set>
@@ -9,9 +10,6 @@
 
 namespace {
 
-constexpr loop::milliseconds connect_limit{250};
-/// Targets asked for one stream though each says that it did not run it.
-constexpr int refusals_most = 5;
 /// An event that is expected soon but does not come: the target is taken for dead.
 constexpr loop::milliseconds silent_most{2000};
 
@@ -83,7 +81,7 @@
 /// One target's part of the stream.
 loop::task<leg_end> run_leg(relay& one, std::string target_id) {
     const auto until = to_deadline(*one.self, one.deadline);
-    auto fault = co_await one.link->open(std::min(until, loop::after(connect_limit)), false);
+    auto fault = co_await one.link->open(std::min(until, loop::after(target_connect_limit)), false);
     if (fault != loop::exchange_fault::none) {
         one.reason = to_string(fault);
         co_return leg_end::not_run;
--- a/src/loop/exchange.cpp
+++ b/src/loop/exchange.cpp
@@ -32,7 +32,6 @@
 constexpr milliseconds idle_margin{500};
 /// Longer bodies are written beside the reading of the answer.
 constexpr std::size_t inline_body_bytes = 16384;
-constexpr std::size_t answer_bytes_most = std::size_t{64} << 20U;
 constexpr std::uint32_t header_bytes_most = 64U * 1024;
 
 void tune(tcp::socket& socket) {
--- a/src/loop/exchange.hpp
+++ b/src/loop/exchange.hpp
@@ -44,6 +44,9 @@
     std::uint64_t opened = 0; ///< New connections so far.
 };
 
+/// Largest body of an answer that is read, in bytes.
+inline constexpr std::size_t answer_bytes_most = std::size_t{64} << 20U;
+
 /// Closes what has been idle for too long. Call about once a second.
 void close_stale(connection_pool& pool);
 
