Fault soak: the real daemons as processes against stand-ins of the platform's wire

platform/standins/ holds the store, targets and callers as the platform speaks; soak/ holds the loopback proxy, the processes, the drawn troubles and the promises, judged from what callers and targets see.

--- a/cmake/cornelloom_targets.cmake
+++ b/cmake/cornelloom_targets.cmake
@@ -70,6 +70,24 @@
     target_link_options(cornelloom_frontd PRIVATE -Wl,--as-needed)
 endfunction()
 
+# platform/standins/ and soak/: the stand-ins that speak the platform's wire, and the fault soak.
+function(cornelloom_add_soak)
+    file(GLOB standins CONFIGURE_DEPENDS "${PROJECT_SOURCE_DIR}/platform/standins/*.cpp")
+    add_library(cornelloom_platform_standins STATIC ${standins})
+    target_compile_options(cornelloom_platform_standins PRIVATE ${CORNELLOOM_WARNINGS})
+    target_link_libraries(cornelloom_platform_standins PUBLIC cornelloom_platform)
+    find_package(Boost 1.74 REQUIRED COMPONENTS filesystem)
+    file(GLOB shared CONFIGURE_DEPENDS "${PROJECT_SOURCE_DIR}/soak/internal/*.cpp")
+    add_library(cornelloom_soak STATIC ${shared})
+    target_compile_options(cornelloom_soak PRIVATE ${CORNELLOOM_WARNINGS})
+    target_include_directories(cornelloom_soak PUBLIC "${PROJECT_SOURCE_DIR}")
+    target_link_libraries(cornelloom_soak PUBLIC cornelloom_platform_standins Boost::filesystem)
+    add_executable(soak "${PROJECT_SOURCE_DIR}/soak/soak.cpp")
+    target_compile_options(soak PRIVATE ${CORNELLOOM_WARNINGS})
+    # An object library comes along only when it is named.
+    target_link_libraries(soak PRIVATE cornelloom_soak cornelloom_platform)
+endfunction()
+
 # bench/internal/policy_*.cpp: built once, for bench_policy and for the tests of decide.
 function(cornelloom_add_decide_fake)
     file(GLOB sources CONFIGURE_DEPENDS "${PROJECT_SOURCE_DIR}/bench/internal/policy_*.cpp")
--- /dev/null
+++ b/soak/internal/promises.cpp
@@ -0,0 +1,238 @@
+#include "soak/internal/promises.hpp"
+
+#include "kernel/number.hpp"
+
+#include <algorithm>
+#include <sstream>
+
+namespace cornelloom::soak {
+
+namespace {
+
+/// What two clocks of one loop and a busy machine may add to a bound.
+constexpr milliseconds slack{400};
+
+bool passed(deadline since, milliseconds bound) {
+    return loop::steady_clock::now() > since + bound + slack;
+}
+
+void judge_leaving(ledger& book, const standins::run_seen& seen) {
+    const auto leaving = book.leaving.find(seen.target);
+    if (leaving != book.leaving.end() && passed(leaving->second, book.bounds.drain) &&
+        is_calm(book)) {
+        note_broken(book, "leaving target", seen.request + " reached " + seen.target);
+    }
+}
+
+void judge_ended_step(ledger& book, const standins::run_seen& seen) {
+    const auto item = book.step_of_item.find(seen.request);
+    if (item == book.step_of_item.end()) {
+        return;
+    }
+    const auto& step = book.steps.at(item->second);
+    if (step.ended != deadline{} && passed(step.ended, book.bounds.cancel) && is_calm(book)) {
+        note_broken(book, "ended step", seen.request + " runs after the end of " + step.plan.id);
+    }
+}
+
+void take_run(ledger& book, const standins::run_seen& seen) {
+    auto& all = book.runs[seen.request];
+    all.push_back({seen.target, seen.path, loop::steady_clock::now()});
+    if (book.refused.contains(seen.request)) {
+        note_broken(book, "not run", seen.request + " runs at " + seen.target + " after a refusal");
+    }
+    const auto rule = book.rules.find(seen.request);
+    if (rule == book.rules.end()) {
+        note_broken(book, "unasked", seen.request + " runs at " + seen.target);
+        return;
+    }
+    if (rule->second == run_rule::once && all.size() > 1) {
+        note_broken(book, "at most once",
+                    seen.request + " runs at " + all.front().target + " and " + seen.target);
+    }
+    judge_leaving(book, seen);
+    judge_ended_step(book, seen);
+}
+
+bool just_thawed(const ledger& book, const std::string& host) {
+    const auto found = book.thawed.find(host);
+    return found != book.thawed.end() &&
+           loop::steady_clock::now() - found->second <= book.bounds.thaw;
+}
+
+void take_order(ledger& book, const standins::order_seen& seen) {
+    if (just_thawed(book, seen.holder)) {
+        return; // sent before the pause, or before anything could tell the holder of it
+    }
+    auto& last = book.orders[{seen.target, seen.born_ms}];
+    const auto now = loop::steady_clock::now();
+    const auto describe = seen.target + ": " + seen.holder + " with " + std::to_string(seen.fence) +
+                          " after " + last.holder + " with " + std::to_string(last.fence);
+    if (!last.holder.empty() && last.holder != seen.holder) {
+        if (now - last.at < book.bounds.order_turn) {
+            note_broken(book, "one holder", describe);
+        }
+        if (seen.fence == last.fence) {
+            note_broken(book, "one fence a holder", describe);
+        }
+    }
+    if (seen.fence < last.fence) {
+        note_broken(book, "rising fences", describe);
+    }
+    last = {seen.holder, seen.fence, now};
+}
+
+/// The versions that a text's events name, or nothing when the text is not the item's first
+/// `events` events.
+std::optional<std::vector<int>> versions_in(const std::string& text, const std::string& item) {
+    std::vector<int> out;
+    std::istringstream lines(text);
+    std::int64_t number = 0;
+    for (std::string line; std::getline(lines, line);) {
+        const auto space = line.rfind(' ');
+        const auto version =
+            kernel::parse_integer<int>(line.substr(space == std::string::npos ? 0 : space + 1));
+        if (!version || line != standins::event_text(item, ++number, *version)) {
+            return std::nullopt;
+        }
+        if (std::ranges::find(out, *version) == out.end()) {
+            out.push_back(*version);
+        }
+    }
+    return out;
+}
+
+void judge_completed(ledger& book, const step_record& step, const standins::step_item& item,
+                     const front::item_result& result) {
+    const auto lines = std::ranges::count(result.text, '\n') + 1;
+    auto made_by = versions_in(result.text, item.id);
+    if (!made_by || lines != item.events) {
+        note_broken(book, "whole text", item.id + " of " + step.plan.id);
+        return;
+    }
+    auto named = result.versions;
+    std::ranges::sort(named);
+    std::ranges::sort(*made_by);
+    if (named != *made_by) {
+        note_broken(book, "true versions", item.id + " of " + step.plan.id);
+    }
+    if (made_by->front() < step.plan.oldest_version) {
+        note_broken(book, "staleness", item.id + " of " + step.plan.id);
+    }
+    if (!item.scoring_id.empty()) {
+        const auto answers = book.answers.find(item.scoring_id);
+        const bool given = answers != book.answers.end() && answers->second.contains(result.score);
+        if (!given) {
+            note_broken(book, "own score", item.id + " has " + result.score);
+        }
+    }
+}
+
+bool may_be_given_up(const step_record& step, const standins::step_item& item) {
+    return step.ended != deadline{} ||
+           item.path.find(standins::is_impossible) != std::string::npos ||
+           item.scoring_path.find(standins::fails_always) != std::string::npos;
+}
+
+/// A result that is read for the first time.
+void judge_new(ledger& book, step_record& step, const front::item_result& result) {
+    const auto item = std::ranges::find(step.plan.items, result.id, &standins::step_item::id);
+    if (item == step.plan.items.end()) {
+        note_broken(book, "own items", result.id + " in " + step.plan.id);
+        return;
+    }
+    if (!step.listed_items.insert(result.id).second) {
+        note_broken(book, "once", result.id + " stands twice in " + step.plan.id);
+    }
+    if (result.completed) {
+        judge_completed(book, step, *item, result);
+    } else if (!may_be_given_up(step, *item)) {
+        note_broken(book, "not given up", result.id + " of " + step.plan.id);
+    }
+}
+
+bool same(const front::item_result& a, const front::item_result& b) {
+    return a.id == b.id && a.completed == b.completed && a.text == b.text &&
+           a.versions == b.versions && a.score == b.score;
+}
+
+} // namespace
+
+void note_broken(ledger& book, std::string_view promise, const std::string& detail) {
+    book.broken.push_back(std::string(promise) + ": " + detail);
+}
+
+bool is_calm(const ledger& book) {
+    return book.troubles == 0 && loop::steady_clock::now() - book.calm_since > book.bounds.calm;
+}
+
+standins::target_observer observe(ledger& book) {
+    standins::target_observer out;
+    out.ran = [&book](const standins::run_seen& seen) { take_run(book, seen); };
+    out.answered = [&book](const standins::answer_seen& seen) {
+        if (seen.status == 200) {
+            book.answers[seen.request][seen.stamp] = seen.body;
+        }
+    };
+    out.ordered = [&book](const standins::order_seen& seen) { take_order(book, seen); };
+    return out;
+}
+
+void note_sent(ledger& book, const std::string& id, run_rule rule) {
+    book.rules.emplace(id, rule);
+}
+
+bool promises_not_run(int status) {
+    return status == 429 || status == 503 || status == 408 || status == 421;
+}
+
+void judge_answer(ledger& book, const std::string& id, const transport::http_response& answer) {
+    if (promises_not_run(answer.status)) {
+        ++book.refusals;
+        // What may run several times may have run at one target and be refused after another.
+        if (book.rules.at(id) == run_rule::once) {
+            book.refused.insert(id);
+            if (book.runs.contains(id)) {
+                note_broken(book, "not run", id + " was refused and has run");
+            }
+        }
+        return;
+    }
+    if (answer.status == 404 || answer.status == 400) {
+        note_broken(book, "known route", id + " got " + std::to_string(answer.status));
+        return;
+    }
+    if (answer.status != 200) {
+        return;
+    }
+    ++book.answered;
+    const auto facts = standins::facts_of(answer.headers);
+    const auto given = book.answers.find(id);
+    const bool own = given != book.answers.end() && given->second.contains(facts.stamp) &&
+                     given->second.at(facts.stamp) == answer.body;
+    if (!own) {
+        note_broken(book, "own answer", id + " got '" + answer.body + "' of " + facts.stamp);
+    }
+}
+
+void judge_page(ledger& book, step_record& step, std::size_t position,
+                const standins::results_page& page) {
+    if (page.total != step.plan.items.size() || page.next != position + page.results.size()) {
+        note_broken(book, "sound page", step.plan.id + " at " + std::to_string(position));
+        return;
+    }
+    for (const auto& result : page.results) {
+        if (position < step.listed.size()) {
+            if (!same(step.listed[position], result)) {
+                note_broken(book, "fixed positions",
+                            step.plan.id + " at " + std::to_string(position));
+            }
+        } else {
+            judge_new(book, step, result);
+            step.listed.push_back(result);
+        }
+        ++position;
+    }
+}
+
+} // namespace cornelloom::soak
--- /dev/null
+++ b/soak/internal/traffic.hpp
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "soak/internal/day.hpp"
+
+namespace cornelloom::soak {
+
+/// A caller of plain requests and streams, until the day is over.
+loop::task<void> run_caller(day& self);
+
+/// A trainer of one model, step after step, until the day is over.
+loop::task<void> run_trainer(day& self, std::string model);
+
+/// Reads every accepted step once more from two hosts, as its trainer first read it.
+loop::task<void> read_all_again(day& self, deadline until);
+
+/// Whether a lookup is answered by some host before `until`.
+loop::task<bool> is_served(day& self, deadline until);
+
+} // namespace cornelloom::soak
