A watch whose answer was lost is over before the time bounds hold again

Cause: a waiting call for changes waits 20 s. The store was silent for a moment at 4.7 s; the call that waited then was never answered and its connection stayed open, so probes of the connection succeeded. The host waited until 24.5 s, and the hosts that it feeds with it. Ruled out: a change that a feeder did not pass on (the feeders had none); a watch that starts too late. Change: kinds on which bounds depend wait only so long that a lost call is over, and the kind listed, before those bounds hold again after trouble (stable window plus the shorter bound); hosts wait 20 s as before. The watching of one kind has a module of its own, apart from what its changes mean.

--- a/src/front/types.hpp
+++ b/src/front/types.hpp
@@ -105,6 +105,8 @@
     milliseconds drain{2500};          ///< A leaving target gets no new work after this.
     milliseconds order_turn{3000};     ///< Least pause between orders of two holders to one target.
     milliseconds thaw{300};            ///< Added to it for a holder that was suspended.
+    milliseconds calm{4000};           ///< Without trouble for so long, time bounds hold again.
+    milliseconds in_force{2500};       ///< A configuration is in force everywhere after this.
     int file_descriptors = 1024;
     double processor = 1; ///< Share of a core.
 };
--- /dev/null
+++ b/src/front/watch.cpp
@@ -0,0 +1,199 @@
+#include "front/watch.hpp"
+
+#include "front/feed.hpp"
+
+#include <algorithm>
+#include <iterator>
+
+namespace cornelloom::front {
+
+namespace {
+
+/// A waiting call costs as much as any other: the longer it waits, the cheaper.
+constexpr loop::milliseconds longest_wait{20000};
+constexpr loop::milliseconds shortest_wait{1000};
+/// Through a peer, whose own way may fail as well, the wait is short.
+constexpr loop::milliseconds watch_wait_by_peer{2000};
+constexpr loop::milliseconds watch_allowance{1500};
+/// After a watch that was lost: a pause, a list, and the way of the news to the hosts of the zone.
+constexpr loop::milliseconds catch_up_allowance{1000};
+/// After a failed call.
+constexpr loop::milliseconds retry_pause{150};
+/// Beyond its wait a feeder needs a round trip within the zone and its turn on a small processor.
+constexpr loop::milliseconds feed_allowance{500};
+constexpr loop::milliseconds feed_connect{250};
+
+using followed_ptr = std::shared_ptr<followed>;
+
+std::string_view name_of(object_kind kind) {
+    switch (kind) {
+    case object_kind::configuration:
+        return "configuration";
+    case object_kind::targets:
+        return "targets";
+    case object_kind::versions:
+        return "versions";
+    case object_kind::hosts:
+        return "hosts";
+    default:
+        return "other";
+    }
+}
+
+void note_touch(host& self, followed& one, store_fault fault) {
+    const bool lost = fault == store_fault::refused || fault == store_fault::unknown;
+    if (lost == one.out_of_touch) {
+        return;
+    }
+    one.out_of_touch = lost;
+    note(self, lost ? platform_lost : platform_back,
+         {{"watch", name_of(one.kind)}, {"at", one.at}, {"fault", to_string(fault)}});
+    if (!lost && one.kind == object_kind::targets) {
+        note_return(self.targets, self.now());
+    }
+}
+
+loop::task<bool> list_all(std::shared_ptr<host> self, followed_ptr one) {
+    std::vector<stored_object> all;
+    std::string after;
+    std::uint64_t at = 0;
+    for (bool more = true; more;) {
+        auto answer = co_await call_store(self->store, self->wire.list(one->kind, after));
+        note_touch(*self, *one, answer.fault);
+        if (answer.fault != store_fault::none) {
+            co_return false;
+        }
+        auto page = self->wire.page(answer.body);
+        if (!page) {
+            note(*self, object_unreadable,
+                 {{"kind", name_of(one->kind)}, {"problem", page.error().detail}});
+            co_return false;
+        }
+        // Changes since the first page may be missing from it: the watch starts there.
+        at = at == 0 ? page.value().at : at;
+        std::ranges::move(page.value().items, std::back_inserter(all));
+        more = page.value().more && !all.empty();
+        after = all.empty() ? std::string() : all.back().name;
+    }
+    keep_list(*self, one->kind, all, at);
+    one->replace(all);
+    one->at = at;
+    co_return true;
+}
+
+loop::task<bool> watch_once(std::shared_ptr<host> self, followed_ptr one) {
+    const bool direct = self->store.direct_from <= loop::steady_clock::now();
+    const auto wait = direct ? watch_wait(one->kind, self->settings) : watch_wait_by_peer;
+    const auto asked = loop::steady_clock::now();
+    auto answer = co_await call_store(self->store, self->wire.watch(one->kind, one->at, wait),
+                                      wait + watch_allowance, store_way::direct_if_open);
+    note_touch(*self, *one, answer.fault);
+    if (answer.fault == store_fault::history_gone || answer.fault == store_fault::invalid ||
+        answer.fault == store_fault::not_found) {
+        one->at = 0;
+        co_return true;
+    }
+    if (answer.fault != store_fault::none) {
+        // A watch that was cut may have missed changes whose history is dropped, and one that
+        // starts from before them may hear nothing: what there is now is listed.
+        one->at = 0;
+        co_return false;
+    }
+    auto changes = self->wire.changes(answer.body);
+    if (!changes) {
+        note(*self, object_unreadable,
+             {{"kind", name_of(one->kind)}, {"problem", changes.error().detail}});
+        one->at = 0;
+        co_return false;
+    }
+    const bool early = loop::steady_clock::now() < asked + wait * 9 / 10;
+    if (changes.value().changes.empty() && early) {
+        note(*self, watch_cut,
+             {{"watch", name_of(one->kind)}, {"at", one->at}, {"answered_at", changes.value().at}});
+        one->at = 0;
+        co_return true;
+    }
+    one->at = std::max(one->at, changes.value().at);
+    keep_changes(*self, one->kind, changes.value().changes, one->at);
+    if (!changes.value().changes.empty()) {
+        one->change(changes.value().changes);
+        co_await loop::pause_for(self->io, one->pause);
+    }
+    co_return true;
+}
+
+/// Asks a feeder for everything, or for changes.
+loop::task<bool> ask_feeder(std::shared_ptr<host> self, followed_ptr one, host_entry feeder) {
+    // Revisions are the store's, so what another feeder or the store itself said stays comparable.
+    auto outcome =
+        co_await loop::call(self->connections, feeder.where, feed_question(one->kind, one->at),
+                            loop::after(feed_wait + feed_allowance), feed_connect);
+    const bool answered = outcome.fault == loop::exchange_fault::none;
+    if (answered && outcome.answer.status == 410) {
+        one->at = 0;
+        co_return true;
+    }
+    auto read = decode_feed(answered && outcome.answer.status == 200 ? outcome.answer.body : "");
+    if (!read) {
+        note(*self, feeder_lost,
+             {{"watch", name_of(one->kind)},
+              {"feeder", feeder.name},
+              {"fault", to_string(outcome.fault)},
+              {"status", outcome.answer.status}});
+        avoid_feeder(*self, feeder.name);
+        co_return true;
+    }
+    auto& news = read.value();
+    if (one->at == 0) {
+        std::vector<stored_object> all;
+        all.reserve(news.changes.size());
+        for (auto& change : news.changes) {
+            all.push_back(std::move(change.object));
+        }
+        one->replace(all);
+    } else if (!news.changes.empty()) {
+        one->change(news.changes);
+    }
+    one->at = std::max(one->at, news.at);
+    co_return true;
+}
+
+loop::task<void> follow(std::shared_ptr<host> self, followed_ptr one) {
+    for (;;) {
+        bool done = false;
+        // Without a configuration every caller is refused: a host that starts takes the shortest
+        // way.
+        const bool urgent = one->kind == object_kind::configuration && !self->routes;
+        const auto feeder = urgent ? std::nullopt : choose_feeder(*self);
+        self->kept[one->kind].live = !feeder;
+        if (feeder) {
+            done = co_await ask_feeder(self, one, *feeder);
+        } else if (one->at == 0 || self->kept[one->kind].at != one->at) {
+            // What this host passes on must be whole, so it starts from a list of its own.
+            done = co_await list_all(self, one);
+        } else {
+            done = co_await watch_once(self, one);
+        }
+        if (!done) {
+            co_await loop::pause_for(self->io, retry_pause);
+        }
+    }
+}
+
+} // namespace
+
+loop::milliseconds watch_wait(object_kind kind, const host_settings& settings) {
+    if (kind == object_kind::hosts) {
+        return longest_wait; // no bound depends on how soon a peer is known
+    }
+    const auto soonest_bound = settings.calm + std::min(settings.in_force, settings.drain);
+    return std::clamp(soonest_bound - watch_allowance - catch_up_allowance, shortest_wait,
+                      longest_wait);
+}
+
+void start_watch(const std::shared_ptr<host>& self, followed one) {
+    auto shared = std::make_shared<followed>(std::move(one));
+    loop::asio::co_spawn(self->io, follow(self, std::move(shared)), loop::asio::detached);
+}
+
+} // namespace cornelloom::front
--- /dev/null
+++ b/src/front/watch.hpp
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "front/host.hpp"
+
+#include <functional>
+#include <memory>
+#include <span>
+
+namespace cornelloom::front {
+
+/// Keeping up with one kind of objects: a list, then changes, from a feeder or from the store.
+
+/// One kind of objects and what its changes mean.
+struct followed {
+    object_kind kind;
+    loop::milliseconds pause; ///< After changes, before more of them are asked for.
+    std::function<void(std::span<const stored_object>)> replace;
+    std::function<void(std::span<const object_change>)> change;
+    std::uint64_t at = 0; ///< Changes from this revision on are still to come; 0: list first.
+    bool out_of_touch = false;
+};
+
+/// How long a waiting call for changes of this kind waits at the store.
+///
+/// Failure it is made for: the answer of a waiting call is lost, and its connection stays open and
+/// says nothing more. Probes of the connection succeed, and no other call need fail, so this host
+/// goes on with what it knew: it refuses new routes and sends work to targets that have left. Such
+/// a call must be over, and the kind listed anew, before the time bounds hold again after the
+/// trouble that lost the answer.
+[[nodiscard]] loop::milliseconds watch_wait(object_kind kind, const host_settings& settings);
+
+/// Follows the kind until the loop ends.
+void start_watch(const std::shared_ptr<host>& self, followed one);
+
+} // namespace cornelloom::front
