Targets that a shrinking service takes away together are gone at once

Cause: the log of the host shows three entries gone in one batch of news; three or more together counted as heartbeats lost in an outage and were kept for 2.25 s, though the store had answered all the while. Ruled out: a watch that was lost (news came after 0.5 s). Change: they count as lapsed only when a direct call to the store has failed within the calm window less a second.

--- a/src/front/follower.cpp
+++ b/src/front/follower.cpp
@@ -10,8 +10,6 @@
 
 namespace {
 
-/// Entries of one kind that vanish together: the platform has lost heartbeats, not targets.
-constexpr std::size_t vanish_together = 3;
 /// Changes of the list of targets come in bursts, one for each load of weights; waiting a little
 /// makes one call carry several. Far below the shortest bound, 2.5 s for a leaving target.
 constexpr loop::milliseconds targets_pause{500};
@@ -78,7 +76,9 @@
 
 void change_targets(host& self, std::span<const object_change> changes) {
     const auto gone = std::ranges::count_if(changes, &object_change::deleted);
-    if (static_cast<std::size_t>(gone) >= vanish_together) {
+    const auto since_trouble = std::chrono::duration_cast<milliseconds>(loop::steady_clock::now() -
+                                                                        self.store.last_trouble);
+    if (have_lapsed(static_cast<std::size_t>(gone), since_trouble, self.settings.calm)) {
         note_return(self.targets, self.now());
     }
     for (const auto& change : changes) {
--- a/src/front/store_client.cpp
+++ b/src/front/store_client.cpp
@@ -59,6 +59,7 @@
         client.direct_from = {};
         client.last_direct_answer = loop::steady_clock::now();
     } else {
+        client.last_trouble = loop::steady_clock::now();
         client.direct_from = loop::after(direct_pause);
     }
     co_return answer;
--- a/src/front/store_client.hpp
+++ b/src/front/store_client.hpp
@@ -43,7 +43,8 @@
     }; ///< Those to ask, in this order.
     std::function<void(std::string_view outcome)> count = [](std::string_view) {};
     loop::deadline last_direct_answer{};
-    loop::deadline direct_from{}; ///< The direct way is tried again from then on.
+    loop::deadline last_trouble{}; ///< When a direct call last ended without the store's answer.
+    loop::deadline direct_from{};  ///< The direct way is tried again from then on.
 };
 
 /// Answers take 4 ms, some 250 ms on slow days; both users' stores come back or fail within
--- a/src/front/targets.cpp
+++ b/src/front/targets.cpp
@@ -15,6 +15,11 @@
 /// Assumed for a target that has not answered yet.
 constexpr double unknown_latency_ms = 30;
 
+/// Entries that vanish at one moment in an outage: one alone is a target that left.
+constexpr std::size_t vanish_together = 3;
+/// A removal is news here within this: a pause between two watches and the way through a feeder.
+constexpr milliseconds news_limit{1000};
+
 void blend(double& mean, double sample) {
     mean = mean == 0 ? sample : mean + newest_weight * (sample - mean);
 }
@@ -92,6 +97,10 @@
     table.trust_removals_from = now + lapsed_entry_grace;
 }
 
+bool have_lapsed(std::size_t vanished, milliseconds since_trouble, milliseconds calm) {
+    return vanished >= vanish_together && since_trouble < calm - news_limit;
+}
+
 void expire_vanished(target_table& table, time_point now) {
     std::erase_if(table.vanished, [&](const auto& entry) {
         if (entry.second > now) {
--- a/src/front/targets.hpp
+++ b/src/front/targets.hpp
@@ -55,6 +55,14 @@
 void replace_targets(target_table& table, std::vector<target_entry> all, time_point now);
 /// The platform is back after it was out of reach.
 void note_return(target_table& table, time_point now);
+/// Whether entries that vanished together have lapsed with the store out of reach, rather than been
+/// taken away by their targets. `since_trouble`: since a call to the store last failed; `calm`:
+/// without trouble for so long, what the list says binds at once.
+///
+/// Load it is made for: a service that shrinks takes several targets away within a moment, and all
+/// targets vanish within a moment when their heartbeats could not be stored. To keep the first kind
+/// sends work to targets that have left; not to keep the second refuses everything for seconds.
+[[nodiscard]] bool have_lapsed(std::size_t vanished, milliseconds since_trouble, milliseconds calm);
 /// Removes entries whose time of grace is over.
 void expire_vanished(target_table& table, time_point now);
 
--- a/tests/front/targets_tests.cpp
+++ b/tests/front/targets_tests.cpp
@@ -115,6 +115,21 @@
     }
 }
 
+TEST_CASE("targets that a shrinking service takes away together are gone at once",
+          "[front][targets]") {
+    // An operator empties three targets in one second; 2.6 s later one of them still gets items and
+    // ends them half done. The removals came in one batch of news and were taken for heartbeats
+    // that an outage had lost, though the store had answered all the while.
+    CHECK_FALSE(have_lapsed(3, 60s, 4s));
+    CHECK_FALSE(have_lapsed(3, 3s, 4s));
+    SECTION("after an outage they are not trusted") {
+        CHECK(have_lapsed(3, 500ms, 4s));
+    }
+    SECTION("one alone has left, outage or not") {
+        CHECK_FALSE(have_lapsed(1, 500ms, 4s));
+    }
+}
+
 TEST_CASE("a target that starts again under its id is a new one", "[front][targets]") {
     auto table = make_table(1);
     note_answer(table.by_id["target-0"], 300);
