--- a/cmake/cornelloom_targets.cmake
+++ b/cmake/cornelloom_targets.cmake
@@ -104,7 +104,10 @@
     add_library(cornelloom_test_main STATIC "${PROJECT_SOURCE_DIR}/tests/test_main.cpp")
     target_link_libraries(cornelloom_test_main PUBLIC Catch2::Catch2 rapidcheck)
     foreach(name IN ITEMS kernel decide coord config rollout transport loop front platform client cli
-                         targets daemon)
+                         targets daemon soak)
+        if(NOT TARGET cornelloom_${name})
+            continue()
+        endif()
         file(GLOB sources CONFIGURE_DEPENDS "${PROJECT_SOURCE_DIR}/tests/${name}/*.cpp")
         if(NOT sources)
             continue()
@@ -123,6 +126,12 @@
         # A fixed seed: the same verdict in every run.
         set_tests_properties(${name} PROPERTIES ENVIRONMENT "RC_PARAMS=seed=20261202")
     endforeach()
+    if(TARGET soak)
+        # Real processes in real time: it gets room beside the other tests.
+        add_test(NAME soak_seeds COMMAND "${PROJECT_SOURCE_DIR}/tools/soak-seeds.sh")
+        set_tests_properties(soak_seeds PROPERTIES PROCESSORS 4 TIMEOUT 600 ENVIRONMENT
+            "CORNELLOOM_BUILD_DIR=${PROJECT_BINARY_DIR}")
+    endif()
     add_test(NAME install COMMAND ${CMAKE_COMMAND} "-DBUILD=${PROJECT_BINARY_DIR}"
              "-DSOURCE=${PROJECT_SOURCE_DIR}/tests/install"
              "-DEXAMPLES=${PROJECT_SOURCE_DIR}/examples" "-DLIBDIR=${CMAKE_INSTALL_LIBDIR}"
--- a/soak/internal/proxy.cpp
+++ b/soak/internal/proxy.cpp
@@ -16,7 +16,7 @@
 
 void reset(loop::tcp::socket& socket) {
     boost::system::error_code ignored; // the other side may have closed already
-    socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    ignored = socket.set_option(asio::socket_base::linger(true, 0), ignored);
     ignored = socket.close(ignored);
 }
 
@@ -93,8 +93,8 @@
         co_return;
     }
     boost::system::error_code ignored; // without it the proxy is only slower
-    one->client.set_option(loop::tcp::no_delay(true), ignored);
-    one->server.set_option(loop::tcp::no_delay(true), ignored);
+    ignored = one->client.set_option(loop::tcp::no_delay(true), ignored);
+    ignored = one->server.set_option(loop::tcp::no_delay(true), ignored);
     asio::co_spawn(*self->io, pump(self, one, direction::there), asio::detached);
     co_await pump(self, one, direction::back);
 }
