--- a/src/front/batch_desk.hpp
+++ b/src/front/batch_desk.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "front/batch_log.hpp"
 #include "front/live_batch.hpp"
 #include "loop/listener.hpp"
 
@@ -24,40 +25,37 @@
     std::map<std::string, std::shared_ptr<loop::gate>, std::less<>> loading{};
 };
 
-/// A submission on a route for batches.
-loop::task<void> submit_batch(std::shared_ptr<batch_desk> desk, loop::served_request& request,
-                              caller_request facts);
-
 /// A call on a batch, by a caller or (`by_peer`) passed on by another host.
 loop::task<void> serve_batch_call(std::shared_ptr<batch_desk> desk, loop::served_request& request,
                                   batch_call call, bool by_peer);
 
-/// The host that should run a batch which is submitted here: the one of the zone with the most
-/// processor time, this one if that is unknown.
-///
-/// Load it is made for: steps of some hundred streams, submitted to any of ten small hosts of a
-/// zone. On a tenth of a core their events are read late; and a host that runs one step a minute
-/// opens a connection for each item, where one that runs all of its zone's keeps them between
-/// steps.
-[[nodiscard]] host_entry choose_runner(host& self);
-
-/// A peer has accepted a batch and stored it with this host as its owner.
-bool run_accepted(const std::shared_ptr<batch_desk>& desk, const transport::http_request& message);
-
 /// A peer hands a batch over, or announces that it owns one.
 loop::task<void> adopt_batch(std::shared_ptr<batch_desk> desk, std::string id);
 void note_owner(batch_desk& desk, std::string id, transport::endpoint owner);
 
-/// Hands all batches to peers before this process ends.
-void hand_over_all(const std::shared_ptr<batch_desk>& desk);
+/// Loads a batch once, however many calls ask for it.
+loop::task<loaded_batch> get_batch(std::shared_ptr<batch_desk> desk, std::string id);
+
+/// Makes this host the owner, unless the batch is over or another host was quicker. `reason` is for
+/// the log.
+loop::task<void> take_over(live_batch_ptr one, std::string reason);
+
+/// A call of this host on a peer, about one batch.
+[[nodiscard]] transport::http_request peer_call(std::string_view path, const std::string& id);
+
+/// Writes a line about an owner that did not answer.
+void note_silent_owner(host& self, std::string_view batch, const transport::endpoint& owner,
+                       const loop::call_outcome& outcome);
 
 /// Forgets batches that nobody has asked for in a while; they can be loaded again.
 void forget_unused(batch_desk& desk);
 
+/// What an owner may take beyond the wait of a read: two round trips between regions and a slice of
+/// processor time on a small host.
+inline constexpr milliseconds owner_allowance{700};
+inline constexpr loop::milliseconds owner_connect{300};
+
 /// Paths of the calls between hosts.
-inline constexpr std::string_view run_path = "/batches/run";
-/// The header of a call on it that holds the batch's record; the body is the submission.
-inline constexpr std::string_view record_header = "Cornelloom-Batch";
 inline constexpr std::string_view adopt_path = "/batches/adopt";
 inline constexpr std::string_view owner_path = "/batches/owner";
 inline constexpr std::string_view passed_path = "/batches/passed";
--- /dev/null
+++ b/src/front/batch_hand_over.hpp
@@ -0,0 +1,12 @@
+#pragma once
+
+#include "front/batch_desk.hpp"
+
+#include <memory>
+
+namespace cornelloom::front {
+
+/// Hands all batches to peers before this process ends.
+void hand_over_all(const std::shared_ptr<batch_desk>& desk);
+
+} // namespace cornelloom::front
--- a/src/front/gateway.cpp
+++ b/src/front/gateway.cpp
@@ -1,6 +1,7 @@
 #include "front/gateway.hpp"
 
 #include "front/answers.hpp"
+#include "front/batch_submit.hpp"
 #include "front/feed.hpp"
 #include "front/plain_call.hpp"
 #include "front/stream_call.hpp"
--- a/src/front/process.cpp
+++ b/src/front/process.cpp
@@ -1,7 +1,7 @@
 #include "front/process.hpp"
 
 #include "front/answers.hpp"
-#include "front/batch_desk.hpp"
+#include "front/batch_hand_over.hpp"
 #include "front/follower.hpp"
 #include "front/gateway.hpp"
 #include "front/order_giver.hpp"
