--- a/src/front/batch_desk.cpp
+++ b/src/front/batch_desk.cpp
@@ -3,8 +3,6 @@
 #include "front/answers.hpp"
 #include "front/batch_drive.hpp"
 #include "front/batch_log.hpp"
-#include "front/feed.hpp"
-#include "front/records.hpp"
 
 #include <algorithm>
 
--- a/src/kernel/metrics.cpp
+++ b/src/kernel/metrics.cpp
@@ -8,6 +8,9 @@
 #include <prometheus/metric_family.h>
 #include <prometheus/text_serializer.h>
 
+#include <algorithm>
+#include <array>
+#include <limits>
 #include <map>
 #include <mutex>
 #include <vector>
@@ -25,7 +28,13 @@
 constexpr double median = 0.5;
 constexpr double tail = 0.99;
 
+/// Upper bounds of a histogram's buckets, in seconds: from an answer of the platform (4 ms) to the
+/// longest wait of a trainer (12 s), close to each other at the latency objectives (0.2 to 0.5 s).
+constexpr std::array bucket_bounds{0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.4,
+                                   0.5,   0.75, 1.0,   2.0,  4.0, 8.0, 12.0};
+
 struct distribution_cell {
+    std::array<std::uint64_t, bucket_bounds.size()> in_bucket{}; ///< Larger values are in none.
     quantile_accumulator p50{acc::quantile_probability = median};
     quantile_accumulator p99{acc::quantile_probability = tail};
 };
@@ -38,13 +47,26 @@
     return copy;
 }
 
-prometheus::ClientMetric::Summary to_summary(const distribution_cell& cell) {
-    prometheus::ClientMetric::Summary summary;
-    summary.sample_count = acc::count(cell.p50);
-    summary.sample_sum = acc::sum(cell.p50);
-    summary.quantile = {{median, acc::p_square_quantile(cell.p50)},
-                        {tail, acc::p_square_quantile(cell.p99)}};
-    return summary;
+prometheus::ClientMetric::Histogram to_histogram(const distribution_cell& cell) {
+    prometheus::ClientMetric::Histogram out;
+    out.sample_count = acc::count(cell.p50);
+    out.sample_sum = acc::sum(cell.p50);
+    std::uint64_t up_to = 0;
+    for (std::size_t at = 0; at < bucket_bounds.size(); ++at) {
+        up_to += cell.in_bucket.at(at);
+        out.bucket.push_back({up_to, bucket_bounds.at(at)});
+    }
+    out.bucket.push_back({out.sample_count, std::numeric_limits<double>::infinity()});
+    return out;
+}
+
+void take_sample(distribution_cell& cell, double value) {
+    cell.p50(value);
+    cell.p99(value);
+    const auto* const bound = std::ranges::lower_bound(bucket_bounds, value);
+    if (bound != bucket_bounds.end()) {
+        ++cell.in_bucket.at(static_cast<std::size_t>(bound - bucket_bounds.begin()));
+    }
 }
 
 template <class Cell> using family = std::map<label_list, Cell>;
@@ -59,6 +81,21 @@
     return it->second[copy_labels(labels)];
 }
 
+/// The quantiles of each distribution, as gauges beside its histogram.
+families<double> quantiles_of(const families<distribution_cell>& all) {
+    families<double> out;
+    for (const auto& [name, cells] : all) {
+        for (const auto& [labels, cell] : cells) {
+            auto with = labels;
+            with.push_back({"quantile", "0.5"});
+            out[name + "_quantile"][with] = acc::p_square_quantile(cell.p50);
+            with.back().value = "0.99";
+            out[name + "_quantile"][with] = acc::p_square_quantile(cell.p99);
+        }
+    }
+    return out;
+}
+
 template <class Cell, class Fill>
 void collect(const families<Cell>& all, prometheus::MetricType type,
              std::vector<prometheus::MetricFamily>& into, Fill fill) {
@@ -103,8 +140,7 @@
 void metrics::record(std::string_view name, double value, std::span<const label> labels) {
     const std::lock_guard lock(state_->mutex);
     auto& cell = find_cell(state_->distributions, name, labels);
-    cell.p50(value);
-    cell.p99(value);
+    take_sample(cell, value);
 }
 
 double metrics::value(std::string_view name, std::span<const label> labels) const {
@@ -130,8 +166,10 @@
                 [](auto& metric, double cell) { metric.counter.value = cell; });
         collect(state_->gauges, MetricType::Gauge, all,
                 [](auto& metric, double cell) { metric.gauge.value = cell; });
-        collect(state_->distributions, MetricType::Summary, all,
-                [](auto& metric, const auto& cell) { metric.summary = to_summary(cell); });
+        collect(state_->distributions, MetricType::Histogram, all,
+                [](auto& metric, const auto& cell) { metric.histogram = to_histogram(cell); });
+        collect(quantiles_of(state_->distributions), MetricType::Gauge, all,
+                [](auto& metric, double cell) { metric.gauge.value = cell; });
     }
     return prometheus::TextSerializer{}.Serialize(all);
 }
--- a/src/kernel/metrics.hpp
+++ b/src/kernel/metrics.hpp
@@ -14,7 +14,8 @@
 };
 
 /// All counters, gauges and distributions of a process. Thread-safe. A name belongs to one of the
-/// three kinds; distributions give count, mean, p50 and p99 by Boost.Accumulators.
+/// three kinds; distributions are of seconds and give a histogram, and p50 and p99 by
+/// Boost.Accumulators.
 class metrics {
 public:
     metrics();
--- a/tests/kernel/kernel_tests.cpp
+++ b/tests/kernel/kernel_tests.cpp
@@ -44,6 +44,22 @@
     CHECK(text.find("cornelloom_wait_seconds_count 1") != std::string::npos);
 }
 
+TEST_CASE("Times are shown as a histogram and its quantiles", "[kernel][metrics]") {
+    metrics all;
+    all.record("cornelloom_wait_seconds", 0.2);
+    all.record("cornelloom_wait_seconds", 0.21);
+    all.record("cornelloom_wait_seconds", 99);
+    const auto text = all.text();
+    const auto shows = [&text](std::string_view line) {
+        return text.find(line) != std::string::npos;
+    };
+    CHECK(shows("cornelloom_wait_seconds_bucket{le=\"0.1\"} 0"));
+    CHECK(shows("cornelloom_wait_seconds_bucket{le=\"0.2\"} 1"));
+    CHECK(shows("cornelloom_wait_seconds_bucket{le=\"12\"} 2"));
+    CHECK(shows("cornelloom_wait_seconds_bucket{le=\"+Inf\"} 3"));
+    CHECK(shows("cornelloom_wait_seconds_quantile{quantile=\"0.99\"}"));
+}
+
 TEST_CASE("Readers of a snapshot see a whole value while it is replaced", "[kernel][snapshot]") {
     struct pair {
         int left;
