Callers who meet a host right after its start wait for what it learns

A caller whose first attempt met no process had only one left. Ruled out: targets that were lost (the list was never read), time of the store (two calls took 90 ms together, all hosts starting at once). Change: requests wait up to 600 ms for configuration and list, unless a call to the store has failed; the list is read once at the start from any copy of the store, at a tenth of a call's price; ready means both are known.

--- a/src/front/adapter.hpp
+++ b/src/front/adapter.hpp
@@ -110,7 +110,7 @@
     kernel::result<host_settings> (*settings)(std::string_view text);
 
     // The platform's object store.
-    transport::http_request (*list)(object_kind kind, std::string_view after);
+    transport::http_request (*list)(object_kind kind, std::string_view after, bool may_be_stale);
     transport::http_request (*watch)(object_kind kind, std::uint64_t at, milliseconds wait);
     transport::http_request (*get)(object_kind kind, std::string_view name, bool may_be_stale);
     transport::http_request (*create)(object_kind kind, std::string_view name,
--- a/src/front/follower.cpp
+++ b/src/front/follower.cpp
@@ -31,6 +31,8 @@
         return;
     }
     self.routes = index_routes(std::move(read.value()));
+    self.known.configuration = true;
+    self.learned.open();
     self.metrics.set("cornelloom_configuration_generation",
                      static_cast<double>(self.routes->source.version));
     note(self, configuration_taken,
@@ -72,6 +74,8 @@
         }
     }
     replace_targets(self.targets, std::move(entries), self.now());
+    self.known.targets = true;
+    self.learned.open();
 }
 
 void change_targets(host& self, std::span<const object_change> changes) {
@@ -155,18 +159,34 @@
     }
 }
 
+followed follow_targets(const std::shared_ptr<host>& self) {
+    return {object_kind::targets, targets_pause,
+            [self](std::span<const stored_object> all) { list_targets(*self, all); },
+            [self](std::span<const object_change> changes) { change_targets(*self, changes); }};
+}
+
+/// Until the list of targets is followed, requests go by one that may be seconds old: the host has
+/// just started, and no news that it missed binds it yet.
+followed look_at_targets(const std::shared_ptr<host>& self) {
+    return {object_kind::targets, targets_pause,
+            [self](std::span<const stored_object> all) {
+                if (!self->known.targets) {
+                    list_targets(*self, all);
+                }
+            },
+            [](std::span<const object_change>) {}};
+}
+
 /// Announces this host, learns of the others, and then follows all kinds.
 loop::task<void> start_following(std::shared_ptr<host> self) {
     loop::asio::co_spawn(self->io, keep_announcing(self), loop::asio::detached);
     start_watch(self, take_each(self, object_kind::configuration, take_configuration));
+    loop::asio::co_spawn(self->io, look_once(self, look_at_targets(self)), loop::asio::detached);
     co_await loop::pause_for(self->io, settle_pause);
     start_watch(self, take_each(self, object_kind::hosts, take_peer));
     co_await loop::pause_for(self->io, settle_pause / 4);
     start_watch(self, take_each(self, object_kind::versions, take_version));
-    start_watch(
-        self, {object_kind::targets, targets_pause,
-               [self](std::span<const stored_object> all) { list_targets(*self, all); },
-               [self](std::span<const object_change> changes) { change_targets(*self, changes); }});
+    start_watch(self, follow_targets(self));
 }
 
 } // namespace
--- a/src/front/gateway.cpp
+++ b/src/front/gateway.cpp
@@ -86,6 +86,19 @@
     co_await request.answer(std::move(answer));
 }
 
+/// False if this host can't serve callers yet, and is not about to.
+loop::task<bool> wait_for_start(std::shared_ptr<host> self) {
+    const auto asked = self->now();
+    for (;;) {
+        const auto waited = std::chrono::duration_cast<milliseconds>(self->now() - asked);
+        const auto verdict = judge_start(self->known, waited);
+        if (verdict != start_verdict::wait) {
+            co_return verdict == start_verdict::serve;
+        }
+        co_await self->learned.wait(to_deadline(*self, asked + start_wait_most));
+    }
+}
+
 } // namespace
 
 loop::task<void> serve_caller(std::shared_ptr<batch_desk> desk, loop::served_request& request) {
@@ -95,7 +108,8 @@
         co_await refuse(*self, request, facts.id, "shutting_down", milliseconds(0));
         co_return;
     }
-    if (!self->routes) {
+    const bool informed = co_await wait_for_start(self);
+    if (!informed) {
         co_await refuse(*self, request, facts.id, "not_ready", come_back_later);
         co_return;
     }
--- a/src/front/host.cpp
+++ b/src/front/host.cpp
@@ -21,7 +21,7 @@
     : io(loop), wire(platform), settings(std::move(given)), connections(loop),
       store(connections, settings.platform),
       random(kernel::hash64(settings.host) ^ static_cast<std::uint64_t>(clock.wall_now().unix_ms)),
-      kept(loop) {}
+      learned(loop), kept(loop) {}
 
 host_entry own_entry(const host& self) {
     const auto& settings = self.settings;
--- a/src/front/host.hpp
+++ b/src/front/host.hpp
@@ -3,6 +3,7 @@
 #include "front/adapter.hpp"
 #include "front/events.hpp"
 #include "front/routing.hpp"
+#include "front/start_up.hpp"
 #include "front/store_client.hpp"
 #include "front/targets.hpp"
 #include "kernel/clock.hpp"
@@ -64,6 +65,8 @@
     std::mt19937_64 random;
     std::uint64_t salt = random();
 
+    start_knowledge known{};
+    loop::gate learned;                          ///< Opened when `known` changes.
     std::shared_ptr<const route_index> routes{}; ///< Null until a configuration is known.
     target_table targets{};
     std::map<std::string, int, std::less<>> named_versions{}; ///< By model.
--- a/src/front/process.cpp
+++ b/src/front/process.cpp
@@ -88,9 +88,9 @@
     loop::start_listening(server, self->settings.callers);
 }
 
-/// Ready: a configuration is in force, and the process isn't about to end.
+/// Ready: callers can be served, and the process isn't about to end.
 loop::task<void> answer_readiness(std::shared_ptr<host> self, loop::served_request& request) {
-    const bool ready = self->routes != nullptr && !self->stopping;
+    const bool ready = is_informed(self->known) && !self->stopping;
     co_await answer_status(request, ready ? 200 : 503);
 }
 
@@ -177,7 +177,7 @@
                      {{"host", name}, {"fault", to_string(done.fault)}});
             }
         }
-        auto page = co_await call_store(self->store, self->wire.list(kind, ""));
+        auto page = co_await call_store(self->store, self->wire.list(kind, "", false));
         const auto read = self->wire.page(page.body);
         at = page.fault == store_fault::none && read ? read.value().at : 0;
         bool waiting = at != 0;
--- a/src/front/watch.cpp
+++ b/src/front/watch.cpp
@@ -46,6 +46,10 @@
         return;
     }
     one.out_of_touch = lost;
+    if (lost) {
+        self.known.store_failed = true;
+        self.learned.open();
+    }
     note(self, lost ? platform_lost : platform_back,
          {{"watch", name_of(one.kind)}, {"at", one.at}, {"fault", to_string(fault)}});
     if (!lost && one.kind == object_kind::targets) {
@@ -53,12 +57,14 @@
     }
 }
 
-loop::task<bool> list_all(std::shared_ptr<host> self, followed_ptr one) {
-    std::vector<stored_object> all;
+/// Reads all objects of a kind; false if the store or a page of the list failed. Changes since the
+/// first page may be missing, so `at` is the revision of that.
+loop::task<bool> read_list(std::shared_ptr<host> self, followed_ptr one, bool may_be_stale,
+                           object_page& out) {
     std::string after;
-    std::uint64_t at = 0;
     for (bool more = true; more;) {
-        auto answer = co_await call_store(self->store, self->wire.list(one->kind, after));
+        auto answer =
+            co_await call_store(self->store, self->wire.list(one->kind, after, may_be_stale));
         note_touch(*self, *one, answer.fault);
         if (answer.fault != store_fault::none) {
             co_return false;
@@ -69,15 +75,23 @@
                  {{"kind", name_of(one->kind)}, {"problem", page.error().detail}});
             co_return false;
         }
-        // Changes since the first page may be missing from it: the watch starts there.
-        at = at == 0 ? page.value().at : at;
-        std::ranges::move(page.value().items, std::back_inserter(all));
-        more = page.value().more && !all.empty();
-        after = all.empty() ? std::string() : all.back().name;
-    }
-    keep_list(*self, one->kind, all, at);
-    one->replace(all);
-    one->at = at;
+        out.at = out.at == 0 ? page.value().at : out.at;
+        std::ranges::move(page.value().items, std::back_inserter(out.items));
+        more = page.value().more && !out.items.empty();
+        after = out.items.empty() ? std::string() : out.items.back().name;
+    }
+    co_return true;
+}
+
+loop::task<bool> list_all(std::shared_ptr<host> self, followed_ptr one) {
+    object_page all;
+    const bool whole = co_await read_list(self, one, false, all);
+    if (!whole) {
+        co_return false;
+    }
+    keep_list(*self, one->kind, all.items, all.at);
+    one->replace(all.items);
+    one->at = all.at;
     co_return true;
 }
 
@@ -196,4 +210,13 @@
     loop::asio::co_spawn(self->io, follow(self, std::move(shared)), loop::asio::detached);
 }
 
+loop::task<void> look_once(std::shared_ptr<host> self, followed one) {
+    auto shared = std::make_shared<followed>(std::move(one));
+    object_page all;
+    const bool whole = co_await read_list(self, shared, true, all);
+    if (whole) {
+        shared->replace(all.items);
+    }
+}
+
 } // namespace cornelloom::front
--- a/src/front/watch.hpp
+++ b/src/front/watch.hpp
@@ -32,4 +32,7 @@
 /// Follows the kind until the loop ends.
 void start_watch(const std::shared_ptr<host>& self, followed one);
 
+/// Reads the list once, as some copy of the store has it: it may be seconds old, and costs a tenth.
+loop::task<void> look_once(std::shared_ptr<host> self, followed one);
+
 } // namespace cornelloom::front
