A waiting item is placed as soon as a target has begun the one before

Cause: a target takes few runs that have not begun, and the next waiting item was looked at only when some run ended, or at the next tick of 200 ms. Change: the first event of a run wakes the batch.

--- a/src/front/item_run.cpp
+++ b/src/front/item_run.cpp
@@ -65,6 +65,7 @@
     }
     if (run.events == 0 && found != one.self->targets.by_id.end()) {
         --found->second.unstarted;
+        one.changed.open(); // the target takes the next waiting item now
     }
     ++run.events;
 }
