--- a/tests/front/text_length_tests.cpp
+++ b/tests/front/text_length_tests.cpp
@@ -56,7 +56,7 @@
 TEST_CASE("no text is expected beyond the bound that its caller set", "[front][length]") {
     const auto lengths = learn(50, 0.5);
     const text_outlook text{9000, 10000, 0};
-    CHECK(events_left(lengths, text, 0.01) < 10000 / 50 * 1.2);
+    CHECK(events_left(lengths, text, 0.01) < 1.2 * 10000.0 / 50);
 }
 
 TEST_CASE("a text without a hint teaches nothing", "[front][length]") {
