Daemons of scripts get ports that no outgoing connection can hold

The script drew its ports from 20000 to 40000, and those of outgoing connections begin at 32768; /proc/net/tcp showed 34030 and 34042 in TIME_WAIT towards ports of the soak that had run just before. Nothing listened there, which is all that the script looks for. Ruled out: load (the bind failed at once), a process left over (none). Change: ports are drawn below that range. The check itself is as it was.

--- a/tools/stack.sh
+++ b/tools/stack.sh
@@ -73,11 +73,13 @@
 
 token_hash() { printf %s "$1" | sha256sum | cut -d' ' -f1; }
 
-# A port that nothing listens on, with the two after it.
+# A port that nothing listens on, for a host and the others up to 32 ports above it. Below 32768, where
+# the system's ports of outgoing connections begin: one of those may be taken without a listener, for
+# a minute after its connection has closed, and a daemon that is given it can't start.
 free_base_port() {
     local port
     for _ in $(seq 1 100); do
-        port=$((20000 + RANDOM % 20000))
+        port=$((20000 + RANDOM % 12700))
         if ! (exec 3<>"/dev/tcp/127.0.0.1/$port") 2>/dev/null; then
             echo "$port"
             return 0
