--- a/soak/internal/programs.cpp
+++ b/soak/internal/programs.cpp
@@ -53,7 +53,6 @@
                       loop::steady_clock::now() - one.harmed < std::chrono::seconds(1);
     one.process = {};
     one.ready = false;
-    one.ends_by_itself += told ? 0 : 1;
     if (!one.wanted_down) {
         start(one);
     }
--- a/soak/internal/programs.hpp
+++ b/soak/internal/programs.hpp
@@ -24,7 +24,6 @@
     bool wanted_down = false;   ///< Not started again for now.
     loop::deadline term_sent{}; ///< Zero: it was not asked to end.
     loop::deadline harmed{};    ///< The last moment at which it was killed, paused or resumed.
-    int ends_by_itself = 0;
     std::uint64_t newest_configuration = 0; ///< That this boot has shown to a caller.
     loop::deadline newest_since{};
 };
--- a/soak/internal/traffic.cpp
+++ b/soak/internal/traffic.cpp
@@ -51,6 +51,14 @@
     }
 }
 
+/// One request of a caller, and what became of it.
+loop::task<loop::call_outcome> ask(loop::connection_pool& pool, const program& host, std::string id,
+                                   std::string path) {
+    auto message = standins::caller_request(id, route_host, path, time_left);
+    co_return co_await loop::call(pool, host.settings.callers, std::move(message),
+                                  loop::after(time_left + allowance), connect_limit);
+}
+
 loop::task<void> call_plain(day& self, loop::connection_pool& pool, program& host) {
     const auto kind = plain_kinds.at(self.random() % plain_kinds.size());
     const auto id = make_id(self);
@@ -58,9 +66,7 @@
     ++self.book.requests;
     const int boot = host.boot;
     const auto sent = loop::steady_clock::now();
-    auto message = standins::caller_request(id, route_host, std::string(kind.path) + id, time_left);
-    auto outcome = co_await loop::call(pool, host.settings.callers, std::move(message),
-                                       loop::after(time_left + allowance), connect_limit);
+    auto outcome = co_await ask(pool, host, id, std::string(kind.path) + id);
     if (outcome.fault == loop::exchange_fault::none) {
         judge_answer(self.book, id, outcome.answer);
     } else {
@@ -78,10 +84,7 @@
     const bool calm = is_calm(self.book) && host.harmed + self.book.bounds.calm < sent;
     const bool due = sent > stored + self.book.bounds.configuration;
     const int boot = host.boot;
-    auto message = standins::caller_request(id, route_host,
-                                            "/v" + std::to_string(version) + "/" + id, time_left);
-    auto outcome = co_await loop::call(pool, host.settings.callers, std::move(message),
-                                       loop::after(time_left + allowance), connect_limit);
+    auto outcome = co_await ask(pool, host, id, "/v" + std::to_string(version) + "/" + id);
     if (outcome.fault != loop::exchange_fault::none || boot != host.boot) {
         co_return;
     }
@@ -121,10 +124,7 @@
     const auto id = make_id(self);
     note_sent(self.book, id, run_rule::once);
     ++self.book.requests;
-    auto message =
-        standins::caller_request(id, route_host, std::string("/stream/") + id, time_left);
-    auto outcome = co_await loop::call(pool, host.settings.callers, std::move(message),
-                                       loop::after(time_left + allowance), connect_limit);
+    auto outcome = co_await ask(pool, host, id, "/stream/" + id);
     if (outcome.fault != loop::exchange_fault::none) {
         co_return;
     }
--- a/src/front/follower.cpp
+++ b/src/front/follower.cpp
@@ -1,6 +1,5 @@
 #include "front/follower.hpp"
 
-#include "front/feed.hpp"
 #include "front/records.hpp"
 #include "front/watch.hpp"
 
@@ -13,8 +12,6 @@
 /// Changes of the list of targets come in bursts, one for each load of weights; waiting a little
 /// makes one call carry several. Far below the shortest bound, 2.5 s for a leaving target.
 constexpr loop::milliseconds targets_pause{500};
-/// After a failed call.
-constexpr loop::milliseconds retry_pause{150};
 /// Hosts start together; after this pause each knows most of the others of its zone.
 constexpr loop::milliseconds settle_pause{400};
 
@@ -31,7 +28,6 @@
         return;
     }
     self.routes = index_routes(std::move(read.value()));
-    self.known.configuration = true;
     self.learned.open();
     self.metrics.set("cornelloom_configuration_generation",
                      static_cast<double>(self.routes->source.version));
@@ -74,7 +70,7 @@
         }
     }
     replace_targets(self.targets, std::move(entries), self.now());
-    self.known.targets = true;
+    self.targets_listed = true;
     self.learned.open();
 }
 
@@ -155,7 +151,7 @@
         if (made.fault == store_fault::none) {
             co_return;
         }
-        co_await loop::pause_for(self->io, retry_pause);
+        co_await loop::pause_for(self->io, store_retry_pause);
     }
 }
 
@@ -170,7 +166,7 @@
 followed look_at_targets(const std::shared_ptr<host>& self) {
     return {object_kind::targets, targets_pause,
             [self](std::span<const stored_object> all) {
-                if (!self->known.targets) {
+                if (!self->targets_listed) {
                     list_targets(*self, all);
                 }
             },
--- a/src/front/gateway.cpp
+++ b/src/front/gateway.cpp
@@ -91,7 +91,7 @@
     const auto asked = self->now();
     for (;;) {
         const auto waited = std::chrono::duration_cast<milliseconds>(self->now() - asked);
-        const auto verdict = judge_start(self->known, waited);
+        const auto verdict = judge_start(knowledge_of(*self), waited);
         if (verdict != start_verdict::wait) {
             co_return verdict == start_verdict::serve;
         }
--- a/src/front/host.hpp
+++ b/src/front/host.hpp
@@ -66,8 +66,9 @@
     std::mt19937_64 random;
     std::uint64_t salt = random();
 
-    start_knowledge known{};
-    loop::gate learned;                          ///< Opened when `known` changes.
+    bool targets_listed = false;                 ///< Since the start of this process.
+    bool store_failed = false;                   ///< A call got no answer since the start.
+    loop::gate learned;                          ///< Opened when `knowledge_of` changes.
     std::shared_ptr<const route_index> routes{}; ///< Null until a configuration is known.
     target_table targets{};
     length_models lengths{};
@@ -92,13 +93,18 @@
     [[nodiscard]] distance here() const { return {salt, settings.zone, &settings.region_of_zone}; }
 };
 
-/// Lines of one kind in a second: at the busiest days of both users under fifty; a hundred times
-/// the load costs no more than this.
+/// Lines of one kind in a second. A busy day has under fifty; a hundred times the load costs no
+/// more than this.
 inline constexpr std::uint64_t lines_per_second_most = 100;
 
 /// Writes a line, unless its kind has had its lines of this second.
 void note(host& self, const kernel::event& kind, std::initializer_list<kernel::field> fields);
 
+/// What this host has learned since its start.
+[[nodiscard]] inline start_knowledge knowledge_of(const host& self) {
+    return {self.routes != nullptr, self.targets_listed, self.store_failed};
+}
+
 /// This host as its peers know it.
 [[nodiscard]] host_entry own_entry(const host& self);
 
--- a/src/front/load_plan.hpp
+++ b/src/front/load_plan.hpp
@@ -42,7 +42,7 @@
                                                   std::span<const load_candidate> targets,
                                                   std::size_t at_once);
 
-/// Loads that may be in progress at once: the users' targets slow down beyond 2 of 9 and 10 of 48.
+/// Loads that may be in progress at once: beyond a part of the targets they slow each other down.
 [[nodiscard]] std::size_t loads_at_once(std::size_t targets);
 
 /// Targets that one model should have with the newest version or the one before.
--- a/src/front/placement.cpp
+++ b/src/front/placement.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 /// A target counts as slow at this multiple of the median pace. A full batch costs 12%, two paces
-/// of prefill more; impaired targets of both users run at 2.7 times and more.
+/// of prefill more; an impaired target runs at several times its pace.
 constexpr double slow_factor = 1.7;
 /// Below this part of another target's pace one is quicker for good, not by chance.
 constexpr double clearly_quicker = 0.88;
@@ -21,7 +21,7 @@
 constexpr double queue_limit_ms = 400;
 /// Beyond this a target that has not begun a run is taken for dead.
 constexpr double start_limit_ms = 4000;
-/// Before any pace is known, in ms an event: both users' engines are near it.
+/// Before any pace is known, in ms an event.
 constexpr double first_pace_ms = 40;
 /// Items of this host that may wait at a target for their first event, as a part of its slots.
 /// Other hosts fill the same slots; a full target shows by events that do not come, and this is
@@ -54,6 +54,11 @@
                                   : loaded->second >= need.oldest_version;
 }
 
+/// Whether the item may go there, once there is room.
+bool may_take(const target_state& target, const run_need& need, time_point now) {
+    return serves(target, need, now) && target.avoid_until <= now && target.entry.id != need.avoid;
+}
+
 bool has_slot(const target_state& target) {
     return target.running < std::max(target.entry.slots, 1);
 }
@@ -97,8 +102,7 @@
     target_state* best = nullptr;
     double best_end = 0;
     for (auto& [id, target] : table.by_id) {
-        if (!serves(target, need, now) || !has_room(target) || target.avoid_until > now ||
-            id == need.avoid) {
+        if (!may_take(target, need, now) || !has_room(target)) {
             continue;
         }
         const double end = end_ms(table, target, need.events_left, from);
@@ -115,8 +119,7 @@
     const double known = end_ms(table, now_free, need.events_left, from);
     return std::ranges::any_of(table.by_id, [&](const auto& each) {
         const auto& target = each.second;
-        return serves(target, need, now) && has_slot(target) && !has_room(target) &&
-               target.avoid_until <= now && each.first != need.avoid &&
+        return may_take(target, need, now) && has_slot(target) && !has_room(target) &&
                pace_of(table, target) < clearly_quicker * pace_of(table, now_free) &&
                end_ms(table, target, need.events_left, from) + start_wait_ms < known;
     });
--- a/src/front/process.cpp
+++ b/src/front/process.cpp
@@ -90,7 +90,7 @@
 
 /// Ready: callers can be served, and the process isn't about to end.
 loop::task<void> answer_readiness(std::shared_ptr<host> self, loop::served_request& request) {
-    const bool ready = is_informed(self->known) && !self->stopping;
+    const bool ready = is_informed(knowledge_of(*self)) && !self->stopping;
     co_await answer_status(request, ready ? 200 : 503);
 }
 
--- a/src/front/store_client.hpp
+++ b/src/front/store_client.hpp
@@ -47,8 +47,7 @@
     loop::deadline direct_from{};  ///< The direct way is tried again from then on.
 };
 
-/// Answers take 4 ms, some 250 ms on slow days; both users' stores come back or fail within
-/// seconds.
+/// Answers take some milliseconds, and a quarter of a second when the store is slow.
 inline constexpr loop::milliseconds store_call_limit{1500};
 
 /// Which ways a call may take.
--- a/src/front/targets.hpp
+++ b/src/front/targets.hpp
@@ -87,7 +87,7 @@
     const std::map<std::string, std::string, std::less<>>* region_of_zone = nullptr;
 };
 
-/// Round trips between two regions, in milliseconds: both users' sheets say 20 ms one way.
+/// Round trips between two regions, in milliseconds.
 inline constexpr double between_regions_ms = 40;
 /// Round trips between two zones of a region, in milliseconds.
 inline constexpr double between_zones_ms = 3;
--- a/src/front/watch.cpp
+++ b/src/front/watch.cpp
@@ -17,8 +17,6 @@
 constexpr loop::milliseconds watch_allowance{1500};
 /// After a watch that was lost: a pause, a list, and the way of the news to the hosts of the zone.
 constexpr loop::milliseconds catch_up_allowance{1000};
-/// After a failed call.
-constexpr loop::milliseconds retry_pause{150};
 /// Beyond its wait a feeder needs a round trip within the zone and its turn on a small processor.
 constexpr loop::milliseconds feed_allowance{500};
 constexpr loop::milliseconds feed_connect{250};
@@ -47,7 +45,7 @@
     }
     one.out_of_touch = lost;
     if (lost) {
-        self.known.store_failed = true;
+        self.store_failed = true;
         self.learned.open();
     }
     note(self, lost ? platform_lost : platform_back,
@@ -189,7 +187,7 @@
             done = co_await watch_once(self, one);
         }
         if (!done) {
-            co_await loop::pause_for(self->io, retry_pause);
+            co_await loop::pause_for(self->io, store_retry_pause);
         }
     }
 }
--- a/src/front/watch.hpp
+++ b/src/front/watch.hpp
@@ -10,6 +10,9 @@
 
 /// Keeping up with one kind of objects: a list, then changes, from a feeder or from the store.
 
+/// After a call to the store that failed.
+inline constexpr loop::milliseconds store_retry_pause{150};
+
 /// One kind of objects and what its changes mean.
 struct followed {
     object_kind kind;
