Calls to the store no longer grow with the hosts, nor with trouble

When a feeder was out of touch its zone gave up one feeder after the other, and each host that was left watched the store itself, over both ways, four kinds, every 150 ms. Change: only hosts that watch look at the lease; versions and retirements are followed by those who need them; a host that is asked begins to watch and holds the question; two feeders out of touch mean that the store is away; a failed way is left out for a second, pauses double up to 1.2 s. The store role runs once a zone. Calls are counted by kind and purpose.

--- a/src/front/adapter.hpp
+++ b/src/front/adapter.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "front/store_request.hpp"
 #include "front/types.hpp"
 #include "kernel/result.hpp"
 #include "loop/exchange.hpp"
@@ -14,19 +15,6 @@
 
 namespace cornelloom::front {
 
-/// The kinds of objects that the system reads or keeps on the platform.
-enum class object_kind {
-    configuration,
-    targets,
-    versions,
-    retirements,
-    hosts,       ///< Hosts of the system, for their peers.
-    batches,     ///< Accepted batches.
-    batch_parts, ///< Pieces of batches that are too large for one object.
-    batch_log,   ///< What has happened to a batch, entry by entry.
-    order_lease, ///< Who may give orders to targets.
-};
-
 struct stored_object {
     std::string name;
     std::uint64_t revision = 0;
@@ -110,16 +98,16 @@
     kernel::result<host_settings> (*settings)(std::string_view text);
 
     // The platform's object store.
-    transport::http_request (*list)(object_kind kind, std::string_view after, bool may_be_stale);
-    transport::http_request (*watch)(object_kind kind, std::uint64_t at, milliseconds wait);
-    transport::http_request (*get)(object_kind kind, std::string_view name, bool may_be_stale);
-    transport::http_request (*create)(object_kind kind, std::string_view name,
-                                      std::string_view specification);
+    store_request (*list)(object_kind kind, std::string_view after, bool may_be_stale);
+    store_request (*watch)(object_kind kind, std::uint64_t at, milliseconds wait);
+    store_request (*get)(object_kind kind, std::string_view name, bool may_be_stale);
+    store_request (*create)(object_kind kind, std::string_view name,
+                            std::string_view specification);
     /// `revision` 0: whatever the object's revision is.
-    transport::http_request (*replace)(object_kind kind, std::string_view name,
-                                       std::string_view specification, std::uint64_t revision);
-    transport::http_request (*replace_status)(object_kind kind, std::string_view name,
-                                              std::string_view status);
+    store_request (*replace)(object_kind kind, std::string_view name,
+                             std::string_view specification, std::uint64_t revision);
+    store_request (*replace_status)(object_kind kind, std::string_view name,
+                                    std::string_view status);
     kernel::result<object_page> (*page)(std::string_view body);
     kernel::result<object_changes> (*changes)(std::string_view body);
     kernel::result<stored_object> (*object)(std::string_view body);
--- a/src/front/batch_log.cpp
+++ b/src/front/batch_log.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-/// Between two tries of a write that the store has not taken.
-constexpr loop::milliseconds retry_pause{120};
+/// The longest pause before an entry is tried again: results wait for it, and no caller does.
+constexpr loop::milliseconds entry_pause_most{600};
 /// Tries of each call of a submission: its caller waits and comes again at another host.
 constexpr int store_tries = 3;
 /// Clocks of two hosts may differ by so much; an item is rather given up late than early.
@@ -25,7 +25,7 @@
             co_return last;
         }
         doubtful = doubtful || last == store_fault::unknown;
-        co_await loop::pause_for(self->io, retry_pause);
+        co_await loop::pause_for(self->io, store_pause(*self, store_pause_awaited));
     }
     co_return doubtful ? store_fault::unknown : last;
 }
@@ -220,7 +220,7 @@
                      {{"id", one->state.header.id},
                       {"entry", number},
                       {"fault", to_string(answer.fault)}});
-                co_await loop::pause_for(self->io, retry_pause);
+                co_await loop::pause_for(self->io, store_pause(*self, entry_pause_most));
             }
         }
         if (!settled) {
--- a/src/front/batch_submit.cpp
+++ b/src/front/batch_submit.cpp
@@ -62,11 +62,11 @@
 } // namespace
 
 host_entry choose_runner(host& self) {
-    const auto feeder = choose_feeder(self);
-    if (self.peers.empty() || self.stopping || !feeder) {
-        return own_entry(self);
+    const auto own = own_entry(self);
+    if (self.stopping) {
+        return own;
     }
-    return *feeder;
+    return first_of_zone(own, self.peers, self.avoided, self.now()).value_or(own);
 }
 
 bool run_accepted(const std::shared_ptr<batch_desk>& desk, const transport::http_request& message) {
--- a/src/front/feed.cpp
+++ b/src/front/feed.cpp
@@ -10,16 +10,10 @@
 
 using json = nlohmann::json;
 
-/// A feeder that failed is left alone for so long.
-constexpr milliseconds avoid_for{4000};
+/// A host that was asked in vain watches the store itself for so long.
+constexpr milliseconds watch_when_asked = feeder_avoidance;
 /// Changes that a feeder remembers of each kind; who asks for older ones gets the list.
 constexpr std::size_t remembered_most = 256;
-constexpr int status_list_again = 410;
-constexpr int status_out_of_touch = 503;
-
-bool goes_before(const host_entry& a, const host_entry& b) {
-    return a.processor != b.processor ? a.processor > b.processor : a.name < b.name;
-}
 
 feed_answer list_of(const kept_kind& kept) {
     feed_answer out;
@@ -41,20 +35,16 @@
     return out;
 }
 
-} // namespace
-
-namespace {
-
 /// A host that has just started knows only the seeds: it learns of the others from one of these.
 std::optional<host_entry> choose_seed(const host& self) {
     std::vector<host_entry> usable;
     for (const auto& seed : self.settings.seeds) {
         const auto name = to_string(seed);
-        const auto avoided = self.avoided_feeders.find(name);
+        const auto avoided = self.avoided.find(name);
         if (seed == self.settings.peers) {
             return std::nullopt; // this host is one
         }
-        if (avoided == self.avoided_feeders.end() || avoided->second <= self.now()) {
+        if (avoided == self.avoided.end() || avoided->second.until <= self.now()) {
             usable.push_back({name, {}, seed});
         }
     }
@@ -64,30 +54,31 @@
     return usable[self.salt % usable.size()];
 }
 
+/// What this host may say of a kind now; nothing while it has no fresh news of its own.
+std::optional<feed_answer> answer_of(const host& self, const kept_kind& kept, std::uint64_t at) {
+    const bool in_touch = loop::steady_clock::now() - self.store.ways.last_answer <= feed_touch;
+    if (kept.at == 0 || !kept.live || !in_touch) {
+        return std::nullopt;
+    }
+    return at == 0 ? list_of(kept) : changes_since(kept, at);
+}
+
 } // namespace
 
-std::optional<host_entry> choose_feeder(host& self) {
-    const auto own = own_entry(self);
+std::optional<host_entry> choose_feeder(host& self, object_kind kind) {
+    const auto& kept = self.kept[kind];
+    if (kept.asked != time_point{} && self.now() - kept.asked < watch_when_asked) {
+        return std::nullopt;
+    }
     if (self.peers.empty()) {
         return choose_seed(self);
     }
-    std::vector<host_entry> feeders;
-    for (const auto& [name, peer] : self.peers) {
-        const auto avoided = self.avoided_feeders.find(name);
-        const bool usable = avoided == self.avoided_feeders.end() || avoided->second <= self.now();
-        if (peer.zone == own.zone && usable && goes_before(peer, own)) {
-            feeders.push_back(peer);
-        }
-    }
-    if (feeders.size() < feeders_per_zone) {
-        return std::nullopt;
-    }
-    std::ranges::sort(feeders, goes_before);
-    return feeders[self.salt % feeders_per_zone];
+    return first_of_zone(own_entry(self), self.peers, self.avoided, self.now());
 }
 
-void avoid_feeder(host& self, std::string_view name) {
-    self.avoided_feeders[std::string(name)] = self.now() + avoid_for;
+bool watches_store(const host& self) {
+    return std::ranges::any_of(self.kept.by_kind,
+                               [](const auto& each) { return each.second.live; });
 }
 
 void keep_list(host& self, object_kind kind, const std::vector<stored_object>& all,
@@ -108,6 +99,7 @@
                   std::uint64_t at) {
     auto& kept = self.kept[kind];
     kept.at = std::max(kept.at, at);
+    kept.changed.open();
     if (changes.empty()) {
         return;
     }
@@ -123,7 +115,6 @@
         kept.oldest = kept.recent.front().at;
         kept.recent.pop_front();
     }
-    kept.changed.open();
 }
 
 transport::http_request feed_question(object_kind kind, std::uint64_t at) {
@@ -170,36 +161,31 @@
         const auto text = transport::find_query(request.message.query, name).value_or("");
         return kernel::parse_integer<std::uint64_t>(text).value_or(0);
     };
-    const auto found = self->kept.find(static_cast<object_kind>(number("kind")));
-    const auto touched = [&self] {
-        return loop::steady_clock::now() - self->store.last_direct_answer <= feed_touch;
-    };
-    transport::http_response answer{status_out_of_touch, {}, {}};
-    // What this host knows from others, or knew when it watched the store, is not its to pass on.
-    if (found == self->kept.end() || found->second.at == 0 || !found->second.live || !touched()) {
-        co_await request.answer(std::move(answer));
+    const auto kind = number("kind");
+    if (kind > static_cast<std::uint64_t>(object_kind::order_lease)) {
+        co_await request.answer({404, {}, {}});
         co_return;
     }
-    auto& kept = found->second;
+    auto& kept = self->kept[static_cast<object_kind>(kind)];
     const auto at = number("at");
-    if (at != 0 && at < kept.oldest) {
-        answer.status = status_list_again;
-        co_await request.answer(std::move(answer));
-        co_return;
-    }
-    auto reply = at == 0 ? list_of(kept) : changes_since(kept, at);
-    if (at != 0 && reply.changes.empty()) {
-        co_await kept.changed.wait(loop::after(feed_wait));
-        if (at < kept.oldest) {
-            answer.status = status_list_again;
-            co_await request.answer(std::move(answer));
-            co_return;
+    const auto until = loop::after(feed_wait);
+    auto reply = answer_of(*self, kept, at);
+    // Hosts that start together, or lose their feeder together, ask the next one before it has its
+    // first list: a refusal would send them all on to one after another.
+    while ((!reply || (at != 0 && reply->changes.empty() && at >= kept.oldest)) &&
+           loop::steady_clock::now() < until) {
+        if (!reply) {
+            kept.asked = self->now();
         }
-        reply = changes_since(kept, at);
+        co_await kept.changed.wait(until);
+        reply = answer_of(*self, kept, at);
     }
-    if (touched() && kept.live) {
+    transport::http_response answer{status_out_of_touch, {}, {}};
+    if (reply && at != 0 && at < kept.oldest) {
+        answer.status = status_list_again;
+    } else if (reply) {
         answer.status = 200;
-        answer.body = encode_feed(reply);
+        answer.body = encode_feed(*reply);
     }
     co_await request.answer(std::move(answer));
 }
--- a/src/front/feed.hpp
+++ b/src/front/feed.hpp
@@ -14,10 +14,8 @@
 /// charges each call, a waiting one as well, so watches of all hosts would be the largest cost of a
 /// day. One host of a zone, the one with the most processor time, watches the store; the others ask
 /// it, over connections inside their zone. Nothing depends on it: when it does not answer, or has
-/// lost touch with the store, the next one in line watches, and the others turn to that.
-
-/// Hosts of a zone that watch the store.
-inline constexpr std::size_t feeders_per_zone = 1;
+/// lost touch with the store, the next one in line watches as soon as it is asked, and the others
+/// turn to that.
 
 /// A feeder without a sign of the store for longer than this passes nothing on: twice the usual
 /// pause between two of its calls, and far below the shortest bound on being up to date, 2.5 s.
@@ -27,10 +25,10 @@
 inline constexpr milliseconds feed_wait{900};
 
 /// The feeder to ask now; nothing if this host watches the store itself.
-[[nodiscard]] std::optional<host_entry> choose_feeder(host& self);
+[[nodiscard]] std::optional<host_entry> choose_feeder(host& self, object_kind kind);
 
-/// The feeder did not answer, or knows no better: it is left alone for a while.
-void avoid_feeder(host& self, std::string_view name);
+/// Whether this host watches the store itself, for any kind.
+[[nodiscard]] bool watches_store(const host& self);
 
 /// What a feeder knows of one kind, after a list.
 void keep_list(host& self, object_kind kind, const std::vector<stored_object>& all,
@@ -39,6 +37,11 @@
 void keep_changes(host& self, object_kind kind, const std::vector<object_change>& changes,
                   std::uint64_t at);
 
+/// What a feeder answers beside 200: changes that it has dropped were asked for; it has no fresh
+/// news.
+inline constexpr int status_list_again = 410;
+inline constexpr int status_out_of_touch = 503;
+
 /// The path of the question.
 inline constexpr std::string_view feed_path = "/feed";
 
--- a/src/front/follower.cpp
+++ b/src/front/follower.cpp
@@ -1,6 +1,8 @@
 #include "front/follower.hpp"
 
+#include "front/feed.hpp"
 #include "front/records.hpp"
+#include "front/retirement.hpp"
 #include "front/watch.hpp"
 
 #include <algorithm>
@@ -10,8 +12,10 @@
 namespace {
 
 /// Changes of the list of targets come in bursts, one for each load of weights; waiting a little
-/// makes one call carry several. Far below the shortest bound, 2.5 s for a leaving target.
-constexpr loop::milliseconds targets_pause{500};
+/// makes one call carry several. As a part of the time after which a leaving target gets no work.
+constexpr int targets_pauses_in_drain = 5;
+/// The host that gives orders learns by them that a load is over and the next one may start.
+constexpr loop::milliseconds orders_pause{400};
 /// Hosts start together; after this pause each knows most of the others of its zone.
 constexpr loop::milliseconds settle_pause{400};
 
@@ -76,8 +80,8 @@
 
 void change_targets(host& self, std::span<const object_change> changes) {
     const auto gone = std::ranges::count_if(changes, &object_change::deleted);
-    const auto since_trouble = std::chrono::duration_cast<milliseconds>(loop::steady_clock::now() -
-                                                                        self.store.last_trouble);
+    const auto since_trouble = std::chrono::duration_cast<milliseconds>(
+        loop::steady_clock::now() - self.store.ways.last_trouble);
     if (have_lapsed(static_cast<std::size_t>(gone), since_trouble, self.settings.calm)) {
         note_return(self.targets, self.now());
     }
@@ -124,8 +128,8 @@
 
 /// Kinds whose objects are taken one by one and never forgotten.
 followed take_each(const std::shared_ptr<host>& self, object_kind kind,
-                   void (*take)(host&, const stored_object&)) {
-    return {kind, loop::milliseconds{0},
+                   loop::milliseconds (*pause)(), void (*take)(host&, const stored_object&)) {
+    return {kind, pause,
             [self, take](std::span<const stored_object> all) {
                 std::ranges::for_each(all,
                                       [&](const stored_object& object) { take(*self, object); });
@@ -139,6 +143,13 @@
             }};
 }
 
+/// Whether the object that stands in the way of a create says the same already: this host was
+/// stopped or killed, and its process started again.
+bool says_the_same(const host& self, std::string_view body, std::string_view record) {
+    const auto object = self.wire.object(body);
+    return object && object.value().specification == nlohmann::json::parse(record, nullptr, false);
+}
+
 loop::task<void> keep_announcing(std::shared_ptr<host> self) {
     const auto own = own_entry(*self);
     const auto record = encode_host(own);
@@ -146,17 +157,24 @@
     for (;;) {
         auto made = co_await call_store(self->store, self->wire.create(kind, own.name, record));
         if (made.fault == store_fault::conflict) {
+            if (says_the_same(*self, made.body, record)) {
+                co_return;
+            }
             made = co_await call_store(self->store, self->wire.replace(kind, own.name, record, 0));
         }
         if (made.fault == store_fault::none) {
             co_return;
         }
-        co_await loop::pause_for(self->io, store_retry_pause);
+        co_await loop::pause_for(self->io, store_pause(*self, store_pause_most));
     }
 }
 
 followed follow_targets(const std::shared_ptr<host>& self) {
-    return {object_kind::targets, targets_pause,
+    const auto usual = self->settings.drain / targets_pauses_in_drain;
+    const auto pause = [self, usual] {
+        return self->wants_versions ? std::min(usual, orders_pause) : usual;
+    };
+    return {object_kind::targets, pause,
             [self](std::span<const stored_object> all) { list_targets(*self, all); },
             [self](std::span<const object_change> changes) { change_targets(*self, changes); }};
 }
@@ -164,7 +182,8 @@
 /// Until the list of targets is followed, requests go by one that may be seconds old: the host has
 /// just started, and no news that it missed binds it yet.
 followed look_at_targets(const std::shared_ptr<host>& self) {
-    return {object_kind::targets, targets_pause,
+    return {object_kind::targets,
+            {},
             [self](std::span<const stored_object> all) {
                 if (!self->targets_listed) {
                     list_targets(*self, all);
@@ -173,16 +192,38 @@
             [](std::span<const object_change>) {}};
 }
 
+/// Only the host that gives orders needs the newest versions, and one that may have to take over.
+followed follow_versions(const std::shared_ptr<host>& self) {
+    auto out = take_each(self, object_kind::versions, no_pause, take_version);
+    out.wanted = [self] { return self->wants_versions; };
+    return out;
+}
+
+/// Hosts start together, and no bound depends on how soon a peer is known.
+loop::milliseconds pause_of_hosts() {
+    return loop::milliseconds{1500};
+}
+
 /// Announces this host, learns of the others, and then follows all kinds.
 loop::task<void> start_following(std::shared_ptr<host> self) {
     loop::asio::co_spawn(self->io, keep_announcing(self), loop::asio::detached);
-    start_watch(self, take_each(self, object_kind::configuration, take_configuration));
+    const auto configuration =
+        take_each(self, object_kind::configuration, no_pause, take_configuration);
     loop::asio::co_spawn(self->io, look_once(self, look_at_targets(self)), loop::asio::detached);
+    co_await look_once(self, configuration);
+    const bool informed = self->routes != nullptr;
+    if (!informed) {
+        start_watch(self, configuration); // a host that runs already may know it
+    }
     co_await loop::pause_for(self->io, settle_pause);
-    start_watch(self, take_each(self, object_kind::hosts, take_peer));
+    start_watch(self, take_each(self, object_kind::hosts, pause_of_hosts, take_peer));
     co_await loop::pause_for(self->io, settle_pause / 4);
-    start_watch(self, take_each(self, object_kind::versions, take_version));
+    if (informed) {
+        start_watch(self, configuration);
+    }
+    start_watch(self, follow_versions(self));
     start_watch(self, follow_targets(self));
+    start_watch(self, follow_retirements(self));
 }
 
 } // namespace
--- a/src/front/host.cpp
+++ b/src/front/host.cpp
@@ -23,6 +23,10 @@
       random(kernel::hash64(settings.host) ^ static_cast<std::uint64_t>(clock.wall_now().unix_ms)),
       learned(loop), kept(loop) {}
 
+loop::milliseconds store_pause(host& self, loop::milliseconds most) {
+    return pause_after(self.store.ways, most, std::uniform_real_distribution<>()(self.random));
+}
+
 host_entry own_entry(const host& self) {
     const auto& settings = self.settings;
     return {settings.host, settings.zone, settings.peers, settings.processor};
--- a/src/front/host.hpp
+++ b/src/front/host.hpp
@@ -2,6 +2,7 @@
 
 #include "front/adapter.hpp"
 #include "front/events.hpp"
+#include "front/feeder_choice.hpp"
 #include "front/routing.hpp"
 #include "front/start_up.hpp"
 #include "front/store_client.hpp"
@@ -35,7 +36,8 @@
     std::uint64_t oldest = 0;
     std::uint64_t at = 0; ///< The store's revision that all this shows; 0: nothing yet.
     bool live = false;    ///< This host watches the store for this kind now.
-    loop::gate changed;
+    time_point asked{};   ///< When a host of the zone last asked for it in vain.
+    loop::gate changed;   ///< Opened when any of this changes.
 };
 
 /// Creates the entry of a kind at its first use.
@@ -73,9 +75,10 @@
     target_table targets{};
     length_models lengths{};
     std::map<std::string, int, std::less<>> named_versions{}; ///< By model.
-    std::map<std::string, host_entry, std::less<>> peers{};   ///< Without this host.
+    host_entries peers{};                                     ///< Without this host.
     kept_kinds kept;
-    std::map<std::string, time_point, std::less<>> avoided_feeders{};
+    avoided_feeders avoided{};
+    bool wants_versions = false; ///< This host gives orders to targets, or may have to soon.
     bool stopping = false;
     bool closing_soon = false; ///< New requests are refused: the process ends in a moment.
     int in_flight = 0;         ///< Requests of callers that are being served.
@@ -105,6 +108,9 @@
     return {self.routes != nullptr, self.targets_listed, self.store_failed};
 }
 
+/// The pause of this host before it makes a call to the store again; see `pause_after`.
+[[nodiscard]] loop::milliseconds store_pause(host& self, loop::milliseconds most);
+
 /// This host as its peers know it.
 [[nodiscard]] host_entry own_entry(const host& self);
 
--- a/src/front/order_giver.cpp
+++ b/src/front/order_giver.cpp
@@ -1,5 +1,6 @@
 #include "front/order_giver.hpp"
 
+#include "front/feed.hpp"
 #include "front/load_plan.hpp"
 #include "front/order_lease.hpp"
 #include "front/placement.hpp"
@@ -287,11 +288,16 @@
     auto self = one->self;
     for (;;) {
         const bool mine = holds(one->view, self->settings.host);
-        if (!mine) {
+        // One host of a zone is enough to take over, and each look is paid for.
+        const bool candidate = mine || watches_store(*self);
+        if (candidate && !mine) {
             co_await look(one);
         }
-        const auto step = next_step(one->view, one->rules, self->settings.host, suspended_now());
-        const bool wanted = any_load_wanted(*self) && !self->stopping;
+        const auto now = suspended_now();
+        self->wants_versions =
+            candidate && may_have_to_order(one->view, one->rules, self->settings.host, now);
+        const auto step = next_step(one->view, one->rules, self->settings.host, now);
+        const bool wanted = candidate && any_load_wanted(*self) && !self->stopping;
         if (wanted && step != lease_step::none) {
             co_await write_lease(one);
         }
--- a/src/front/order_lease.cpp
+++ b/src/front/order_lease.cpp
@@ -39,6 +39,12 @@
     return now - view.seen_first >= rules.silent ? lease_step::take : lease_step::none;
 }
 
+bool may_have_to_order(const lease_view& view, const lease_rules& rules, std::string_view self,
+                       time_point now) {
+    const auto missed = rules.renew_every * 3 / 2;
+    return view.holder.empty() || view.holder == self || now - view.seen_first >= missed;
+}
+
 void note_seen(lease_view& view, std::uint64_t revision, std::string_view holder, time_point now) {
     if (revision <= view.revision) {
         return;
--- a/src/front/order_lease.hpp
+++ b/src/front/order_lease.hpp
@@ -47,6 +47,11 @@
 [[nodiscard]] lease_step next_step(const lease_view& view, const lease_rules& rules,
                                    std::string_view self, time_point now);
 
+/// Whether this host gives the orders, or may have to within a second or two: nobody holds the
+/// lease, or its holder has missed a renewal. It then gets to know what there is to order.
+[[nodiscard]] bool may_have_to_order(const lease_view& view, const lease_rules& rules,
+                                     std::string_view self, time_point now);
+
 /// The object was read and has this revision.
 void note_seen(lease_view& view, std::uint64_t revision, std::string_view holder, time_point now);
 
--- a/src/front/process.cpp
+++ b/src/front/process.cpp
@@ -34,9 +34,6 @@
 constexpr std::size_t peer_body_most = 64U << 20U;
 /// Connections between hosts are kept for longer than any pause between two calls.
 constexpr loop::milliseconds peer_idle{30000};
-/// How often a host that keeps nothing looks whether it is to be taken away.
-constexpr loop::milliseconds retirement_wait{20000};
-constexpr loop::milliseconds retry_pause{300};
 
 std::string read_file(const std::string& name) {
     std::ifstream in(name, std::ios::binary);
@@ -60,8 +57,10 @@
         std::ranges::shuffle(out, raw->random);
         return out;
     };
-    self->store.count = [raw](std::string_view outcome) {
-        const std::array labels{kernel::label{"outcome", outcome}};
+    self->store.count = [raw](const store_request& call, std::string_view outcome) {
+        const std::array labels{kernel::label{"kind", to_string(call.kind)},
+                                kernel::label{"call", to_string(call.verb)},
+                                kernel::label{"outcome", outcome}};
         raw->metrics.count("cornelloom_store_calls_total", labels);
     };
 }
@@ -160,39 +159,6 @@
     });
 }
 
-/// A host that only stores data has none of the system's: it may go at once.
-loop::task<void> answer_retirements(std::shared_ptr<host> self) {
-    const auto kind = object_kind::retirements;
-    const auto& name = self->settings.host;
-    std::uint64_t at = 0;
-    for (;;) {
-        auto found = co_await call_store(self->store, self->wire.get(kind, name, false));
-        if (found.fault == store_fault::none) {
-            const auto object = self->wire.object(found.body);
-            if (object && !object.value().status.is_object()) {
-                const auto done = co_await call_store(
-                    self->store,
-                    self->wire.replace_status(kind, name, self->wire.retirement_done()));
-                note(*self, retirement_answered,
-                     {{"host", name}, {"fault", to_string(done.fault)}});
-            }
-        }
-        auto page = co_await call_store(self->store, self->wire.list(kind, "", false));
-        const auto read = self->wire.page(page.body);
-        at = page.fault == store_fault::none && read ? read.value().at : 0;
-        bool waiting = at != 0;
-        while (waiting) {
-            auto changes =
-                co_await call_store(self->store, self->wire.watch(kind, at, retirement_wait),
-                                    retirement_wait + store_call_limit);
-            const auto news = self->wire.changes(changes.body);
-            waiting = changes.fault == store_fault::none && news && news.value().changes.empty();
-            at = waiting ? news.value().at : at;
-        }
-        co_await loop::pause_for(self->io, retry_pause);
-    }
-}
-
 void start_serving(const std::shared_ptr<batch_desk>& desk) {
     auto self = desk->self;
     listen_for_callers(desk);
@@ -227,8 +193,6 @@
     try {
         if (self->settings.serves_callers) {
             start_serving(desk);
-        } else {
-            loop::asio::co_spawn(io, answer_retirements(self), loop::asio::detached);
         }
         if (options.metrics_port != 0) {
             const transport::endpoint where{"0.0.0.0", options.metrics_port};
--- a/src/front/store_client.cpp
+++ b/src/front/store_client.cpp
@@ -6,8 +6,6 @@
 
 /// The store is one round trip between regions away at most.
 constexpr loop::milliseconds connect_limit{400};
-/// After a failure the direct way is left alone for so long; meanwhile peers are asked.
-constexpr loop::milliseconds direct_pause{1000};
 /// A peer needs a round trip of its own and the processor's time.
 constexpr loop::milliseconds peer_allowance{300};
 /// Peers that are asked for one call: more would multiply the load of an outage.
@@ -49,40 +47,44 @@
     return fault != store_fault::refused && fault != store_fault::unknown;
 }
 
-loop::task<store_answer> call_directly(store_client& client, transport::http_request request,
+loop::task<store_answer> call_directly(store_client& client, store_request request,
                                        loop::milliseconds patience) {
-    auto outcome = co_await loop::call(*client.connections, client.address, std::move(request),
+    auto outcome = co_await loop::call(*client.connections, client.address, request.message,
                                        loop::after(patience), connect_limit);
     auto answer = judge(std::move(outcome));
-    client.count(to_string(answer.fault));
+    client.count(request, to_string(answer.fault));
     if (is_final(answer.fault)) {
-        client.direct_from = {};
-        client.last_direct_answer = loop::steady_clock::now();
+        note_answer(client.ways, false, loop::steady_clock::now());
     } else {
-        client.last_trouble = loop::steady_clock::now();
-        client.direct_from = loop::after(direct_pause);
+        note_failure(client.ways, false, loop::steady_clock::now());
     }
     co_return answer;
 }
 
-loop::task<store_answer> call_by_peers(store_client& client, transport::http_request request,
+loop::task<store_answer> call_by_peers(store_client& client, store_request request,
                                        loop::milliseconds patience) {
-    request.path.insert(0, relay_path);
-    request.headers.push_back({std::string(patience_header), std::to_string(patience.count())});
+    auto& message = request.message;
+    message.path.insert(0, relay_path);
+    message.headers.push_back({std::string(patience_header), std::to_string(patience.count())});
     auto peers = client.peers();
     peers.resize(std::min(peers.size(), peers_asked));
     store_answer last{store_fault::refused, {}, true};
     for (const auto& peer : peers) {
-        auto outcome = co_await loop::call(*client.connections, peer, request,
+        auto outcome = co_await loop::call(*client.connections, peer, message,
                                            loop::after(patience + peer_allowance), connect_limit);
         last = judge(std::move(outcome));
         last.by_peer = true;
-        client.count("by_peer");
-        const bool repeatable = request.method == "GET" || last.fault == store_fault::refused;
+        client.count(request, "by_peer");
+        const bool repeatable = message.method == "GET" || last.fault == store_fault::refused;
         if (is_final(last.fault) || !repeatable) {
             break;
         }
     }
+    if (is_final(last.fault)) {
+        note_answer(client.ways, true, loop::steady_clock::now());
+    } else {
+        note_failure(client.ways, true, loop::steady_clock::now());
+    }
     co_return last;
 }
 
@@ -108,18 +110,19 @@
     return "invalid";
 }
 
-loop::task<store_answer> call_store(store_client& client, transport::http_request request,
+loop::task<store_answer> call_store(store_client& client, store_request request,
                                     loop::milliseconds patience, store_way way) {
-    const bool direct = client.direct_from <= loop::steady_clock::now();
-    if (direct) {
+    const auto plan = plan_ways(client.ways, way == store_way::one, loop::steady_clock::now());
+    if (plan.direct_first) {
         auto answer = co_await call_directly(client, request, patience);
-        const bool repeatable = request.method == "GET" || answer.fault == store_fault::refused;
-        if (is_final(answer.fault) || !repeatable || way == store_way::direct_if_open) {
+        const bool repeatable =
+            request.message.method == "GET" || answer.fault == store_fault::refused;
+        if (is_final(answer.fault) || !repeatable || !plan.peers) {
             co_return answer;
         }
     }
     auto answer = co_await call_by_peers(client, request, patience);
-    if (!direct && answer.fault == store_fault::refused) {
+    if (plan.direct_last && answer.fault == store_fault::refused) {
         answer = co_await call_directly(client, std::move(request), patience);
     }
     co_return answer;
@@ -127,6 +130,10 @@
 
 loop::task<transport::http_response>
 relay_call(store_client& client, transport::http_request request, loop::milliseconds patience) {
+    const bool open = client.ways.direct_from <= loop::steady_clock::now();
+    if (!open) {
+        co_return transport::http_response{status_nothing_done, {}, {}};
+    }
     request.path.erase(0, relay_path.size());
     auto outcome = co_await loop::call(*client.connections, client.address, std::move(request),
                                        loop::after(patience), connect_limit);
--- a/src/front/store_client.hpp
+++ b/src/front/store_client.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "front/store_request.hpp"
+#include "front/store_ways.hpp"
 #include "loop/exchange.hpp"
 
 #include <functional>
@@ -41,10 +43,9 @@
     std::function<std::vector<transport::endpoint>()> peers = [] {
         return std::vector<transport::endpoint>();
     }; ///< Those to ask, in this order.
-    std::function<void(std::string_view outcome)> count = [](std::string_view) {};
-    loop::deadline last_direct_answer{};
-    loop::deadline last_trouble{}; ///< When a direct call last ended without the store's answer.
-    loop::deadline direct_from{};  ///< The direct way is tried again from then on.
+    std::function<void(const store_request& call, std::string_view outcome)> count =
+        [](const store_request&, std::string_view) {};
+    store_ways ways{};
 };
 
 /// Answers take some milliseconds, and a quarter of a second when the store is slow.
@@ -53,11 +54,11 @@
 /// Which ways a call may take.
 enum class store_way {
     any,
-    direct_if_open, ///< Directly, or through a peer while the direct way is left alone; not both.
+    one, ///< Directly, or through a peer while the direct way is closed; not both.
 };
 
 /// Makes the call, directly or through a peer. `patience` is how long the store may think.
-loop::task<store_answer> call_store(store_client& client, transport::http_request request,
+loop::task<store_answer> call_store(store_client& client, store_request request,
                                     loop::milliseconds patience = store_call_limit,
                                     store_way way = store_way::any);
 
@@ -66,7 +67,8 @@
 /// Tells that host for how long the store may think, in milliseconds.
 inline constexpr std::string_view patience_header = "Cornelloom-Patience-Ms";
 
-/// Passes a peer's call on. 503: nothing was done; 504: it may have been done.
+/// Passes a peer's call on. 503: nothing was done, also because this host's own way is closed;
+/// 504: it may have been done.
 loop::task<transport::http_response>
 relay_call(store_client& client, transport::http_request request, loop::milliseconds patience);
 
--- a/src/front/watch.cpp
+++ b/src/front/watch.cpp
@@ -20,24 +20,11 @@
 /// Beyond its wait a feeder needs a round trip within the zone and its turn on a small processor.
 constexpr loop::milliseconds feed_allowance{500};
 constexpr loop::milliseconds feed_connect{250};
+/// How often a host looks whether it needs a kind that only some hosts need.
+constexpr loop::milliseconds unwanted_pause{300};
 
 using followed_ptr = std::shared_ptr<followed>;
 
-std::string_view name_of(object_kind kind) {
-    switch (kind) {
-    case object_kind::configuration:
-        return "configuration";
-    case object_kind::targets:
-        return "targets";
-    case object_kind::versions:
-        return "versions";
-    case object_kind::hosts:
-        return "hosts";
-    default:
-        return "other";
-    }
-}
-
 void note_touch(host& self, followed& one, store_fault fault) {
     const bool lost = fault == store_fault::refused || fault == store_fault::unknown;
     if (lost == one.out_of_touch) {
@@ -49,7 +36,7 @@
         self.learned.open();
     }
     note(self, lost ? platform_lost : platform_back,
-         {{"watch", name_of(one.kind)}, {"at", one.at}, {"fault", to_string(fault)}});
+         {{"watch", to_string(one.kind)}, {"at", one.at}, {"fault", to_string(fault)}});
     if (!lost && one.kind == object_kind::targets) {
         note_return(self.targets, self.now());
     }
@@ -70,7 +57,7 @@
         auto page = self->wire.page(answer.body);
         if (!page) {
             note(*self, object_unreadable,
-                 {{"kind", name_of(one->kind)}, {"problem", page.error().detail}});
+                 {{"kind", to_string(one->kind)}, {"problem", page.error().detail}});
             co_return false;
         }
         out.at = out.at == 0 ? page.value().at : out.at;
@@ -94,11 +81,12 @@
 }
 
 loop::task<bool> watch_once(std::shared_ptr<host> self, followed_ptr one) {
-    const bool direct = self->store.direct_from <= loop::steady_clock::now();
-    const auto wait = direct ? watch_wait(one->kind, self->settings) : watch_wait_by_peer;
+    const auto ways = plan_ways(self->store.ways, true, loop::steady_clock::now());
+    const auto wait =
+        ways.direct_first ? watch_wait(one->kind, self->settings) : watch_wait_by_peer;
     const auto asked = loop::steady_clock::now();
     auto answer = co_await call_store(self->store, self->wire.watch(one->kind, one->at, wait),
-                                      wait + watch_allowance, store_way::direct_if_open);
+                                      wait + watch_allowance, store_way::one);
     note_touch(*self, *one, answer.fault);
     if (answer.fault == store_fault::history_gone || answer.fault == store_fault::invalid ||
         answer.fault == store_fault::not_found) {
@@ -114,14 +102,16 @@
     auto changes = self->wire.changes(answer.body);
     if (!changes) {
         note(*self, object_unreadable,
-             {{"kind", name_of(one->kind)}, {"problem", changes.error().detail}});
+             {{"kind", to_string(one->kind)}, {"problem", changes.error().detail}});
         one->at = 0;
         co_return false;
     }
     const bool early = loop::steady_clock::now() < asked + wait * 9 / 10;
     if (changes.value().changes.empty() && early) {
         note(*self, watch_cut,
-             {{"watch", name_of(one->kind)}, {"at", one->at}, {"answered_at", changes.value().at}});
+             {{"watch", to_string(one->kind)},
+              {"at", one->at},
+              {"answered_at", changes.value().at}});
         one->at = 0;
         co_return true;
     }
@@ -129,7 +119,7 @@
     keep_changes(*self, one->kind, changes.value().changes, one->at);
     if (!changes.value().changes.empty()) {
         one->change(changes.value().changes);
-        co_await loop::pause_for(self->io, one->pause);
+        co_await loop::pause_for(self->io, one->pause());
     }
     co_return true;
 }
@@ -141,19 +131,19 @@
         co_await loop::call(self->connections, feeder.where, feed_question(one->kind, one->at),
                             loop::after(feed_wait + feed_allowance), feed_connect);
     const bool answered = outcome.fault == loop::exchange_fault::none;
-    if (answered && outcome.answer.status == 410) {
+    if (answered && outcome.answer.status == status_list_again) {
         one->at = 0;
         co_return true;
     }
-    auto read = decode_feed(answered && outcome.answer.status == 200 ? outcome.answer.body : "");
+    const bool out_of_touch = answered && outcome.answer.status == status_out_of_touch;
+    auto read = decode_feed(answered && !out_of_touch ? outcome.answer.body : "");
     if (!read) {
         note(*self, feeder_lost,
-             {{"watch", name_of(one->kind)},
+             {{"watch", to_string(one->kind)},
               {"feeder", feeder.name},
               {"fault", to_string(outcome.fault)},
               {"status", outcome.answer.status}});
-        avoid_feeder(*self, feeder.name);
-        co_return true;
+        co_return avoid_feeder(self->avoided, feeder.name, out_of_touch, self->now());
     }
     auto& news = read.value();
     if (one->at == 0) {
@@ -170,24 +160,31 @@
     co_return true;
 }
 
+/// The next list or change, from a feeder or from the store; false if there was no answer.
+loop::task<bool> follow_once(std::shared_ptr<host> self, followed_ptr one) {
+    auto& kept = self->kept[one->kind];
+    const auto feeder = one->wanted ? std::nullopt : choose_feeder(*self, one->kind);
+    kept.live = !feeder && !one->wanted;
+    if (feeder) {
+        co_return co_await ask_feeder(self, one, *feeder);
+    }
+    // What this host passes on must be whole, so it starts from a list of its own.
+    if (one->at == 0 || kept.at != one->at) {
+        co_return co_await list_all(self, one);
+    }
+    co_return co_await watch_once(self, one);
+}
+
 loop::task<void> follow(std::shared_ptr<host> self, followed_ptr one) {
     for (;;) {
-        bool done = false;
-        // Without a configuration every caller is refused: a host that starts takes the shortest
-        // way.
-        const bool urgent = one->kind == object_kind::configuration && !self->routes;
-        const auto feeder = urgent ? std::nullopt : choose_feeder(*self);
-        self->kept[one->kind].live = !feeder;
-        if (feeder) {
-            done = co_await ask_feeder(self, one, *feeder);
-        } else if (one->at == 0 || self->kept[one->kind].at != one->at) {
-            // What this host passes on must be whole, so it starts from a list of its own.
-            done = co_await list_all(self, one);
-        } else {
-            done = co_await watch_once(self, one);
+        if (one->wanted && !one->wanted()) {
+            one->at = 0;
+            co_await loop::pause_for(self->io, unwanted_pause);
+            continue;
         }
+        const bool done = co_await follow_once(self, one);
         if (!done) {
-            co_await loop::pause_for(self->io, store_retry_pause);
+            co_await loop::pause_for(self->io, store_pause(*self, store_pause_most));
         }
     }
 }
--- a/src/front/watch.hpp
+++ b/src/front/watch.hpp
@@ -10,19 +10,25 @@
 
 /// Keeping up with one kind of objects: a list, then changes, from a feeder or from the store.
 
-/// After a call to the store that failed.
-inline constexpr loop::milliseconds store_retry_pause{150};
-
 /// One kind of objects and what its changes mean.
 struct followed {
     object_kind kind;
-    loop::milliseconds pause; ///< After changes, before more of them are asked for.
+    /// After changes, before more of them are asked for.
+    std::function<loop::milliseconds()> pause;
     std::function<void(std::span<const stored_object>)> replace;
     std::function<void(std::span<const object_change>)> change;
+    /// Whether this host needs the kind now; such a kind is read from the store itself. Empty: it
+    /// always does, and asks a feeder if there is one.
+    std::function<bool()> wanted{};
     std::uint64_t at = 0; ///< Changes from this revision on are still to come; 0: list first.
     bool out_of_touch = false;
 };
 
+/// For kinds whose every change matters at once.
+[[nodiscard]] inline loop::milliseconds no_pause() {
+    return loop::milliseconds{0};
+}
+
 /// How long a waiting call for changes of this kind waits at the store.
 ///
 /// Failure it is made for: the answer of a waiting call is lost, and its connection stays open and
