Items run while their batch is being stored, and a submission is tried for as long as its caller waits

Change: the host that takes a batch in tells the zone's first host at once, which begins; the 202 and all entries of the log wait for the store. What could not be stored is withdrawn, and 503 is said only if nothing had been sent to a target. A repeated submission begins nothing: owners are announced to the first host of each zone, and a young process begins nothing early.

--- a/src/front/batch_desk.cpp
+++ b/src/front/batch_desk.cpp
@@ -53,6 +53,10 @@
 
 loop::task<void> answer_end(live_batch_ptr one, loop::served_request& request) {
     auto self = one->self;
+    if (!one->stored) {
+        co_await refuse(*self, request, one->state.header.id, "not_stored_yet", come_back_soon);
+        co_return;
+    }
     bool done = one->state.ended;
     if (!done) {
         const auto make = [](const live_batch& now) -> std::optional<log_entry> {
--- a/src/front/batch_drive.cpp
+++ b/src/front/batch_drive.cpp
@@ -191,7 +191,8 @@
         if (!one->handing_over) {
             dispatch(one);
         }
-        const auto due = next_flush(one->state, flushing, deadline_of(*one));
+        const auto due = one->stored ? next_flush(one->state, flushing, deadline_of(*one))
+                                     : std::optional<time_point>{};
         if (due && *due <= self->now() && !one->appending) {
             loop::asio::co_spawn(self->io, flush(one), loop::asio::detached);
         }
--- a/src/front/batch_hand_over.cpp
+++ b/src/front/batch_hand_over.cpp
@@ -2,6 +2,7 @@
 
 #include "front/batch_drive.hpp"
 #include "front/batch_log.hpp"
+#include "front/batch_start.hpp"
 
 #include <algorithm>
 
@@ -60,6 +61,7 @@
 } // namespace
 
 void hand_over_all(const std::shared_ptr<batch_desk>& desk) {
+    drop_unstored(*desk);
     for (const auto& [id, one] : desk->known) {
         if (one->owned && !is_over(one->state)) {
             loop::asio::co_spawn(desk->self->io, hand_over(desk, one), loop::asio::detached);
--- a/src/front/batch_log.cpp
+++ b/src/front/batch_log.cpp
@@ -8,17 +8,15 @@
 
 /// The longest pause before an entry is tried again: results wait for it, and no caller does.
 constexpr loop::milliseconds entry_pause_most{600};
-/// Tries of each call of a submission: its caller waits and comes again at another host.
-constexpr int store_tries = 3;
 /// Clocks of two hosts may differ by so much; an item is rather given up late than early.
 constexpr milliseconds clock_margin{2500};
 
 /// Creates an object whose content is fixed by its name: it exists already after a lost answer.
 loop::task<store_fault> create_once(std::shared_ptr<host> self, object_kind kind, std::string name,
-                                    std::string value) {
+                                    std::string value, time_point until) {
     store_fault last = store_fault::refused;
     bool doubtful = false;
-    for (int tries = 0; tries < store_tries; ++tries) {
+    do {
         auto answer = co_await call_store(self->store, self->wire.create(kind, name, value));
         last = answer.fault;
         if (last != store_fault::refused && last != store_fault::unknown) {
@@ -26,7 +24,7 @@
         }
         doubtful = doubtful || last == store_fault::unknown;
         co_await loop::pause_for(self->io, store_pause(*self, store_pause_awaited));
-    }
+    } while (self->now() < until);
     co_return doubtful ? store_fault::unknown : last;
 }
 
@@ -102,19 +100,19 @@
 } // namespace
 
 loop::task<store_fault> store_batch(std::shared_ptr<host> self, batch_header header,
-                                    std::string_view submission) {
+                                    std::string_view submission, time_point until) {
     const auto pieces = split_submission(submission, self->settings.value_bytes);
     header.parts = static_cast<int>(pieces.size());
     for (std::size_t part = 0; part < pieces.size(); ++part) {
         const auto made = co_await create_once(self, object_kind::batch_parts,
-                                               entry_name(header.id, part), pieces[part]);
+                                               entry_name(header.id, part), pieces[part], until);
         if (made != store_fault::none && made != store_fault::conflict) {
             // The header is missing, so the batch does not exist, whatever became of this part.
             co_return store_fault::refused;
         }
     }
     const auto made =
-        co_await create_once(self, object_kind::batches, header.id, encode_header(header));
+        co_await create_once(self, object_kind::batches, header.id, encode_header(header), until);
     co_return made;
 }
 
--- a/src/front/batch_log.hpp
+++ b/src/front/batch_log.hpp
@@ -8,10 +8,10 @@
 
 namespace cornelloom::front {
 
-/// Stores a submission before it is accepted: its parts, then the header that makes it exist.
-/// `conflict` means that it exists already, which is as good.
+/// Stores a submission before it is accepted: its parts, then the header that makes it exist. Tries
+/// until `until`. `conflict` means that it exists already, which is as good.
 loop::task<store_fault> store_batch(std::shared_ptr<host> self, batch_header header,
-                                    std::string_view submission);
+                                    std::string_view submission, time_point until);
 
 /// What became of loading a batch.
 struct loaded_batch {
--- a/src/front/events.hpp
+++ b/src/front/events.hpp
@@ -29,7 +29,11 @@
 inline constexpr event object_unreadable{9013, "object_unreadable", event_level::warning,
                                          "an object of the platform can't be used and is left out"};
 inline constexpr event target_changed{9014, "target_changed", event_level::info,
-                                      "the list of targets changed"};
+                                      "a target is new, leaves, or has loaded other versions"};
+inline constexpr event target_gone{9018, "target_gone", event_level::info,
+                                   "a target is no longer in the list"};
+inline constexpr event targets_changed{9019, "targets_changed", event_level::info,
+                                       "a step of news about the list of targets"};
 inline constexpr event version_named{9015, "version_named", event_level::info,
                                      "a trainer has named a version of its model"};
 inline constexpr event request_answered{9020, "request_answered", event_level::info,
@@ -56,6 +60,8 @@
                                       "an attempt of an item ended before its text was complete"};
 inline constexpr event item_texted{9036, "item_texted", event_level::info,
                                    "the text of an item is complete"};
+inline constexpr event item_scored{9042, "item_scored", event_level::info,
+                                   "the text of an item has its score"};
 inline constexpr event item_given_up{9037, "item_given_up", event_level::info,
                                      "an item is listed without a whole text"};
 inline constexpr event log_written{9038, "log_written", event_level::info,
@@ -64,6 +70,8 @@
                                    "an entry of a batch's log can't be stored yet"};
 inline constexpr event read_forwarded_failed{9040, "read_forwarded_failed", event_level::info,
                                              "the owner of a batch does not answer its peer"};
+inline constexpr event batch_dropped{9041, "batch_dropped", event_level::warning,
+                                     "a batch that began before it was stored is not run on"};
 inline constexpr event order_lease_changed{9050, "order_lease_changed", event_level::info,
                                            "the right to give orders has moved"};
 inline constexpr event order_given{9051, "order_given", event_level::info,
--- a/src/front/follower.cpp
+++ b/src/front/follower.cpp
@@ -52,7 +52,12 @@
     return read.value();
 }
 
+/// One target in full. The hosts that watch the store write these lines; the others, which learn
+/// the same from them, write how much has changed.
 void note_target(host& self, const target_entry& entry) {
+    if (!watches_store(self)) {
+        return;
+    }
     std::string versions;
     for (const auto& [model, version] : entry.versions) {
         versions += (versions.empty() ? "" : ",") + model + ":" + std::to_string(version);
@@ -66,6 +71,18 @@
           {"revision", entry.revision}});
 }
 
+void note_news(host& self, std::span<const object_change> changes, std::size_t before) {
+    const auto gone = std::ranges::count_if(changes, &object_change::deleted);
+    const auto newest = std::ranges::max_element(
+        changes, {}, [](const object_change& change) { return change.object.revision; });
+    note(self, targets_changed,
+         {{"changed", static_cast<std::uint64_t>(changes.size())},
+          {"gone", static_cast<std::uint64_t>(gone)},
+          {"targets", static_cast<std::uint64_t>(self.targets.by_id.size())},
+          {"before", static_cast<std::uint64_t>(before)},
+          {"revision", newest->object.revision}});
+}
+
 void list_targets(host& self, std::span<const stored_object> all) {
     std::vector<target_entry> entries;
     for (const auto& object : all) {
@@ -85,9 +102,10 @@
     if (have_lapsed(static_cast<std::size_t>(gone), since_trouble, self.settings.calm)) {
         note_return(self.targets, self.now());
     }
+    const auto before = self.targets.by_id.size();
     for (const auto& change : changes) {
         if (change.deleted) {
-            note(self, target_changed, {{"target", change.object.name}, {"gone", true}});
+            note(self, target_gone, {{"target", change.object.name}});
             remove_target(self.targets, change.object.name, self.now());
             continue;
         }
@@ -98,6 +116,7 @@
             remove_target(self.targets, change.object.name, self.now());
         }
     }
+    note_news(self, changes, before);
 }
 
 void take_version(host& self, const stored_object& object) {
--- a/src/front/gateway.cpp
+++ b/src/front/gateway.cpp
@@ -1,6 +1,7 @@
 #include "front/gateway.hpp"
 
 #include "front/answers.hpp"
+#include "front/batch_start.hpp"
 #include "front/batch_submit.hpp"
 #include "front/feed.hpp"
 #include "front/plain_call.hpp"
@@ -169,8 +170,8 @@
         }
     }
     int status = 404;
-    if (message.path == run_path) {
-        status = run_accepted(desk, message) ? 200 : 503;
+    if (message.path.starts_with(start_path)) {
+        status = co_await serve_start_call(desk, std::move(message));
     } else if (message.path == adopt_path) {
         loop::asio::co_spawn(self->io, adopt_batch(desk, query("id")), loop::asio::detached);
         status = 200;
--- a/src/front/host.hpp
+++ b/src/front/host.hpp
@@ -68,6 +68,7 @@
     std::mt19937_64 random;
     std::uint64_t salt = random();
 
+    time_point started = clock.now();            ///< Of this process.
     bool targets_listed = false;                 ///< Since the start of this process.
     bool store_failed = false;                   ///< A call got no answer since the start.
     loop::gate learned;                          ///< Opened when `knowledge_of` changes.
--- a/src/front/item_run.cpp
+++ b/src/front/item_run.cpp
@@ -237,6 +237,16 @@
     return out;
 }
 
+void note_score(live_batch& one, std::size_t index, int sends, double took_ms) {
+    one.self->metrics.record("cornelloom_score_seconds", took_ms / 1000);
+    note(*one.self, item_scored,
+         {{"id", one.state.spec.items[index].id},
+          {"batch", one.state.header.id},
+          {"sends", sends},
+          {"ms", took_ms},
+          {"age_ms", ms_between(one.state.submitted, one.self->now())}});
+}
+
 void count_failure(live_batch& one, std::size_t index, const route& way, std::string_view why) {
     auto& item = one.state.items[index];
     ++item.failures;
@@ -316,7 +326,9 @@
         finish(*one, completed(*one, index));
         co_return;
     }
+    const auto texted = self->now();
     int failures = 0;
+    int sends = 0;
     while (one->owned && !is_over(one->state) &&
            one->state.items[index].phase == item_phase::scoring) {
         const auto path = scoring->path.substr(0, scoring->path.find('?'));
@@ -342,6 +354,7 @@
         if (one->state.items[index].phase != item_phase::scoring) {
             co_return;
         }
+        sends += outcome.sends;
         const int status = outcome.answer.status;
         const bool success = outcome.what == plain_outcome::state::answered && status >= 200 &&
                              status < 300 && outcome.facts.stamped;
@@ -349,6 +362,7 @@
             auto result = completed(*one, index);
             result.score = outcome.facts.stamp;
             result.scored = true;
+            note_score(*one, index, sends, ms_between(texted, self->now()));
             finish(*one, std::move(result));
             co_return;
         }
--- a/src/front/live_batch.hpp
+++ b/src/front/live_batch.hpp
@@ -30,6 +30,7 @@
     batch state;
     loop::gate changed;        ///< Opened when results are listed, runs end or the owner changes.
     bool owned = false;        ///< This process runs its items.
+    bool stored = true;        ///< False while another host stores it and this one runs it already.
     bool handing_over = false; ///< Its runs are stopped; another host goes on with them.
     bool appending = false;    ///< An entry of its log is being written.
     std::map<std::size_t, item_run> runs{}; ///< By the item's index.
