--- a/src/front/batch.hpp
+++ b/src/front/batch.hpp
@@ -95,15 +95,15 @@
 struct flush_rules {
     milliseconds hurry_gap{60};  ///< Between two writes while a caller waits for just these.
     milliseconds calm_gap{1200}; ///< Otherwise: what a crash of this host makes run again.
-    milliseconds due_soon{1500}; ///< Before the batch's deadline every result is in a hurry.
+    milliseconds due_soon{300};  ///< So long before the batch's deadline every result is urgent.
 };
 
 /// When the log should be written next, or nothing while there is nothing to write.
 ///
 /// Load it is made for: some hundred results within seconds, and a store that charges each call. A
 /// step ends with its last wanted group, so until then nobody waits for a result and one write can
-/// carry all of a second; at the end, and near the deadline, each complete group is written at
-/// once.
+/// carry all of a second; at the end, and at the deadline, each result is written at once. Not
+/// sooner: a caller that is woken by each of the last results sleeps when the very last one comes.
 [[nodiscard]] std::optional<time_point> next_flush(const batch& one, const flush_rules& rules,
                                                    time_point deadline);
 
