The last scores of a step have a second target early; a peer that was served is asked again

Change: scores of texts that end within 2 s of the deadline have a second target after 1.25 times the usual; the peer that had the store's answer is asked first, and peers are tried again after half a second.

--- a/src/front/item_run.cpp
+++ b/src/front/item_run.cpp
@@ -16,6 +16,8 @@
 /// One scoring call: work of 200 ms, 1.5 s at most, on several targets if need be.
 constexpr milliseconds scoring_limit{3000};
 constexpr milliseconds scoring_pause{100};
+/// A text that ends so close to its batch's deadline is one of the last, which the step waits for.
+constexpr milliseconds last_texts{2000};
 
 enum class run_end { complete, retry, failed, impossible };
 
@@ -344,6 +346,8 @@
         call.runs_most = way->attempts;
         call.objective = way->objective;
         call.deadline = self->now() + scoring_limit;
+        const bool last = self->now() + last_texts >= deadline_of(*one);
+        call.hedge_factor = last ? early_hedge_factor : usual_hedge_factor;
         call.make = [self, scoring](const forward_terms& terms) {
             return self->wire.scoring(*scoring, terms);
         };
--- a/src/front/plain_call.cpp
+++ b/src/front/plain_call.cpp
@@ -7,9 +7,7 @@
 
 namespace {
 
-/// A second target is asked after so many times the usual latency: one request in fifty.
-constexpr double hedge_factor = 3;
-/// Bounds of that, as shares of the objective.
+/// Bounds of the time after which a second target is asked, as shares of the objective.
 constexpr double hedge_least = 0.25;
 constexpr double hedge_most = 0.6;
 /// Without an objective.
@@ -229,12 +227,12 @@
 
 } // namespace
 
-milliseconds hedge_after(milliseconds objective, double usual_ms) {
+milliseconds hedge_after(milliseconds objective, double usual_ms, double factor) {
     if (objective == milliseconds::zero()) {
         return hedge_default;
     }
     const auto whole = static_cast<double>(objective.count());
-    const double wanted = usual_ms > 0 ? usual_ms * hedge_factor : whole * hedge_most;
+    const double wanted = usual_ms > 0 ? usual_ms * factor : whole * hedge_most;
     return milliseconds(
         static_cast<std::int64_t>(std::clamp(wanted, whole * hedge_least, whole * hedge_most)));
 }
@@ -246,7 +244,8 @@
         abort_all(*one);
         one->changed.open();
     };
-    const auto pause = hedge_after(one->call.objective, usual_latency(*self, one->call.service));
+    const auto pause = hedge_after(one->call.objective, usual_latency(*self, one->call.service),
+                                   one->call.hedge_factor);
     auto hedge_at = self->now() + pause;
     while (!one->decided && self->now() < one->call.deadline) {
         const bool idle = one->running == 0;
--- a/src/front/plain_call.hpp
+++ b/src/front/plain_call.hpp
@@ -16,6 +16,11 @@
 /// within a round trip, so this many fit into an objective of 200 ms.
 inline constexpr int refusals_most = 5;
 
+/// One request in fifty takes longer than this many times the usual latency.
+inline constexpr double usual_hedge_factor = 3;
+/// One in four takes longer than this: for what others wait for.
+inline constexpr double early_hedge_factor = 1.25;
+
 /// A request with a whole answer, for a target of a service.
 struct plain_call {
     std::string id;
@@ -24,6 +29,8 @@
     int runs_most = 1;         ///< Targets that may run it.
     milliseconds objective{0}; ///< The latency objective of its route; 0: none.
     time_point deadline{};
+    /// A second target is asked after so many times the usual latency.
+    double hedge_factor = usual_hedge_factor;
     /// The request for a target, with what is left of the time.
     std::function<transport::http_request(const forward_terms&)> make;
 };
@@ -57,6 +64,6 @@
                                     std::shared_ptr<call_control> control);
 
 /// When a second target is asked, counted from the first send.
-[[nodiscard]] milliseconds hedge_after(milliseconds objective, double usual_ms);
+[[nodiscard]] milliseconds hedge_after(milliseconds objective, double usual_ms, double factor);
 
 } // namespace cornelloom::front
--- a/src/front/store_client.cpp
+++ b/src/front/store_client.cpp
@@ -67,6 +67,9 @@
     message.path.insert(0, relay_path);
     message.headers.push_back({std::string(patience_header), std::to_string(patience.count())});
     auto peers = client.peers();
+    if (client.served_peer) {
+        peers.insert(peers.begin(), *client.served_peer);
+    }
     peers.resize(std::min(peers.size(), peers_asked));
     store_answer last{store_fault::refused, {}, true};
     for (const auto& peer : peers) {
@@ -76,6 +79,7 @@
         last.by_peer = true;
         client.count(request, "by_peer");
         const bool repeatable = message.method == "GET" || last.fault == store_fault::refused;
+        client.served_peer = is_final(last.fault) ? std::optional(peer) : std::nullopt;
         if (is_final(last.fault) || !repeatable) {
             break;
         }
--- a/src/front/store_client.hpp
+++ b/src/front/store_client.hpp
@@ -5,6 +5,7 @@
 #include "loop/exchange.hpp"
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -43,6 +44,7 @@
     std::function<std::vector<transport::endpoint>()> peers = [] {
         return std::vector<transport::endpoint>();
     }; ///< Those to ask, in this order.
+    std::optional<transport::endpoint> served_peer{}; ///< The last that had the store's answer.
     std::function<void(const store_request& call, std::string_view outcome)> count =
         [](const store_request&, std::string_view) {};
     store_ways ways{};
--- a/src/front/store_ways.cpp
+++ b/src/front/store_ways.cpp
@@ -7,8 +7,10 @@
 
 namespace {
 
-/// A way that has failed is left out for so long.
-constexpr loop::milliseconds closed_for{1000};
+/// The direct way is left out for so long after it has failed.
+constexpr loop::milliseconds direct_closed_for{1000};
+/// Peers are chosen anew after a failure, so their way is left out for a shorter time.
+constexpr loop::milliseconds peers_closed_for{500};
 /// Beyond this many doublings every pause is at its bound.
 constexpr int doublings_most = 8;
 /// A pause is longer or shorter by up to this part.
@@ -37,10 +39,10 @@
 
 void note_failure(store_ways& ways, bool by_peer, loop::deadline now) {
     if (by_peer) {
-        ways.peers_from = now + closed_for;
+        ways.peers_from = now + peers_closed_for;
         return;
     }
-    ways.direct_from = now + closed_for;
+    ways.direct_from = now + direct_closed_for;
     ways.last_trouble = now;
     // Several calls of a host fail together; they are one spell.
     if (now - ways.counted >= first_store_pause) {
