A host that is cut off passes no old news on because a peer answered for it

Trace: front-daejeon-a-1 was cut off from the store at 24.7 s; its looks at the lease went through peers and kept it 'in touch', while its watches hung on the direct way until 27.7 s, so the hosts of its zone, which are in touch, learned nothing. Change: only a direct answer proves fresh news, and a question that waits is answered when they grow old. With it goes the rule that two feeders out of touch mean that the store is away: when both are cut off, the others of the zone would have waited for seconds.

--- a/src/front/batch_start.cpp
+++ b/src/front/batch_start.cpp
@@ -203,11 +203,11 @@
 } // namespace
 
 host_entry choose_runner(host& self) {
-    const auto own = own_entry(self);
+    auto own = own_entry(self);
     if (self.stopping) {
         return own;
     }
-    return first_of_zone(own, self.peers, self.avoided, self.now()).value_or(own);
+    return first_of_zone(own, self.peers, self.avoided, self.now()).value_or(std::move(own));
 }
 
 early_start_ptr ask_early_start(const std::shared_ptr<batch_desk>& desk, const batch_header& header,
--- a/src/front/feed.cpp
+++ b/src/front/feed.cpp
@@ -44,7 +44,7 @@
         if (seed == self.settings.peers) {
             return std::nullopt; // this host is one
         }
-        if (avoided == self.avoided.end() || avoided->second.until <= self.now()) {
+        if (avoided == self.avoided.end() || avoided->second <= self.now()) {
             usable.push_back({name, {}, seed});
         }
     }
@@ -54,10 +54,15 @@
     return usable[self.salt % usable.size()];
 }
 
+/// When this host's news of the store are no longer fresh. An answer that a peer has passed on does
+/// not count: the watches may hang on the direct way meanwhile.
+loop::deadline fresh_until(const host& self) {
+    return self.store.ways.last_direct + feed_touch;
+}
+
 /// What this host may say of a kind now; nothing while it has no fresh news of its own.
 std::optional<feed_answer> answer_of(const host& self, const kept_kind& kept, std::uint64_t at) {
-    const bool in_touch = loop::steady_clock::now() - self.store.ways.last_answer <= feed_touch;
-    if (kept.at == 0 || !kept.live || !in_touch) {
+    if (kept.at == 0 || !kept.live || fresh_until(self) < loop::steady_clock::now()) {
         return std::nullopt;
     }
     return at == 0 ? list_of(kept) : changes_since(kept, at);
@@ -170,13 +175,15 @@
     const auto at = number("at");
     const auto until = loop::after(feed_wait);
     auto reply = answer_of(*self, kept, at);
+    while (reply && at != 0 && reply->changes.empty() && at >= kept.oldest &&
+           loop::steady_clock::now() < until) {
+        co_await kept.changed.wait(std::min(until, fresh_until(*self)));
+        reply = answer_of(*self, kept, at);
+    }
     // Hosts that start together, or lose their feeder together, ask the next one before it has its
     // first list: a refusal would send them all on to one after another.
-    while ((!reply || (at != 0 && reply->changes.empty() && at >= kept.oldest)) &&
-           loop::steady_clock::now() < until) {
-        if (!reply) {
-            kept.asked = self->now();
-        }
+    while (!reply && !(kept.live && kept.at != 0) && loop::steady_clock::now() < until) {
+        kept.asked = self->now();
         co_await kept.changed.wait(until);
         reply = answer_of(*self, kept, at);
     }
--- a/src/front/feeder_choice.cpp
+++ b/src/front/feeder_choice.cpp
@@ -1,7 +1,5 @@
 #include "front/feeder_choice.hpp"
 
-#include <algorithm>
-
 namespace cornelloom::front {
 
 namespace {
@@ -12,7 +10,7 @@
 
 bool is_avoided(const avoided_feeders& avoided, std::string_view name, time_point now) {
     const auto found = avoided.find(name);
-    return found != avoided.end() && found->second.until > now;
+    return found != avoided.end() && found->second > now;
 }
 
 } // namespace
@@ -29,17 +27,8 @@
     return first == nullptr ? std::nullopt : std::optional(*first);
 }
 
-bool avoid_feeder(avoided_feeders& avoided, std::string_view name, bool out_of_touch,
-                  time_point now) {
-    const bool another_out_of_touch = std::ranges::any_of(avoided, [&](const auto& each) {
-        return each.first != name && each.second.out_of_touch && each.second.until > now;
-    });
-    if (out_of_touch && another_out_of_touch) {
-        return false;
-    }
-    avoided.insert_or_assign(std::string(name),
-                             avoided_feeder{now + feeder_avoidance, out_of_touch});
-    return true;
+void avoid_feeder(avoided_feeders& avoided, std::string_view name, time_point now) {
+    avoided.insert_or_assign(std::string(name), now + feeder_avoidance);
 }
 
 } // namespace cornelloom::front
--- a/src/front/feeder_choice.hpp
+++ b/src/front/feeder_choice.hpp
@@ -15,20 +15,16 @@
 /// Load it is made for: some hundred hosts, of which a third is turned away by the store for ten
 /// seconds, or half is killed at once. The hosts of a zone agree on an order, the one with the most
 /// processor time first, and each asks the first one that it does not avoid. A feeder that is
-/// silent is avoided, and so is the first that has no answer of the store. When a second one has
-/// none either, the store itself is away: asking a third would only add one more host to those that
-/// try it, so the hosts wait for these two.
+/// silent, or has no fresh news, is avoided for a while. One that has none holds the question
+/// before it says so; so while the store is away for all, a zone turns to the next host once a
+/// second and is back at the first one after the avoidance: a handful of hosts try the store, not
+/// all of them.
 
 using kernel::time_point;
 
-/// A feeder that did not serve a question, and until when it is not asked.
-struct avoided_feeder {
-    time_point until{};
-    bool out_of_touch = false; ///< It answered, but has heard nothing of the store lately.
-};
-
 using host_entries = std::map<std::string, host_entry, std::less<>>;
-using avoided_feeders = std::map<std::string, avoided_feeder, std::less<>>;
+/// Feeders that did not serve a question, and until when they are not asked.
+using avoided_feeders = std::map<std::string, time_point, std::less<>>;
 
 /// How long a feeder is avoided.
 inline constexpr milliseconds feeder_avoidance{4000};
@@ -40,9 +36,7 @@
                                                       const avoided_feeders& avoided,
                                                       time_point now);
 
-/// Takes note of a feeder that did not serve a question. False if the host should rather wait: the
-/// feeder is out of touch, and so was another one.
-[[nodiscard]] bool avoid_feeder(avoided_feeders& avoided, std::string_view name, bool out_of_touch,
-                                time_point now);
+/// Takes note of a feeder that did not serve a question.
+void avoid_feeder(avoided_feeders& avoided, std::string_view name, time_point now);
 
 } // namespace cornelloom::front
--- a/src/front/store_ways.cpp
+++ b/src/front/store_ways.cpp
@@ -32,8 +32,8 @@
         ways.peers_from = {};
     } else {
         ways.direct_from = {};
+        ways.last_direct = now;
     }
-    ways.last_answer = now;
     ways.failures = 0;
 }
 
--- a/src/front/store_ways.hpp
+++ b/src/front/store_ways.hpp
@@ -9,7 +9,7 @@
 struct store_ways {
     loop::deadline direct_from{};  ///< The direct way is tried again from then on.
     loop::deadline peers_from{};   ///< The same for the way through peers.
-    loop::deadline last_answer{};  ///< Of the store itself, whichever way it came.
+    loop::deadline last_direct{};  ///< When the store last answered on the direct way.
     loop::deadline last_trouble{}; ///< When a direct call last ended without the store's answer.
     loop::deadline counted{};      ///< When `failures` last grew.
     int failures = 0;              ///< Spells without an answer in a row; see `pause_after`.
--- a/src/front/watch.cpp
+++ b/src/front/watch.cpp
@@ -135,15 +135,15 @@
         one->at = 0;
         co_return true;
     }
-    const bool out_of_touch = answered && outcome.answer.status == status_out_of_touch;
-    auto read = decode_feed(answered && !out_of_touch ? outcome.answer.body : "");
+    auto read = decode_feed(answered && outcome.answer.status == 200 ? outcome.answer.body : "");
     if (!read) {
         note(*self, feeder_lost,
              {{"watch", to_string(one->kind)},
               {"feeder", feeder.name},
               {"fault", to_string(outcome.fault)},
               {"status", outcome.answer.status}});
-        co_return avoid_feeder(self->avoided, feeder.name, out_of_touch, self->now());
+        avoid_feeder(self->avoided, feeder.name, self->now());
+        co_return true;
     }
     auto& news = read.value();
     if (one->at == 0) {
--- a/tests/front/store_ways_tests.cpp
+++ b/tests/front/store_ways_tests.cpp
@@ -86,3 +86,14 @@
     CHECK(pause_after(ways, store_pause_most, 1) <= store_pause_most * 5 / 4);
     CHECK(pause_after(ways, store_pause_awaited, 1) <= store_pause_awaited * 5 / 4);
 }
+
+TEST_CASE("an answer that a peer has passed on does not prove the direct way",
+          "[front][store][cut]") {
+    // Guards against a host that is cut off, renews its news through a peer, and goes on feeding
+    // its zone what its silent watches last said.
+    store_ways ways;
+    note_answer(ways, false, start);
+    note_failure(ways, false, start + 1s);
+    note_answer(ways, true, start + 2s);
+    CHECK(ways.last_direct == start);
+}
