--- a/src/front/batch_desk.cpp
+++ b/src/front/batch_desk.cpp
@@ -14,8 +14,10 @@
 constexpr milliseconds passed_wait{600};
 /// Entries that move the owner or end a batch: their caller waits, at most this long.
 constexpr milliseconds entry_patience{2000};
-/// A batch that nobody has asked for is forgotten; it can be loaded again.
-constexpr std::chrono::seconds unused_most{45};
+/// A batch that nobody has asked for is forgotten. It can be loaded again, which takes ten calls
+/// and a second or two for one of half a megabyte, longer than a reader waits: so it is kept for
+/// about as long as results are read.
+constexpr std::chrono::seconds unused_most{120};
 
 constexpr int status_other_owner = 409;
 
