--- a/src/front/feed.cpp
+++ b/src/front/feed.cpp
@@ -182,7 +182,7 @@
     }
     // Hosts that start together, or lose their feeder together, ask the next one before it has its
     // first list: a refusal would send them all on to one after another.
-    while (!reply && !(kept.live && kept.at != 0) && loop::steady_clock::now() < until) {
+    while (!reply && (!kept.live || kept.at == 0) && loop::steady_clock::now() < until) {
         kept.asked = self->now();
         co_await kept.changed.wait(until);
         reply = answer_of(*self, kept, at);
