--- a/soak/internal/day.cpp
+++ b/soak/internal/day.cpp
@@ -59,6 +59,7 @@
                       address(self, host_group, 1, peers_port)};
     settings.platform = address(self, store_way_group, index, store_port);
     settings.grace = grace;
+    settings.revocation = self.book.bounds.revocation;
     one->executable = self.options.executable;
     one->folder = self.options.folder;
     one->store_way = std::make_shared<proxy>(self.io, address(self, store_group, 0, store_port));
@@ -214,6 +215,30 @@
 
 } // namespace
 
+namespace {
+
+/// The key that the configuration of that version adds to the account.
+std::string key_added(std::string_view account, std::uint64_t version) {
+    return std::string(account) + "-key-" + std::to_string(version);
+}
+
+/// An account has the keys that this many configurations have added last.
+constexpr std::uint64_t keys_kept = 3;
+
+standins::account_plan account_at(std::string_view name, std::uint64_t version) {
+    standins::account_plan out{std::string(name), {}};
+    for (auto each = version; each > 0 && each + keys_kept > version; --each) {
+        out.keys.push_back(key_added(name, each));
+    }
+    return out;
+}
+
+} // namespace
+
+std::string key_of(const day& self, std::string_view account) {
+    return key_added(account, std::max<std::uint64_t>(self.configuration, 2) - 1);
+}
+
 day::day(const day_options& given)
     : options(given), random(given.seed), platform(std::make_shared<standins::store>(io)) {}
 
@@ -260,8 +285,15 @@
     front::service service;
     service.name = plain;
     service.connections_most = 200;
-    write_configuration(*self.platform, self.configuration, route_host, routes, {engine, service});
-    self.configured[self.configuration] = loop::steady_clock::now();
+    const std::vector accounts{account_at(caller_account, self.configuration),
+                               account_at(trainer_account, self.configuration)};
+    write_configuration(*self.platform, self.configuration, route_host, routes, {engine, service},
+                        accounts);
+    const auto now = loop::steady_clock::now();
+    self.configured[self.configuration] = now;
+    if (self.configuration > keys_kept) {
+        self.revoked[key_added(caller_account, self.configuration - keys_kept)] = now;
+    }
 }
 
 day_result play(const day_options& options) {
--- a/soak/internal/day.hpp
+++ b/soak/internal/day.hpp
@@ -56,6 +56,7 @@
     std::vector<std::string> models{};
     std::uint64_t configuration = 0;
     std::map<std::uint64_t, deadline> configured{}; ///< When each version was stored.
+    std::map<std::string, deadline> revoked{};      ///< Keys, and when they were taken away.
     std::vector<std::string> played{};
     bool over = false; ///< Callers and trainers stop.
     int busy = 0;      ///< Callers and trainers that still run.
@@ -75,7 +76,15 @@
 /// The name under which all routes stand.
 inline constexpr std::string_view route_host = "soak.example";
 
-/// Stores the next version of the configuration, which adds one more route.
+/// The client accounts of callers and of trainers.
+inline constexpr std::string_view caller_account = "callers";
+inline constexpr std::string_view trainer_account = "trainers";
+
+/// A key of the account that the newest configuration holds, as does the one before it.
+[[nodiscard]] std::string key_of(const day& self, std::string_view account);
+
+/// Stores the next version of the configuration, which adds one more route and takes
+/// the oldest key of each account away.
 void configure(day& self);
 
 } // namespace cornelloom::soak
--- a/soak/internal/promises.cpp
+++ b/soak/internal/promises.cpp
@@ -35,18 +35,32 @@
     }
 }
 
+void judge_account(ledger& book, const standins::run_seen& seen, const sent_request& sent) {
+    if (seen.has_a_key) {
+        note_broken(book, "keys stay inside", seen.request + " brought its key to " + seen.target);
+    }
+    if (seen.account != sent.account) {
+        note_broken(book, "own account",
+                    seen.request + " runs under '" + seen.account + "' at " + seen.target);
+    }
+    if (sent.revoked) {
+        note_broken(book, "revocation", seen.request + " runs under a key that was taken away");
+    }
+}
+
 void take_run(ledger& book, const standins::run_seen& seen) {
     auto& all = book.runs[seen.request];
     all.push_back({seen.target, seen.path, loop::steady_clock::now()});
     if (book.refused.contains(seen.request)) {
         note_broken(book, "not run", seen.request + " runs at " + seen.target + " after a refusal");
     }
-    const auto rule = book.rules.find(seen.request);
-    if (rule == book.rules.end()) {
+    const auto sent = book.sent.find(seen.request);
+    if (sent == book.sent.end()) {
         note_broken(book, "unasked", seen.request + " runs at " + seen.target);
         return;
     }
-    if (rule->second == run_rule::once && all.size() > 1) {
+    judge_account(book, seen, sent->second);
+    if (sent->second.rule == run_rule::once && all.size() > 1) {
         note_broken(book, "at most once",
                     seen.request + " runs at " + all.front().target + " and " + seen.target);
     }
@@ -178,8 +192,8 @@
     return out;
 }
 
-void note_sent(ledger& book, const std::string& id, run_rule rule) {
-    book.rules.emplace(id, rule);
+void note_sent(ledger& book, const std::string& id, sent_request what) {
+    book.sent.emplace(id, std::move(what));
 }
 
 bool promises_not_run(int status) {
@@ -190,7 +204,7 @@
     if (promises_not_run(answer.status)) {
         ++book.refusals;
         // What may run several times may have run at one target and be refused after another.
-        if (book.rules.at(id) == run_rule::once) {
+        if (book.sent.at(id).rule == run_rule::once) {
             book.refused.insert(id);
             if (book.runs.contains(id)) {
                 note_broken(book, "not run", id + " was refused and has run");
--- a/soak/internal/promises.hpp
+++ b/soak/internal/promises.hpp
@@ -25,12 +25,20 @@
     milliseconds rollback{250};
     milliseconds cancel{3000};
     milliseconds settle{1000};
-    milliseconds calm{4000}; ///< Without trouble for so long, the bounds above hold.
+    milliseconds revocation{5000}; ///< A key that was taken away opens nothing after this, ever.
+    milliseconds calm{4000};       ///< Without trouble for so long, the bounds above hold.
 };
 
 /// How often a request of a caller may run.
 enum class run_rule { any, once };
 
+/// What a caller's request should run under.
+struct sent_request {
+    run_rule rule = run_rule::any;
+    std::string account{}; ///< Empty: none.
+    bool revoked = false;  ///< Its key was taken away longer ago than the bound when it was sent.
+};
+
 /// What is known of one step of a trainer.
 struct step_record {
     standins::step_plan plan;
@@ -57,8 +65,8 @@
     };
 
     std::map<std::string, std::vector<run>, std::less<>> runs{};
-    std::map<std::string, run_rule, std::less<>> rules{}; ///< Of the ids that callers have sent.
-    std::set<std::string, std::less<>> refused{};         ///< Ids that were told they have not run.
+    std::map<std::string, sent_request, std::less<>> sent{}; ///< By the ids that callers have sent.
+    std::set<std::string, std::less<>> refused{}; ///< Ids that were told they have not run.
     /// What targets answered, by id: stamp and body of each success.
     std::map<std::string, std::map<std::string, std::string>, std::less<>> answers{};
     std::map<std::string, deadline, std::less<>> leaving{}; ///< Targets, since their entry says so.
@@ -88,8 +96,8 @@
 /// An observer of targets that writes into the ledger, which must outlive it.
 [[nodiscard]] standins::target_observer observe(ledger& book);
 
-/// A caller sends a request that may run so often.
-void note_sent(ledger& book, const std::string& id, run_rule rule);
+/// A caller sends a request.
+void note_sent(ledger& book, const std::string& id, sent_request what);
 
 /// Whether this status promises that the request has not run and never will.
 [[nodiscard]] bool promises_not_run(int status);
--- a/soak/internal/traffic.cpp
+++ b/soak/internal/traffic.cpp
@@ -53,8 +53,9 @@
 
 /// One request of a caller, and what became of it.
 loop::task<loop::call_outcome> ask(loop::connection_pool& pool, const program& host, std::string id,
-                                   std::string path) {
-    auto message = standins::caller_request(id, route_host, path, time_left);
+                                   std::string path, std::string key) {
+    auto message =
+        standins::with_key(standins::caller_request(id, route_host, path, time_left), key);
     co_return co_await loop::call(pool, host.settings.callers, std::move(message),
                                   loop::after(time_left + allowance), connect_limit);
 }
@@ -62,11 +63,12 @@
 loop::task<void> call_plain(day& self, loop::connection_pool& pool, program& host) {
     const auto kind = plain_kinds.at(self.random() % plain_kinds.size());
     const auto id = make_id(self);
-    note_sent(self.book, id, kind.rule);
+    note_sent(self.book, id, {kind.rule, std::string(caller_account)});
     ++self.book.requests;
     const int boot = host.boot;
     const auto sent = loop::steady_clock::now();
-    auto outcome = co_await ask(pool, host, id, std::string(kind.path) + id);
+    auto outcome =
+        co_await ask(pool, host, id, std::string(kind.path) + id, key_of(self, caller_account));
     if (outcome.fault == loop::exchange_fault::none) {
         judge_answer(self.book, id, outcome.answer);
     } else {
@@ -79,12 +81,13 @@
     const auto version = self.configuration;
     const auto stored = self.configured[version];
     const auto id = make_id(self);
-    note_sent(self.book, id, run_rule::any);
+    note_sent(self.book, id, {run_rule::any, std::string(caller_account)});
     const auto sent = loop::steady_clock::now();
     const bool calm = is_calm(self.book) && host.harmed + self.book.bounds.calm < sent;
     const bool due = sent > stored + self.book.bounds.configuration;
     const int boot = host.boot;
-    auto outcome = co_await ask(pool, host, id, "/v" + std::to_string(version) + "/" + id);
+    auto outcome = co_await ask(pool, host, id, "/v" + std::to_string(version) + "/" + id,
+                                key_of(self, caller_account));
     if (outcome.fault != loop::exchange_fault::none || boot != host.boot) {
         co_return;
     }
@@ -104,6 +107,23 @@
     }
 }
 
+/// Sends a request with a key that was taken away, at any host in any state.
+loop::task<void> call_revoked(day& self, loop::connection_pool& pool, program& host) {
+    const auto now = loop::steady_clock::now();
+    const auto bound = self.book.bounds.revocation;
+    const auto old = std::ranges::find_if(
+        self.revoked, [&](const auto& key) { return key.second + bound < now; });
+    if (old == self.revoked.end()) {
+        co_return;
+    }
+    const auto id = make_id(self);
+    note_sent(self.book, id, {run_rule::any, std::string(caller_account), true});
+    const auto outcome = co_await ask(pool, host, id, "/look/" + id, old->first);
+    if (outcome.fault == loop::exchange_fault::none && outcome.answer.status == 200) {
+        note_broken(self.book, "revocation", id + " was served by " + host.settings.host);
+    }
+}
+
 /// The events of a stream that came whole: each once and in order, from one target.
 void judge_stream(day& self, const std::string& id, const std::string& body) {
     std::string rest = body;
@@ -122,9 +142,9 @@
 
 loop::task<void> call_stream(day& self, loop::connection_pool& pool, program& host) {
     const auto id = make_id(self);
-    note_sent(self.book, id, run_rule::once);
+    note_sent(self.book, id, {run_rule::once, std::string(caller_account)});
     ++self.book.requests;
-    auto outcome = co_await ask(pool, host, id, "/stream/" + id);
+    auto outcome = co_await ask(pool, host, id, "/stream/" + id, key_of(self, caller_account));
     if (outcome.fault != loop::exchange_fault::none) {
         co_return;
     }
@@ -142,6 +162,7 @@
     out.host = route_host;
     out.path = "/steps/";
     out.model = model;
+    out.key = key_of(self, trainer_account);
     out.step = step;
     out.oldest_version = std::max(1, version - 1);
     out.groups_wanted = groups - 1;
@@ -157,8 +178,8 @@
         item.scoring_id = make_id(self);
         item.scoring_path = "/look/" + std::string(fails ? standins::fails_always : "score") + "/" +
                             item.scoring_id;
-        note_sent(self.book, item.id, run_rule::any);
-        note_sent(self.book, item.scoring_id, run_rule::any);
+        note_sent(self.book, item.id, {run_rule::any, std::string(trainer_account)});
+        note_sent(self.book, item.scoring_id, {run_rule::any, {}});
         self.book.step_of_item[item.id] = out.id;
         out.items.push_back(std::move(item));
     }
@@ -187,6 +208,7 @@
 /// Submits until it is accepted; false if no try was by `until`.
 loop::task<bool> submit(day& self, step_record& step, deadline until) {
     while (loop::steady_clock::now() < until) {
+        step.plan.key = key_of(self, trainer_account);
         auto message = standins::submission(step.plan);
         const auto answer = co_await call_any(self, std::move(message), time_left + allowance);
         if (answer.status == 202) {
@@ -209,6 +231,7 @@
 /// Reads one page from that position; the position after it, or nothing without a page.
 loop::task<std::optional<std::size_t>> read_page(day& self, step_record& step,
                                                  std::size_t position) {
+    step.plan.key = key_of(self, trainer_account);
     auto message = standins::results_call(step.plan, position, read_wait);
     const auto sent = loop::steady_clock::now();
     const auto answer = co_await call_any(self, std::move(message), read_wait + allowance);
@@ -274,6 +297,7 @@
 
 loop::task<void> end_step(day& self, step_record& step, deadline until) {
     while (loop::steady_clock::now() < until && step.ended == deadline{}) {
+        step.plan.key = key_of(self, trainer_account);
         auto message = standins::end_call(step.plan);
         const auto answer = co_await call_any(self, std::move(message), time_left + allowance);
         if (answer.status == 200) {
@@ -317,6 +341,8 @@
             co_await call_stream(self, pool, *host);
         } else if (what == 1) {
             co_await call_newest(self, pool, *host);
+        } else if (what == 2) {
+            co_await call_revoked(self, pool, *host);
         } else {
             co_await call_plain(self, pool, *host);
         }
@@ -369,8 +395,10 @@
 loop::task<bool> is_served(day& self, deadline until) {
     while (loop::steady_clock::now() < until) {
         const auto id = make_id(self);
-        note_sent(self.book, id, run_rule::any);
-        auto message = standins::caller_request(id, route_host, "/look/" + id, time_left);
+        note_sent(self.book, id, {run_rule::any, std::string(caller_account)});
+        auto message =
+            standins::with_key(standins::caller_request(id, route_host, "/look/" + id, time_left),
+                               key_of(self, caller_account));
         const auto answer = co_await call_any(self, std::move(message), time_left + allowance);
         if (answer.status == 200) {
             judge_answer(self.book, id, answer);
--- a/src/front/adapter.hpp
+++ b/src/front/adapter.hpp
@@ -2,6 +2,7 @@
 
 #include "front/store_request.hpp"
 #include "front/types.hpp"
+#include "front/usage_report.hpp"
 #include "kernel/result.hpp"
 #include "loop/exchange.hpp"
 
@@ -43,7 +44,8 @@
     std::string id;
     std::string host;
     std::optional<milliseconds> time_left;
-    std::int64_t last_event = 0; ///< The last event that the caller has; 0: none.
+    std::int64_t last_event = 0;           ///< The last event that the caller has; 0: none.
+    std::optional<std::string> key_hash{}; ///< Of the key that it brings; the key itself stays out.
 };
 
 /// The calls on batches that a caller may make.
@@ -54,6 +56,7 @@
     std::string item;         ///< For `read_item`.
     std::size_t position = 0; ///< For `read_results`: the first position wanted.
     milliseconds wait{0};     ///< How long it may wait for a result.
+    std::string account{};    ///< Of the caller, as the host that took the call in knows it.
 };
 
 /// What goes along with a request to a target.
@@ -61,6 +64,9 @@
     std::string target_id; ///< Another target at that address refuses.
     std::optional<milliseconds> time_left;
     std::int64_t resume_after = 0; ///< The target goes on after this event; 0: from the start.
+    /// The client account it runs for, empty for none; the caller's own headers about keys and
+    /// accounts stay out. Nothing: there are no accounts, and these are headers like any other.
+    std::optional<std::string> account{};
 };
 
 /// An order to load a version of a model.
@@ -92,6 +98,19 @@
     std::map<std::string, int, std::less<>> versions;
 };
 
+/// Who makes a call to the platform for all hosts.
+struct duty_sender {
+    std::string holder;
+    std::uint64_t fence = 0;
+};
+
+/// So many targets of a service are wanted in a zone.
+struct supply_order {
+    std::string service;
+    std::string zone;
+    int count = 0;
+};
+
 /// Everything that depends on the platform's names and formats. The one implementation registers
 /// itself as `platform`; each function is pure.
 struct adapter {
@@ -144,6 +163,10 @@
     order_outcome (*order_answer)(int status);
     transport::http_request (*report)(std::string_view target_id);
     kernel::result<target_report> (*report_of)(std::string_view body);
+
+    // Calls to the platform that one host makes for all.
+    transport::http_request (*usage)(const usage_report& report, const duty_sender& sender);
+    transport::http_request (*supply)(const supply_order& order, const duty_sender& sender);
 };
 
 /// The adapter that is linked in. Ends the process with a message when there is none.
--- a/src/front/batch.cpp
+++ b/src/front/batch.cpp
@@ -72,6 +72,10 @@
     return out;
 }
 
+bool is_visible(const batch_header& header, std::string_view account) {
+    return header.account.empty() || header.account == account;
+}
+
 bool is_over(const batch& one) {
     return one.ended || one.listed.size() == one.spec.items.size();
 }
--- a/src/front/batch.hpp
+++ b/src/front/batch.hpp
@@ -51,14 +51,19 @@
 /// An accepted batch without its items: a small object, so that every host can learn the owner.
 struct batch_header {
     std::string id;
-    std::string host; ///< The callers' `Host`.
-    std::string path; ///< Of the submission: it selects the route.
+    std::string host;    ///< The callers' `Host`.
+    std::string path;    ///< Of the submission: it selects the route.
+    std::string account; ///< The client account it belongs to; empty: to whoever knows its id.
     std::string owner;
     transport::endpoint owner_at;
     std::int64_t received_ms = 0; ///< Unix time of the submission.
     int parts = 0;                ///< Objects that hold the submission.
 };
 
+/// Whether callers of this account may see the batch. One of another account is to them as if it
+/// did not exist.
+[[nodiscard]] bool is_visible(const batch_header& header, std::string_view account);
+
 /// A batch as this host knows it.
 struct batch {
     batch_header header;
--- a/src/front/batch_desk.cpp
+++ b/src/front/batch_desk.cpp
@@ -84,6 +84,10 @@
 
 loop::task<void> answer_call(live_batch_ptr one, loop::served_request& request, batch_call call) {
     one->used = one->self->now();
+    if (!is_visible(one->state.header, call.account)) {
+        co_await answer_status(request, 404);
+        co_return;
+    }
     switch (call.what) {
     case batch_call::verb::read_results:
         co_await answer_results(one, request, call);
@@ -103,6 +107,10 @@
     auto self = desk->self;
     transport::http_request message = request.message;
     message.path.insert(0, passed_path);
+    std::erase_if(message.headers, [](const transport::http_header& header) {
+        return header.name == account_header;
+    });
+    message.headers.push_back({std::string(account_header), call.account});
     const bool ends = call.what == batch_call::verb::end;
     const auto patience = std::min(call.wait, passed_wait) + owner_allowance +
                           (ends ? entry_patience : milliseconds(0));
@@ -292,6 +300,21 @@
     }
 }
 
+std::map<std::string, std::uint64_t, std::less<>> items_in_work(const batch_desk& desk) {
+    std::map<std::string, std::uint64_t, std::less<>> out;
+    for (const auto& [id, one] : desk.known) {
+        if (!one->owned || is_over(one->state)) {
+            continue;
+        }
+        for (std::size_t index = 0; index < one->state.items.size(); ++index) {
+            const auto phase = one->state.items[index].phase;
+            const bool open = phase == item_phase::waiting || phase == item_phase::running;
+            out[one->state.spec.items[index].model] += open ? 1 : 0;
+        }
+    }
+    return out;
+}
+
 void note_owner(batch_desk& desk, std::string id, transport::endpoint owner) {
     desk.owners.insert_or_assign(std::move(id), std::move(owner));
 }
--- a/src/front/batch_desk.hpp
+++ b/src/front/batch_desk.hpp
@@ -55,9 +55,15 @@
 inline constexpr milliseconds owner_allowance{700};
 inline constexpr loop::milliseconds owner_connect{300};
 
+/// Items that this host has in work, waiting or running, by model.
+[[nodiscard]] std::map<std::string, std::uint64_t, std::less<>>
+items_in_work(const batch_desk& desk);
+
 /// Paths of the calls between hosts.
 inline constexpr std::string_view adopt_path = "/batches/adopt";
 inline constexpr std::string_view owner_path = "/batches/owner";
 inline constexpr std::string_view passed_path = "/batches/passed";
+/// Tells the owner of a batch the client account of a call that is passed on.
+inline constexpr std::string_view account_header = "Cornelloom-Account";
 
 } // namespace cornelloom::front
--- a/src/front/batch_submit.cpp
+++ b/src/front/batch_submit.cpp
@@ -8,12 +8,14 @@
 
 namespace {
 
-batch_header make_header(host& self, const caller_request& facts, const std::string& path) {
+batch_header make_header(host& self, const caller_request& facts, const std::string& path,
+                         std::string account) {
     const auto runner = choose_runner(self);
     batch_header out;
     out.id = facts.id;
     out.host = facts.host;
     out.path = path;
+    out.account = std::move(account);
     out.owner = runner.name;
     out.owner_at = runner.where;
     out.received_ms = self.clock.wall_now().unix_ms;
@@ -41,7 +43,7 @@
 } // namespace
 
 loop::task<void> submit_batch(std::shared_ptr<batch_desk> desk, loop::served_request& request,
-                              caller_request facts) {
+                              caller_request facts, std::string account) {
     auto self = desk->self;
     auto& submission = request.message.body;
     const auto spec = self->wire.submission(nlohmann::json::parse(submission, nullptr, false));
@@ -50,7 +52,7 @@
         co_return;
     }
     const auto received = self->now();
-    const auto header = make_header(*self, facts, request.message.path);
+    const auto header = make_header(*self, facts, request.message.path, std::move(account));
     const auto early = ask_early_start(desk, header, submission);
     const auto until = received + storing_time(facts.time_left);
     const auto stored = co_await store_batch(self, header, submission, until);
@@ -61,6 +63,7 @@
     }
     note(*self, batch_accepted,
          {{"id", facts.id},
+          {"account", header.account},
           {"again", stored == store_fault::conflict},
           {"owner", header.owner},
           {"items", static_cast<std::uint64_t>(spec.value().items.size())},
--- a/src/front/batch_submit.hpp
+++ b/src/front/batch_submit.hpp
@@ -9,6 +9,6 @@
 
 /// A submission on a route for batches.
 loop::task<void> submit_batch(std::shared_ptr<batch_desk> desk, loop::served_request& request,
-                              caller_request facts);
+                              caller_request facts, std::string account);
 
 } // namespace cornelloom::front
--- a/src/front/events.hpp
+++ b/src/front/events.hpp
@@ -76,6 +76,13 @@
                                            "the right to give orders has moved"};
 inline constexpr event order_given{9051, "order_given", event_level::info,
                                    "a target was ordered to load a version"};
+inline constexpr event load_ended{9054, "load_ended", event_level::info,
+                                  "a target has loaded a version; how long it took sets how many "
+                                  "may load at once"};
+inline constexpr event usage_reported{9052, "usage_reported", event_level::info,
+                                      "a window of usage was sent to the platform"};
+inline constexpr event targets_ordered{9053, "targets_ordered", event_level::info,
+                                       "the platform was asked for a number of targets"};
 inline constexpr event retirement_answered{9060, "retirement_answered", event_level::info,
                                            "a host that keeps nothing may be taken away"};
 
--- a/src/front/feed.cpp
+++ b/src/front/feed.cpp
@@ -1,5 +1,7 @@
 #include "front/feed.hpp"
 
+#include "front/count_exchange.hpp"
+
 #include "kernel/number.hpp"
 
 #include <algorithm>
@@ -130,6 +132,11 @@
     return out;
 }
 
+void tell_counts(const host& self, transport::http_request& question) {
+    question.method = "POST";
+    question.body = encode_own_counts(self);
+}
+
 std::string encode_feed(const feed_answer& answer) {
     json changes = json::array();
     for (const auto& change : answer.changes) {
@@ -138,7 +145,10 @@
                            {"specification", change.object.specification},
                            {"deleted", change.deleted}});
     }
-    const json out = {{"at", answer.at}, {"changes", std::move(changes)}};
+    json out = {{"at", answer.at}, {"changes", std::move(changes)}};
+    if (answer.age) {
+        out["age_ms"] = answer.age->count();
+    }
     return out.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
@@ -155,6 +165,9 @@
             change.deleted = each.at("deleted").get<bool>();
             out.changes.push_back(std::move(change));
         }
+        if (value.contains("age_ms")) {
+            out.age = milliseconds(value["age_ms"].get<std::int64_t>());
+        }
         return out;
     } catch (const json::exception& fault) {
         return kernel::error{kernel::error_code::invalid_input, fault.what()};
@@ -171,6 +184,7 @@
         co_await request.answer({404, {}, {}});
         co_return;
     }
+    take_counts(*self, request.message.body);
     auto& kept = self->kept[static_cast<object_kind>(kind)];
     const auto at = number("at");
     const auto until = loop::after(feed_wait);
@@ -192,6 +206,10 @@
         answer.status = status_list_again;
     } else if (reply) {
         answer.status = 200;
+        const bool proved = self->configuration_as_of != time_point{};
+        if (static_cast<object_kind>(kind) == object_kind::configuration && proved) {
+            reply->age = configuration_age(*self);
+        }
         answer.body = encode_feed(*reply);
     }
     co_await request.answer(std::move(answer));
--- a/src/front/feed.hpp
+++ b/src/front/feed.hpp
@@ -48,10 +48,16 @@
 /// A question for changes since `at`, 0 for everything.
 [[nodiscard]] transport::http_request feed_question(object_kind kind, std::uint64_t at);
 
+/// Adds what this process has counted of requests. Feeders keep the counts of their zone, so that
+/// those of a process which is killed are not lost, and none needs a call of its own.
+void tell_counts(const host& self, transport::http_request& question);
+
 /// What a feeder answered: a whole list if it was asked for one, else changes.
 struct feed_answer {
     std::uint64_t at = 0;
     std::vector<object_change> changes;
+    /// The store said all this so long ago at most; nothing: the feeder can't tell.
+    std::optional<milliseconds> age{};
 };
 
 [[nodiscard]] std::string encode_feed(const feed_answer& answer);
--- a/src/front/feeder_choice.cpp
+++ b/src/front/feeder_choice.cpp
@@ -1,5 +1,7 @@
 #include "front/feeder_choice.hpp"
 
+#include <algorithm>
+
 namespace cornelloom::front {
 
 namespace {
@@ -27,6 +29,17 @@
     return first == nullptr ? std::nullopt : std::optional(*first);
 }
 
+std::vector<host_entry> order_of_zone(std::string_view zone, const host_entries& peers) {
+    std::vector<host_entry> out;
+    for (const auto& [name, peer] : peers) {
+        if (peer.zone == zone) {
+            out.push_back(peer);
+        }
+    }
+    std::ranges::sort(out, goes_before);
+    return out;
+}
+
 void avoid_feeder(avoided_feeders& avoided, std::string_view name, time_point now) {
     avoided.insert_or_assign(std::string(name), now + feeder_avoidance);
 }
--- a/src/front/feeder_choice.hpp
+++ b/src/front/feeder_choice.hpp
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace cornelloom::front {
 
@@ -36,6 +37,10 @@
                                                       const avoided_feeders& avoided,
                                                       time_point now);
 
+/// The hosts of a zone in that order.
+[[nodiscard]] std::vector<host_entry> order_of_zone(std::string_view zone,
+                                                    const host_entries& peers);
+
 /// Takes note of a feeder that did not serve a question.
 void avoid_feeder(avoided_feeders& avoided, std::string_view name, time_point now);
 
--- a/src/front/follower.cpp
+++ b/src/front/follower.cpp
@@ -22,10 +22,12 @@
 void take_configuration(host& self, const stored_object& object) {
     auto read = self.wire.configuration_of(object.specification);
     if (!read) {
+        self.configuration_sound = false;
         note(self, object_unreadable,
              {{"kind", "configuration"}, {"problem", read.error().detail}});
         return;
     }
+    self.configuration_sound = true;
     const auto known = self.routes ? self.routes->source.version : 0;
     // Never an older version than one that was in force in this process.
     if (read.value().version <= known) {
@@ -228,8 +230,11 @@
     loop::asio::co_spawn(self->io, keep_announcing(self), loop::asio::detached);
     const auto configuration =
         take_each(self, object_kind::configuration, no_pause, take_configuration);
-    loop::asio::co_spawn(self->io, look_once(self, look_at_targets(self)), loop::asio::detached);
-    co_await look_once(self, configuration);
+    loop::asio::co_spawn(self->io, look_once(self, look_at_targets(self), true),
+                         loop::asio::detached);
+    // Keys that may have been taken away can't be checked against a copy of unknown age.
+    const bool may_be_stale = !self->settings.revocation;
+    co_await look_once(self, configuration, may_be_stale);
     const bool informed = self->routes != nullptr;
     if (!informed) {
         start_watch(self, configuration); // a host that runs already may know it
--- a/src/front/gateway.cpp
+++ b/src/front/gateway.cpp
@@ -1,8 +1,10 @@
 #include "front/gateway.hpp"
 
+#include "front/access.hpp"
 #include "front/answers.hpp"
 #include "front/batch_start.hpp"
 #include "front/batch_submit.hpp"
+#include "front/count_exchange.hpp"
 #include "front/feed.hpp"
 #include "front/plain_call.hpp"
 #include "front/stream_call.hpp"
@@ -51,7 +53,7 @@
 }
 
 loop::task<void> serve_plain(std::shared_ptr<host> self, loop::served_request& request, route way,
-                             caller_request facts) {
+                             caller_request facts, std::optional<std::string> account) {
     const auto started = self->now();
     plain_call call;
     call.id = facts.id;
@@ -64,13 +66,18 @@
     // An attempt that lost may end after the handler, so it has the message to itself.
     const auto message =
         std::make_shared<const transport::http_request>(std::move(request.message));
-    call.make = [self, message](const forward_terms& terms) {
-        return self->wire.forward(*message, terms);
+    call.make = [self, message, account](const forward_terms& terms) {
+        auto with_account = terms;
+        with_account.account = account;
+        return self->wire.forward(*message, with_account);
     };
     auto control = std::make_shared<call_control>();
     request.on_gone([control] { control->cancel(); });
     auto outcome = co_await run_plain(self, std::move(call), control);
     request.on_gone({});
+    if (outcome.begun) {
+        count_usage(*self, account, *outcome.begun);
+    }
     if (request.gone()) {
         note(*self, caller_left, {{"id", facts.id}, {"ms", ms_between(started, self->now())}});
         request.abandon();
@@ -100,6 +107,44 @@
     }
 }
 
+/// Answers a request that may not go on.
+loop::task<void> turn_away(host& self, loop::served_request& request, std::string_view id,
+                           access_verdict verdict) {
+    switch (verdict) {
+    case access_verdict::unknown:
+        co_await reject(self, request, id, "no_such_service", 404);
+        break;
+    case access_verdict::no_key:
+        co_await reject(self, request, id, "no_key", 401);
+        break;
+    case access_verdict::granted:
+    case access_verdict::not_sure:
+        co_await refuse(self, request, id, "configuration_stale", come_back_later);
+        break;
+    }
+}
+
+loop::task<void> serve_route(std::shared_ptr<batch_desk> desk, loop::served_request& request,
+                             route way, caller_request facts, std::optional<std::string> account) {
+    auto self = desk->self;
+    switch (way.kind) {
+    case route_kind::rollout:
+        if (request.message.method == "POST") {
+            co_await submit_batch(desk, request, facts, account.value_or(""));
+        } else {
+            co_await reject(*self, request, facts.id, "malformed", 405);
+        }
+        break;
+    case route_kind::streaming:
+        co_await serve_stream(self, request, way, facts, account);
+        break;
+    case route_kind::safe:
+    case route_kind::unsafe:
+        co_await serve_plain(self, request, way, facts, account);
+        break;
+    }
+}
+
 } // namespace
 
 loop::task<void> serve_caller(std::shared_ptr<batch_desk> desk, loop::served_request& request) {
@@ -116,13 +161,18 @@
     }
     // A call on a batch looks like any other request; a route that covers its path goes first.
     const auto* found = find_route(*self->routes, facts.host, request.message.path);
-    const auto call = self->wire.batch(request.message);
-    if (found == nullptr && call) {
-        co_await serve_batch_call(desk, request, *call, false);
+    auto call = self->wire.batch(request.message);
+    const bool on_batch = found == nullptr && call.has_value();
+    const auto use = on_batch ? access_use::see_accepted : access_use::run;
+    const auto judged = judge_access(*self->routes, facts, found, use, configuration_age(*self),
+                                     bounds_of(self->settings));
+    if (judged.verdict != access_verdict::granted) {
+        co_await turn_away(*self, request, facts.id, judged.verdict);
         co_return;
     }
-    if (found == nullptr) {
-        co_await reject(*self, request, facts.id, "no_such_service", 404);
+    if (on_batch) {
+        call->account = judged.account.value_or("");
+        co_await serve_batch_call(desk, request, *call, false);
         co_return;
     }
     const route way = *found;
@@ -130,22 +180,7 @@
         co_await reject(*self, request, facts.id, "malformed", 400);
         co_return;
     }
-    switch (way.kind) {
-    case route_kind::rollout:
-        if (request.message.method == "POST") {
-            co_await submit_batch(desk, request, facts);
-        } else {
-            co_await reject(*self, request, facts.id, "malformed", 405);
-        }
-        break;
-    case route_kind::streaming:
-        co_await serve_stream(self, request, way, facts);
-        break;
-    case route_kind::safe:
-    case route_kind::unsafe:
-        co_await serve_plain(self, request, way, facts);
-        break;
-    }
+    co_await serve_route(desk, request, way, facts, judged.account);
 }
 
 loop::task<void> serve_peer(std::shared_ptr<batch_desk> desk, loop::served_request& request) {
@@ -158,13 +193,18 @@
         co_await relay(self, request);
         co_return;
     }
+    if (message.path == counts_path) {
+        co_await serve_counts(self, request);
+        co_return;
+    }
     if (message.path == feed_path) {
         co_await serve_feed(self, request);
         co_return;
     }
     if (message.path.starts_with(passed_path)) {
         message.path.erase(0, passed_path.size());
-        if (const auto call = self->wire.batch(message)) {
+        if (auto call = self->wire.batch(message)) {
+            call->account = transport::find_header(message.headers, account_header).value_or("");
             co_await serve_batch_call(desk, request, *call, true);
             co_return;
         }
--- a/src/front/host.cpp
+++ b/src/front/host.cpp
@@ -21,12 +21,45 @@
     : io(loop), wire(platform), settings(std::move(given)), connections(loop),
       store(connections, settings.platform),
       random(kernel::hash64(settings.host) ^ static_cast<std::uint64_t>(clock.wall_now().unix_ms)),
-      learned(loop), kept(loop) {}
+      learned(loop), kept(loop), lead(loop) {
+    if (settings.duties) {
+        usage.length = settings.duties->usage_window;
+        demand.length = settings.duties->usage_window;
+    }
+}
 
 loop::milliseconds store_pause(host& self, loop::milliseconds most) {
     return pause_after(self.store.ways, most, std::uniform_real_distribution<>()(self.random));
 }
 
+void note_confirmed(host& self, object_kind kind, time_point when) {
+    if (kind == object_kind::configuration && self.configuration_sound) {
+        self.configuration_as_of = std::max(self.configuration_as_of, when);
+        self.learned.open();
+    }
+}
+
+std::string counter_name(const host& self) {
+    return self.settings.host + "/" + std::to_string(self.salt);
+}
+
+void count_usage(host& self, const std::optional<std::string>& account, time_point when) {
+    const bool wanted = self.settings.duties && self.settings.duties->reports_usage;
+    if (!wanted || !account || account->empty()) {
+        return;
+    }
+    const auto ago = std::chrono::duration_cast<milliseconds>(self.now() - when);
+    add_one(self.usage, counter_name(self), *account, self.clock.wall_now().unix_ms - ago.count());
+}
+
+milliseconds configuration_age(const host& self) {
+    if (self.configuration_as_of == time_point{}) {
+        return milliseconds::max();
+    }
+    return std::chrono::duration_cast<milliseconds>(self.clock.boot_now() -
+                                                    self.configuration_as_of);
+}
+
 host_entry own_entry(const host& self) {
     const auto& settings = self.settings;
     return {settings.host, settings.zone, settings.peers, settings.processor};
--- a/src/front/host.hpp
+++ b/src/front/host.hpp
@@ -3,11 +3,13 @@
 #include "front/adapter.hpp"
 #include "front/events.hpp"
 #include "front/feeder_choice.hpp"
+#include "front/leadership.hpp"
 #include "front/routing.hpp"
 #include "front/start_up.hpp"
 #include "front/store_client.hpp"
 #include "front/targets.hpp"
 #include "front/text_length.hpp"
+#include "front/window_counts.hpp"
 #include "kernel/clock.hpp"
 #include "kernel/metrics.hpp"
 #include "loop/gate.hpp"
@@ -77,8 +79,14 @@
     length_models lengths{};
     std::map<std::string, int, std::less<>> named_versions{}; ///< By model.
     host_entries peers{};                                     ///< Without this host.
+    /// The configuration that is known was the store's newest then, on `boot_now`; zero: unknown.
+    time_point configuration_as_of{};
+    bool configuration_sound = true; ///< False: the newest version could not be read.
     kept_kinds kept;
     avoided_feeders avoided{};
+    leadership lead;
+    window_counts usage{};       ///< Requests that began to run, by client account.
+    window_counts demand{};      ///< Items that were in work at once, by service.
     bool wants_versions = false; ///< This host gives orders to targets, or may have to soon.
     bool stopping = false;
     bool closing_soon = false; ///< New requests are refused: the process ends in a moment.
@@ -106,9 +114,23 @@
 
 /// What this host has learned since its start.
 [[nodiscard]] inline start_knowledge knowledge_of(const host& self) {
-    return {self.routes != nullptr, self.targets_listed, self.store_failed};
+    const bool proved = !self.settings.revocation || self.configuration_as_of != time_point{};
+    return {self.routes != nullptr && proved, self.targets_listed, self.store_failed};
 }
 
+/// Takes note that what this host knows of the kind was the store's newest at `when`, a point on
+/// `boot_now`.
+void note_confirmed(host& self, object_kind kind, time_point when);
+
+/// The name under which this process counts requests: another one after each start.
+[[nodiscard]] std::string counter_name(const host& self);
+
+/// Counts a request that began to run at `when`, for the report of usage.
+void count_usage(host& self, const std::optional<std::string>& account, time_point when);
+
+/// How old this host's knowledge of the configuration may be at most.
+[[nodiscard]] milliseconds configuration_age(const host& self);
+
 /// The pause of this host before it makes a call to the store again; see `pause_after`.
 [[nodiscard]] loop::milliseconds store_pause(host& self, loop::milliseconds most);
 
--- a/src/front/item_run.cpp
+++ b/src/front/item_run.cpp
@@ -134,6 +134,12 @@
     return {run_end::failed, why};
 }
 
+/// The client account that the items run for; see `forward_terms`.
+std::optional<std::string> account_of(const live_batch& one) {
+    const bool in_use = one.self->routes && one.self->routes->source.accounts;
+    return in_use ? std::optional(one.state.header.account) : std::nullopt;
+}
+
 loop::task<run_result> exchange_item(live_batch_ptr one, std::size_t index, route way) {
     auto self = one->self;
     auto link = one->runs.at(index).link;
@@ -145,7 +151,7 @@
     const auto left = std::chrono::duration_cast<milliseconds>(one->state.submitted +
                                                                way.retention - self->now());
     const forward_terms terms{one->runs.at(index).target, left,
-                              one->state.items[index].done.last_event};
+                              one->state.items[index].done.last_event, account_of(*one)};
     const auto message = self->wire.item(item, one->state.header.host, terms);
     fault = co_await link->send(message, loop::after(connect_limit * 4));
     if (fault == loop::exchange_fault::none) {
--- a/src/front/load_plan.cpp
+++ b/src/front/load_plan.cpp
@@ -53,9 +53,27 @@
     }));
 }
 
+/// Targets that a model should have.
+struct model_share {
+    std::size_t fresh = 0;  ///< With the newest version or the one before.
+    std::size_t newest = 0; ///< With the newest.
+};
+
+/// A model goes on with two targets while one of them is slow.
+constexpr std::size_t fewest_targets = 2;
+
+model_share bounded_by_demand(const model_share& equal, const model_need& need) {
+    if (need.targets_wanted == 0) {
+        return equal;
+    }
+    const auto wanted = std::max(need.targets_wanted, fewest_targets);
+    return {std::min(equal.fresh, wanted), std::min(equal.newest, wanted)};
+}
+
 /// How far a model is from what it should have; 0: it has enough.
-double lack(std::span<const load_candidate> targets, const model_need& need, std::size_t share,
-            std::size_t newest_wanted) {
+double lack(std::span<const load_candidate> targets, const model_need& need,
+            const model_share& equal) {
+    const auto [share, newest_wanted] = bounded_by_demand(equal, need);
     const auto newest = count_at_least(targets, need, need.version);
     const auto fresh = count_at_least(targets, need, need.version - 1);
     if (newest < newest_wanted) {
@@ -66,18 +84,12 @@
 
 } // namespace
 
-std::size_t loads_at_once(std::size_t targets) {
-    constexpr std::size_t fewest = 2;
-    constexpr std::size_t targets_for_each = 5;
-    return std::max(fewest, targets / targets_for_each);
-}
-
 std::size_t targets_per_model(std::size_t targets, std::size_t models) {
     if (models == 0 || targets == 0) {
         return 0;
     }
-    // One more than an equal share: a model goes on with two targets while one of them is slow.
-    return std::min(targets, std::max<std::size_t>(2, (targets + models - 1) / models + 1));
+    // One more than an equal share, for a target that is slow or loads.
+    return std::min(targets, std::max(fewest_targets, (targets + models - 1) / models + 1));
 }
 
 std::size_t targets_per_version(std::size_t targets, std::size_t models, std::size_t at_once,
@@ -106,14 +118,15 @@
         state, [](const load_candidate& target) { return target.busy && !target.awaited; }));
     const auto models = needs.size() + pace.unnamed;
     const auto newest_wanted = targets_per_version(usable, models, at_once, pace);
-    const auto share =
-        std::max(targets_per_model(usable, models), std::min(usable, 2 * newest_wanted));
+    const model_share equal{
+        std::max(targets_per_model(usable, models), std::min(usable, 2 * newest_wanted)),
+        newest_wanted};
     std::vector<load_choice> out;
     while (loading < at_once) {
         const model_need* neediest = nullptr;
         double most = 0;
         for (const auto& need : needs) {
-            const double lacks = need.version > 1 ? lack(state, need, share, newest_wanted) : 0;
+            const double lacks = need.version > 1 ? lack(state, need, equal) : 0;
             if (lacks > most && best_target(state, needs, need) != nullptr) {
                 neediest = &need;
                 most = lacks;
--- a/src/front/load_plan.hpp
+++ b/src/front/load_plan.hpp
@@ -13,6 +13,8 @@
     std::string model;
     int version = 0;
     bool single_version = false; ///< Samples must not mix versions.
+    /// Targets whose slots its items fill, with headroom; 0: unknown, and an equal share is taken.
+    std::size_t targets_wanted = 0;
 };
 
 /// A model target as the plan sees it.
@@ -45,16 +47,14 @@
 /// where a load takes 0.9 s and more than a few at once slow each other. Loading every version on
 /// every target would need several times the time there is. A version serves two steps, the one it
 /// was named for and the next, so each model has a share of the targets and they load alternately,
-/// every other version: half of them is always fresh when a step begins, and no step waits. A load
+/// every other version: half of them is always fresh when a step begins, and no step waits. The
+/// share is no larger than what its items need, however many targets there are. A load
 /// that should be over leaves its place to the next one before the list shows it, for heartbeats
 /// tell of it half a second late.
 [[nodiscard]] std::vector<load_choice> plan_loads(std::span<const model_need> needs,
                                                   std::span<const load_candidate> targets,
                                                   std::size_t at_once, const load_pace& pace = {});
 
-/// Loads that may be in progress at once: beyond a part of the targets they slow each other down.
-[[nodiscard]] std::size_t loads_at_once(std::size_t targets);
-
 /// Targets that each new version of a model is loaded on.
 ///
 /// Load it is made for: bursts of 72 to 184 items at the moment a version is named, on a hundred
--- a/src/front/order_giver.cpp
+++ b/src/front/order_giver.cpp
@@ -1,32 +1,30 @@
 #include "front/order_giver.hpp"
 
-#include "front/feed.hpp"
+#include "front/count_exchange.hpp"
+#include "front/load_limit.hpp"
 #include "front/load_plan.hpp"
-#include "front/order_lease.hpp"
 #include "front/placement.hpp"
-#include "front/records.hpp"
-
-#include <time.h>
 
 #include <algorithm>
+#include <cmath>
 #include <set>
 
 namespace cornelloom::front {
 
 namespace {
 
-constexpr std::string_view lease_name = "loads";
-/// How often another host's lease is looked at: a stale read costs a tenth of a call.
-constexpr milliseconds look_every{700};
-/// The look is also the sign of the store by which a feeder knows that it is in touch.
-constexpr loop::milliseconds look_limit{600};
 /// How often the plan is made anew while this host gives orders.
 constexpr milliseconds plan_every{150};
 /// A target answers an order at once; beyond this it may still carry it out later.
 constexpr milliseconds order_limit{800};
 constexpr loop::milliseconds connect_limit{300};
-/// A load takes 0.9 s, and longer beside others; one that is not seen by then is looked into.
+/// A load that is not seen by then is looked into, unless loads have been seen to take longer.
 constexpr milliseconds load_most{4000};
+constexpr int loads_in_load_most = 3;
+/// A target that loads is asked again after this.
+constexpr loop::milliseconds report_every{100};
+/// One load in so many is followed by reports, which are paid for, once the limit is known.
+constexpr std::uint64_t loads_to_a_report = 4;
 /// A target that did not answer is asked again after this.
 constexpr milliseconds trouble_pause{700};
 /// Trainers start together. For so long after the first named version, the targets are shared with
@@ -37,10 +35,12 @@
 struct ordered_target {
     std::optional<std::int64_t> orders; ///< Accepted by the target so far; nothing: ask it.
     std::int64_t born_ms = 0;
-    std::string model; ///< Of the order in progress.
+    std::string model; ///< Of the newest order, until the list shows its load.
     int version = 0;
-    time_point given{}; ///< When that order was given.
-    time_point until{}; ///< It counts as busy until then, or until the list shows it.
+    time_point given{};   ///< When that order was given.
+    time_point until{};   ///< It counts as busy until then, or until the list shows the load.
+    time_point expires{}; ///< A load that the list does not show by then is looked into.
+    bool loaded = false;  ///< The target has said that the load is over.
 };
 
 /// When a model's newest version was seen first.
@@ -53,116 +53,41 @@
     explicit giver(std::shared_ptr<host> owner) : self(std::move(owner)) {}
 
     std::shared_ptr<host> self;
-    lease_view view{};
-    lease_rules rules{};
-    std::uint64_t renewals = 0;
+    std::uint64_t fence = 0; ///< Of the lease under which `targets` was learned.
     std::map<std::string, ordered_target, std::less<>> targets{};
     std::map<std::string, seen_version, std::less<>> versions{};
     time_point first_version{}; ///< When any was seen first; zero: not yet.
     load_pace pace{};
+    load_limit limit{};
+    std::uint64_t loads = 0; ///< Orders that were accepted.
 };
 
 using giver_ptr = std::shared_ptr<giver>;
 
-/// Time that also passes while this host is suspended: a holder that slept must not order on.
-time_point suspended_now() {
-    timespec now{};
-    ::clock_gettime(CLOCK_BOOTTIME, &now);
-    return time_point(std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec));
-}
-
-bool any_load_wanted(const host& self) {
-    return std::ranges::any_of(self.named_versions,
-                               [](const auto& each) { return each.second > 1; });
-}
-
-void take_seen(giver& one, const stored_object& object) {
-    const auto holder = decode_lease(object.specification);
-    const auto before = one.view.holder;
-    note_seen(one.view, object.revision, holder ? holder.value() : std::string(), suspended_now());
-    if (before != one.view.holder) {
-        note(*one.self, order_lease_changed,
-             {{"holder", one.view.holder}, {"before", before}, {"revision", object.revision}});
-    }
-}
-
-loop::task<void> look(giver_ptr one) {
-    auto self = one->self;
-    auto answer = co_await call_store(
-        self->store, self->wire.get(object_kind::order_lease, lease_name, true), look_limit);
-    if (answer.fault != store_fault::none) {
-        co_return;
-    }
-    const auto object = self->wire.object(answer.body);
-    if (object) {
-        take_seen(*one, object.value());
-    }
-}
-
-loop::task<void> write_lease(giver_ptr one) {
-    auto self = one->self;
-    const auto sent = suspended_now();
-    const auto value = encode_lease(self->settings.host, ++one->renewals ^ self->random() << 16U);
-    const auto request =
-        one->view.revision == 0
-            ? self->wire.create(object_kind::order_lease, lease_name, value)
-            : self->wire.replace(object_kind::order_lease, lease_name, value, one->view.revision);
-    auto answer = co_await call_store(self->store, request, one->rules.answer_most);
-    const auto object = self->wire.object(answer.body);
-    if (answer.fault == store_fault::conflict && object) {
-        take_seen(*one, object.value());
-        co_return;
-    }
-    if (answer.fault == store_fault::not_found) {
-        one->view = {};
-        co_return;
-    }
-    if (answer.fault != store_fault::none || !object) {
-        co_return;
-    }
-    const auto before = one->view.holder;
-    const bool held = holds(one->view, self->settings.host);
-    note_written(one->view, one->rules, object.value().revision, self->settings.host, sent);
-    if (!held) {
-        // Reset in place: an order may still be on its way and hold on to its entry.
-        for (auto& [id, target] : one->targets) {
-            target = {};
-        }
-        note(*self, order_lease_changed,
-             {{"holder", self->settings.host},
-              {"before", before},
-              {"fence", one->view.fence},
-              {"orders_in_ms", ms_between(sent, one->view.orders_from)}});
-    }
+/// Targets that the items of a model fill, as often as slots are taken by what is slow or loads.
+std::size_t targets_wanted(const host& self, const service& of, std::string_view model) {
+    constexpr double headroom = 2;
+    const double items = static_cast<double>(peak_demand(self, model));
+    return static_cast<std::size_t>(std::ceil(items * headroom / std::max(of.slots, 1)));
 }
 
-std::vector<model_need> needs_of(const host& self, std::string_view service,
-                                 const std::vector<std::string>& models) {
+std::vector<model_need> needs_of(const host& self, const service& of) {
     bool single = false;
     for (const auto& route : self.routes->source.routes) {
         const bool serves = std::ranges::any_of(
-            route.services, [service](const auto& share) { return share.service == service; });
+            route.services, [&of](const auto& share) { return share.service == of.name; });
         single = single || (serves && route.single_version);
     }
     std::vector<model_need> out;
-    for (const auto& model : models) {
+    for (const auto& model : of.models) {
         const auto named = self.named_versions.find(model);
         if (named != self.named_versions.end() && named->second > 1) {
-            out.push_back({model, named->second, single});
+            out.push_back({model, named->second, single, targets_wanted(self, of, model)});
         }
     }
     return out;
 }
 
-/// Learns how long a load takes: nearly the shortest time in which the list showed one, for the
-/// news of the others has only been longer on its way.
-void note_load(load_pace& pace, milliseconds took) {
-    constexpr int samples = 50;
-    pace.load = pace.load.count() == 0 || took < pace.load
-                    ? took
-                    : pace.load + (took - pace.load) / samples;
-}
-
 /// Learns how often the trainers name versions.
 void note_versions(giver& one) {
     constexpr int samples = 8;
@@ -194,18 +119,30 @@
     if (order.model.empty()) {
         return;
     }
-    const auto loaded = target.entry.versions.find(order.model);
-    const bool done = loaded != target.entry.versions.end() && loaded->second >= order.version;
+    const auto listed = target.entry.versions.find(order.model);
+    const bool done = listed != target.entry.versions.end() && listed->second >= order.version;
     if (done) {
-        note_load(one.pace, std::chrono::duration_cast<milliseconds>(self.now() - order.given));
-    }
-    if (done || self.now() >= order.until) {
-        order.orders = done ? order.orders : std::nullopt;
+        order.until = {};
+        order.model.clear();
+    } else if (self.now() >= order.expires) {
+        order.orders = std::nullopt;
         order.model.clear();
-        order.until = done ? time_point{} : order.until;
     }
 }
 
+/// Whether the load should be over, though nothing has said so yet.
+bool is_awaited(const giver& one, const ordered_target& order) {
+    return one.pace.load.count() > 0 && one.self->now() - order.given >= one.pace.load;
+}
+
+std::size_t loads_running(const giver& one) {
+    const auto now = one.self->now();
+    return static_cast<std::size_t>(std::ranges::count_if(one.targets, [&](const auto& each) {
+        const auto& order = each.second;
+        return !order.model.empty() && now < order.until && !is_awaited(one, order);
+    }));
+}
+
 std::vector<load_candidate> candidates_of(giver& one, std::string_view service) {
     auto& self = *one.self;
     std::vector<load_candidate> out;
@@ -221,8 +158,7 @@
         candidate.busy = self.now() < order.until;
         if (!order.model.empty()) {
             candidate.versions[order.model] = order.version;
-            candidate.awaited =
-                one.pace.load.count() > 0 && self.now() - order.given >= one.pace.load;
+            candidate.awaited = is_awaited(one, order);
         }
         candidate.usable =
             !target.entry.draining && !is_slow(self.targets, target) && target.faults_in_a_row < 2;
@@ -232,27 +168,85 @@
     return out;
 }
 
-loop::task<bool> learn_orders(giver_ptr one, std::string id, transport::endpoint where) {
-    auto self = one->self;
-    auto outcome = co_await loop::call(self->connections, where, self->wire.report(id),
-                                       loop::after(order_limit), connect_limit);
+loop::task<std::optional<target_report>> read_report(std::shared_ptr<host> self, std::string id,
+                                                     transport::endpoint where) {
+    const auto outcome = co_await loop::call(self->connections, where, self->wire.report(id),
+                                             loop::after(order_limit), connect_limit);
     if (outcome.fault != loop::exchange_fault::none || outcome.answer.status != 200) {
-        co_return false;
+        co_return std::nullopt;
     }
     const auto report = self->wire.report_of(outcome.answer.body);
     if (!report) {
         note(*self, object_unreadable,
              {{"kind", "report"}, {"id", id}, {"problem", report.error().detail}});
+        co_return std::nullopt;
+    }
+    co_return report.value();
+}
+
+/// Learns how many orders the target has accepted; false if it would refuse one now.
+loop::task<bool> learn_orders(giver_ptr one, std::string id, transport::endpoint where) {
+    const auto report = co_await read_report(one->self, id, where);
+    if (!report || report->busy) {
         co_return false;
     }
-    one->targets[id].orders = report.value().orders;
+    one->targets[id].orders = report->orders;
     co_return true;
 }
 
+bool has_loaded(const target_report& report, const ordered_target& order) {
+    const auto found = report.versions.find(order.model);
+    return found != report.versions.end() && found->second >= order.version;
+}
+
+/// Asks the target until its load is over: the list tells of that half a second later.
+loop::task<void> follow_load(giver_ptr one, std::string id, transport::endpoint where,
+                             std::uint64_t stands_for) {
+    auto self = one->self;
+    const auto given = one->targets[id].given;
+    const auto lowered = one->limit.lowered;
+    co_await loop::pause_for(self->io,
+                             milliseconds(static_cast<std::int64_t>(one->limit.shortest_ms)));
+    for (;;) {
+        const auto together = loads_running(*one) + 1;
+        const auto report = co_await read_report(self, id, where);
+        auto& order = one->targets[id];
+        if (order.given != given || order.model.empty() || self->now() >= order.until) {
+            co_return;
+        }
+        if (report && has_loaded(*report, order)) {
+            order.loaded = true;
+            order.until = {};
+            const auto took = std::chrono::duration_cast<milliseconds>(self->now() - given);
+            note_load(one->limit, {took, together, lowered, stands_for});
+            note(*self, load_ended,
+                 {{"target", id},
+                  {"ms", took.count()},
+                  {"together", static_cast<std::uint64_t>(together)},
+                  {"shortest_ms", one->limit.shortest_ms},
+                  {"stretch", one->limit.stretch},
+                  {"allowed", one->limit.allowed}});
+            one->pace.load = usual_load(one->limit);
+            co_return;
+        }
+        co_await loop::pause_for(self->io, report_every);
+    }
+}
+
+/// Until the limit is known each load tells of it, later some do.
+void follow_some(const giver_ptr& one, std::string_view id, const transport::endpoint& where) {
+    const auto every = one->limit.lowered == 0 ? 1 : loads_to_a_report;
+    if (one->loads++ % every == 0) {
+        loop::asio::co_spawn(one->self->io, follow_load(one, std::string(id), where, every),
+                             loop::asio::detached);
+    }
+}
+
 /// What the target's answer, or its silence, says about the next order.
-void take_order_answer(const giver& one, ordered_target& known, const load_order& order,
-                       const loop::call_outcome& outcome) {
-    auto& self = *one.self;
+void take_order_answer(const giver_ptr& one, std::string_view id, const load_order& order,
+                       const transport::endpoint& where, const loop::call_outcome& outcome) {
+    auto& self = *one->self;
+    auto& known = one->targets[std::string(id)];
     if (outcome.fault != loop::exchange_fault::none) {
         // It may be carried out yet. The next order names the same count, so that only one holds.
         known.until = self.now() + trouble_pause;
@@ -262,6 +256,7 @@
     switch (self.wire.order_answer(outcome.answer.status)) {
     case order_outcome::accepted:
         known.orders = order.expected_orders + 1;
+        follow_some(one, id, where);
         break;
     case order_outcome::holds_already:
         known.until = {};
@@ -277,6 +272,11 @@
     }
 }
 
+/// Loads take longer beside others, and as long as they have been seen to.
+milliseconds longest_load(const giver& one) {
+    return std::max(load_most, one.pace.load * loads_in_load_most);
+}
+
 loop::task<void> give(giver_ptr one, load_choice choice) {
     auto self = one->self;
     const auto found = self->targets.by_id.find(choice.target);
@@ -288,22 +288,24 @@
     known.model = choice.model;
     known.version = choice.version;
     known.given = self->now();
-    known.until = known.given + load_most;
+    known.until = known.expires = known.given + longest_load(*one);
+    known.loaded = false;
     bool ready = known.orders.has_value();
     if (!ready) {
         ready = co_await learn_orders(one, choice.target, where);
     }
-    if (!ready || !may_order(one->view, one->rules, self->settings.host, suspended_now())) {
+    if (!ready || !leads(*self)) {
         known.model.clear();
         known.until = self->now() + trouble_pause;
         co_return;
     }
-    load_order order{choice.model,        choice.version,  choice.runs,
-                     self->settings.host, one->view.fence, known.orders.value_or(0)};
+    known.given = self->now();
+    load_order order{choice.model,        choice.version,        choice.runs,
+                     self->settings.host, self->lead.view.fence, known.orders.value_or(0)};
     auto outcome =
         co_await loop::call(self->connections, where, self->wire.order(order, choice.target),
                             loop::after(order_limit), connect_limit);
-    take_order_answer(*one, known, order, outcome);
+    take_order_answer(one, choice.target, order, where, outcome);
     self->metrics.count("cornelloom_orders_total");
     note(*self, order_given,
          {{"target", choice.target},
@@ -311,7 +313,7 @@
           {"version", choice.version},
           {"fence", order.fence},
           {"expected_orders", order.expected_orders},
-          {"lease_age_ms", ms_between(one->view.renewed, suspended_now())},
+          {"lease_age_ms", ms_between(self->lead.view.renewed, self->clock.boot_now())},
           {"fault", to_string(outcome.fault)},
           {"status", outcome.answer.status}});
 }
@@ -323,43 +325,44 @@
     }
     note_versions(*one);
     for (const auto& [name, service] : self.routes->source.services) {
-        const auto needs = needs_of(self, name, service.models);
+        const auto needs = needs_of(self, service);
         if (needs.empty()) {
             continue;
         }
         const auto targets = candidates_of(*one, name);
         const bool starting = self.now() - one->first_version < first_versions;
         one->pace.unnamed = starting ? service.models.size() - needs.size() : 0;
-        for (auto& choice : plan_loads(needs, targets, loads_at_once(targets.size()), one->pace)) {
+        for (auto& choice : plan_loads(needs, targets, loads_at_once(one->limit), one->pace)) {
             loop::asio::co_spawn(self.io, give(one, std::move(choice)), loop::asio::detached);
         }
     }
 }
 
+/// What an earlier holding taught of the targets says nothing of the orders of others since.
+void begin_holding(giver& one) {
+    one.fence = one.self->lead.view.fence;
+    one.limit.allowed = std::max(one.limit.allowed, one.self->lead.loads_at_once);
+    // Reset in place: an order may still be on its way and hold on to its entry.
+    for (auto& [id, target] : one.targets) {
+        target = {};
+    }
+}
+
 loop::task<void> run(giver_ptr one) {
     auto self = one->self;
     for (;;) {
-        const bool mine = holds(one->view, self->settings.host);
-        // One host of a zone is enough to take over, and each look is paid for.
-        const bool candidate = mine || watches_store(*self);
-        if (candidate && !mine) {
-            co_await look(one);
+        if (!holds_lease(*self)) {
+            co_await self->lead.taken.wait(loop::deadline::max());
+            continue;
         }
-        const auto now = suspended_now();
-        self->wants_versions =
-            candidate && may_have_to_order(one->view, one->rules, self->settings.host, now);
-        const auto step = next_step(one->view, one->rules, self->settings.host, now);
-        const bool wanted = candidate && any_load_wanted(*self) && !self->stopping;
-        if (wanted && step != lease_step::none) {
-            co_await write_lease(one);
+        if (one->fence != self->lead.view.fence) {
+            begin_holding(*one);
         }
-        if (wanted && may_order(one->view, one->rules, self->settings.host, suspended_now())) {
+        if (leads(*self)) {
             give_orders(one);
+            self->lead.loads_at_once = one->limit.allowed;
         }
-        const bool holds = one->view.holder == self->settings.host;
-        // Hosts look at different moments, so that one of them is first.
-        const auto spread = milliseconds(self->random() % 300);
-        co_await loop::pause_for(self->io, holds ? plan_every : look_every + spread);
+        co_await loop::pause_for(self->io, plan_every);
     }
 }
 
@@ -367,7 +370,6 @@
 
 void start_order_giver(const std::shared_ptr<host>& self) {
     auto one = std::make_shared<giver>(self);
-    one->rules.turn = self->settings.order_turn + self->settings.thaw;
     loop::asio::co_spawn(self->io, run(one), loop::asio::detached);
 }
 
--- a/src/front/plain_call.cpp
+++ b/src/front/plain_call.cpp
@@ -1,6 +1,8 @@
 #include "front/plain_call.hpp"
 
 #include <algorithm>
+#include <map>
+#include <ranges>
 #include <vector>
 
 namespace cornelloom::front {
@@ -21,6 +23,7 @@
     std::vector<std::shared_ptr<loop::exchange>> live{};
     std::set<std::string, std::less<>> tried{};
     plain_outcome outcome{};
+    std::map<int, time_point> begun{}; ///< Attempts that run or may have run, by their number.
     int running = 0;
     int may_have_run = 0; ///< Attempts that ran, or may have.
     int refusals = 0;
@@ -42,6 +45,15 @@
     std::string reason{};
 };
 
+/// Where an attempt goes.
+struct planned_attempt {
+    int number = 0; ///< Among the attempts of its call.
+    std::string target_id{};
+    transport::endpoint where{};
+    milliseconds way{}; ///< A message needs so long to get there.
+    bool fresh = false; ///< On a new connection.
+};
+
 attempt_result judge_answer(const race& one, transport::http_response answer) {
     attempt_result out;
     out.facts = one.self->wire.answer(answer.headers);
@@ -68,12 +80,12 @@
 }
 
 loop::task<attempt_result> exchange_once(race_ptr one, std::shared_ptr<loop::exchange> link,
-                                         std::string target_id, bool fresh) {
+                                         planned_attempt plan) {
     auto& self = *one->self;
     attempt_result out;
     const auto until = to_deadline(self, one->call.deadline);
     // A kept connection may be closing: what must not run twice is not sent on an old one.
-    const bool reuse = !fresh && one->call.idempotent;
+    const bool reuse = !plan.fresh && one->call.idempotent;
     auto fault = co_await link->open(std::min(until, loop::after(target_connect_limit)), reuse);
     if (fault != loop::exchange_fault::none) {
         out.end = attempt_end::not_sent;
@@ -81,8 +93,9 @@
         co_return out;
     }
     const auto left = std::chrono::duration_cast<milliseconds>(one->call.deadline - self.now());
-    const auto message = one->call.make({std::move(target_id), left, 0});
+    const auto message = one->call.make({plan.target_id, left, 0, {}});
     fault = co_await link->send(message, until);
+    one->begun.emplace(plan.number, self.now() + plan.way);
     if (fault == loop::exchange_fault::none) {
         fault = co_await link->read_head(until);
     }
@@ -162,19 +175,21 @@
     }
 }
 
-loop::task<void> attempt(race_ptr one, std::string target_id, transport::endpoint where,
-                         bool fresh) {
+loop::task<void> attempt(race_ptr one, planned_attempt plan) {
     auto& self = *one->self;
     const auto started = self.now();
-    auto link = std::make_shared<loop::exchange>(self.connections, std::move(where));
+    auto link = std::make_shared<loop::exchange>(self.connections, plan.where);
     one->live.push_back(link);
     if (one->decided) {
         link->abort(); // decided before this attempt began to run
     }
-    auto result = co_await exchange_once(one, link, target_id, fresh);
+    auto result = co_await exchange_once(one, link, plan);
     std::erase(one->live, link);
     --one->running;
-    note_end(*one, target_id, result, ms_between(started, self.now()));
+    if (result.end == attempt_end::not_run || result.end == attempt_end::not_sent) {
+        one->begun.erase(plan.number);
+    }
+    note_end(*one, plan.target_id, result, ms_between(started, self.now()));
     settle(*one, std::move(result));
     one->changed.open();
 }
@@ -186,14 +201,19 @@
     if (target == nullptr) {
         return false;
     }
-    const bool fresh = one->outcome.sends > 0;
+    planned_attempt plan;
+    plan.number = one->outcome.sends;
+    plan.target_id = target->entry.id;
+    plan.where = target->entry.where;
+    plan.way =
+        milliseconds(static_cast<std::int64_t>(distance_ms(self.here(), target->entry.zone) / 2));
+    plan.fresh = one->outcome.sends > 0;
     one->tried.insert(target->entry.id);
     ++target->running;
     ++one->running;
     ++one->may_have_run;
     ++one->outcome.sends;
-    loop::asio::co_spawn(self.io, attempt(one, target->entry.id, target->entry.where, fresh),
-                         loop::asio::detached);
+    loop::asio::co_spawn(self.io, attempt(one, std::move(plan)), loop::asio::detached);
     return true;
 }
 
@@ -262,6 +282,9 @@
     }
     const bool expired = !one->decided && one->running > 0;
     auto outcome = one->outcome;
+    if (!one->begun.empty()) {
+        outcome.begun = std::ranges::min(one->begun | std::views::values);
+    }
     if (expired && outcome.what == plain_outcome::state::not_run) {
         outcome.what = plain_outcome::state::unknown;
         outcome.reason = "deadline passed";
--- a/src/front/plain_call.hpp
+++ b/src/front/plain_call.hpp
@@ -4,6 +4,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -47,6 +48,8 @@
     std::string reason{}; ///< Of the last failed attempt.
     int sends = 0;
     int failures = 0; ///< Answers of status 500 among the attempts.
+    /// When a target began to run it; nothing if none has, as far as is known.
+    std::optional<time_point> begun{};
 };
 
 /// Lets a caller's side give a call up.
--- a/src/front/process.cpp
+++ b/src/front/process.cpp
@@ -1,10 +1,14 @@
 #include "front/process.hpp"
 
+#include "front/access.hpp"
 #include "front/answers.hpp"
 #include "front/batch_hand_over.hpp"
+#include "front/count_exchange.hpp"
 #include "front/follower.hpp"
 #include "front/gateway.hpp"
 #include "front/order_giver.hpp"
+#include "front/target_supplier.hpp"
+#include "front/usage_reporter.hpp"
 
 #include <boost/asio/signal_set.hpp>
 
@@ -87,14 +91,21 @@
     loop::start_listening(server, self->settings.callers);
 }
 
-/// Ready: callers can be served, and the process isn't about to end.
+/// Ready: callers can be served, and the process isn't about to end. A host that may not use keys
+/// refuses most of its callers, so they had better come to others.
 loop::task<void> answer_readiness(std::shared_ptr<host> self, loop::served_request& request) {
-    const bool ready = is_informed(knowledge_of(*self)) && !self->stopping;
+    const auto bounds = bounds_of(self->settings);
+    const bool keys_hold = !bounds.keys || configuration_age(*self) <= *bounds.keys;
+    const bool ready = is_informed(knowledge_of(*self)) && keys_hold && !self->stopping;
     co_await answer_status(request, ready ? 200 : 503);
 }
 
 loop::task<void> answer_metrics(std::shared_ptr<host> self, loop::served_request& request) {
     self->metrics.set("cornelloom_log_lines_lost", static_cast<double>(kernel::lost_lines()));
+    if (self->configuration_as_of != time_point{}) {
+        self->metrics.set("cornelloom_configuration_age_seconds",
+                          static_cast<double>(configuration_age(*self).count()) / 1000);
+    }
     self->metrics.set("cornelloom_connections_opened",
                       static_cast<double>(self->connections.opened));
     transport::http_response answer{200, {{"Content-Type", "text/plain"}}, self->metrics.text()};
@@ -122,6 +133,8 @@
         loop::close_stale(self->connections);
         expire_vanished(self->targets, self->now());
         forget_unused(*desk);
+        forget_old_counts(*self);
+        note_demand(*self, items_in_work(*desk));
     }
 }
 
@@ -139,6 +152,7 @@
     while (self->in_flight > 0 && self->now() < asked + part(grace_ending)) {
         co_await loop::pause_for(self->io, ending_tick);
     }
+    co_await hand_counts_over(self);
     note(*self, front_stopped, {{"host", self->settings.host}});
     self->io.stop();
 }
@@ -168,7 +182,11 @@
     listen_simply(self, self->settings.peers,
                   [desk](loop::served_request& request) { return serve_peer(desk, request); });
     follow_platform(self);
+    start_leadership(self);
     start_order_giver(self);
+    start_gathering(self);
+    start_usage_reports(self);
+    start_target_supply(self);
     loop::asio::co_spawn(self->io, keep_house(desk), loop::asio::detached);
 }
 
--- a/src/front/records.cpp
+++ b/src/front/records.cpp
@@ -62,6 +62,7 @@
 std::string encode_header(const batch_header& header) {
     return dump({{"host", header.host},
                  {"path", header.path},
+                 {"account", header.account},
                  {"owner", header.owner},
                  {"owner_at", to_string(header.owner_at)},
                  {"received_ms", header.received_ms},
@@ -74,6 +75,7 @@
         out.id = id;
         out.host = value.at("host").get<std::string>();
         out.path = value.at("path").get<std::string>();
+        out.account = value.value("account", "");
         out.owner = value.at("owner").get<std::string>();
         out.owner_at = endpoint_of(value, "owner_at");
         out.received_ms = value.at("received_ms").get<std::int64_t>();
@@ -140,13 +142,18 @@
     });
 }
 
-std::string encode_lease(std::string_view holder, std::uint64_t renewal) {
-    // The counter makes each renewal a change: an equal write would leave the revision as it is.
-    return dump({{"holder", holder}, {"renewal", renewal}});
+std::string encode_lease(const lease_record& lease) {
+    return dump({{"holder", lease.holder},
+                 {"renewal", lease.renewal},
+                 {"loads_at_once", lease.loads_at_once}});
 }
 
-kernel::result<std::string> decode_lease(const json& value) {
-    return guarded("order lease", [&] { return value.at("holder").get<std::string>(); });
+kernel::result<lease_record> decode_lease(const json& value) {
+    return guarded("order lease", [&] {
+        return lease_record{value.at("holder").get<std::string>(),
+                            value.value("renewal", std::uint64_t{0}),
+                            value.value("loads_at_once", 0.0)};
+    });
 }
 
 std::vector<std::string> split_submission(std::string_view text, std::size_t value_bytes) {
--- a/src/front/records.hpp
+++ b/src/front/records.hpp
@@ -23,8 +23,15 @@
 [[nodiscard]] kernel::result<host_entry> decode_host(std::string_view name,
                                                      const nlohmann::json& value);
 
-[[nodiscard]] std::string encode_lease(std::string_view holder, std::uint64_t renewal);
-[[nodiscard]] kernel::result<std::string> decode_lease(const nlohmann::json& value);
+/// The lease to act for all hosts, as it is stored.
+struct lease_record {
+    std::string holder;
+    std::uint64_t renewal = 0; ///< Makes each renewal a change, which has a revision of its own.
+    double loads_at_once = 0;  ///< What the holder has learned of the weights' source.
+};
+
+[[nodiscard]] std::string encode_lease(const lease_record& lease);
+[[nodiscard]] kernel::result<lease_record> decode_lease(const nlohmann::json& value);
 
 /// The text of a submission in pieces that each fit one object, as JSON strings.
 [[nodiscard]] std::vector<std::string> split_submission(std::string_view text,
--- a/src/front/routing.cpp
+++ b/src/front/routing.cpp
@@ -13,6 +13,13 @@
     for (std::size_t at = 0; at < routes.size(); ++at) {
         index->by_host[routes[at].host].try_emplace(routes[at].path_prefix, at);
     }
+    if (index->source.accounts) {
+        for (const auto& account : *index->source.accounts) {
+            for (const auto& hash : account.key_hashes) {
+                index->account_by_key.try_emplace(hash, account.name);
+            }
+        }
+    }
     return index;
 }
 
--- a/src/front/routing.hpp
+++ b/src/front/routing.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "front/adapter.hpp"
 #include "front/types.hpp"
 
 #include <memory>
@@ -13,6 +14,7 @@
 struct route_index {
     configuration source;
     std::unordered_map<std::string, std::unordered_map<std::string, std::size_t>> by_host;
+    std::unordered_map<std::string, std::string> account_by_key; ///< By the hash of the key.
 };
 
 [[nodiscard]] std::shared_ptr<const route_index> index_routes(configuration source);
--- a/src/front/store_request.cpp
+++ b/src/front/store_request.cpp
@@ -22,6 +22,8 @@
         return "batch_log";
     case object_kind::order_lease:
         return "order_lease";
+    case object_kind::usage_reports:
+        return "usage_reports";
     }
     return "other";
 }
--- a/src/front/store_request.hpp
+++ b/src/front/store_request.hpp
@@ -12,11 +12,12 @@
     targets,
     versions,
     retirements,
-    hosts,       ///< Hosts of the system, for their peers.
-    batches,     ///< Accepted batches.
-    batch_parts, ///< Pieces of batches that are too large for one object.
-    batch_log,   ///< What has happened to a batch, entry by entry.
-    order_lease, ///< Who may give orders to targets.
+    hosts,         ///< Hosts of the system, for their peers.
+    batches,       ///< Accepted batches.
+    batch_parts,   ///< Pieces of batches that are too large for one object.
+    batch_log,     ///< What has happened to a batch, entry by entry.
+    order_lease,   ///< Who may give orders to targets and call the platform for all.
+    usage_reports, ///< What is reported of the requests of client accounts.
 };
 
 [[nodiscard]] std::string_view to_string(object_kind kind);
--- a/src/front/stream_call.cpp
+++ b/src/front/stream_call.cpp
@@ -19,6 +19,7 @@
     loop::served_request* request;
     route chosen;
     caller_request facts;
+    std::optional<std::string> account; ///< See `forward_terms`.
     time_point deadline{};
     std::shared_ptr<loop::exchange> link{};
     std::set<std::string, std::less<>> tried{};
@@ -87,8 +88,8 @@
         co_return leg_end::not_run;
     }
     const auto left = std::chrono::duration_cast<milliseconds>(one.deadline - one.self->now());
-    const auto message =
-        one.self->wire.forward(one.request->message, {std::move(target_id), left, one.last_event});
+    const auto message = one.self->wire.forward(
+        one.request->message, {std::move(target_id), left, one.last_event, one.account});
     fault = co_await one.link->send(message, until);
     if (fault == loop::exchange_fault::none) {
         fault = co_await one.link->read_head(until);
@@ -117,6 +118,7 @@
     }
     if (!one.begun) {
         one.begun = true;
+        count_usage(*one.self, one.account, one.self->now());
         co_await one.request->begin(status, one.self->wire.answer_headers(one.link->headers()));
     }
     const auto end = co_await pass_pieces(one);
@@ -184,8 +186,9 @@
 }
 
 loop::task<void> serve_stream(std::shared_ptr<host> self, loop::served_request& request,
-                              route chosen, caller_request facts) {
-    relay one{self, &request, chosen, facts};
+                              route chosen, caller_request facts,
+                              std::optional<std::string> account) {
+    relay one{self, &request, chosen, facts, std::move(account)};
     one.last_event = facts.last_event;
     auto limit = facts.time_left.value_or(chosen.timeout);
     if (chosen.timeout > milliseconds::zero()) {
--- /dev/null
+++ b/src/front/target_supply.cpp
@@ -0,0 +1,55 @@
+#include "front/target_supply.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+
+namespace cornelloom::front {
+
+namespace {
+
+int targets_wanted(const supply_need& need) {
+    const double slots = std::max(need.slots, 1);
+    return static_cast<int>(std::ceil(static_cast<double>(need.peak) * supply_headroom / slots));
+}
+
+double price_of(const scaling_bounds& bounds, std::string_view zone) {
+    const auto found = bounds.zone_prices.find(zone);
+    return found == bounds.zone_prices.end() ? 1 : found->second;
+}
+
+} // namespace
+
+std::vector<int> plan_supply(const scaling_bounds& bounds, std::span<const zone_supply> zones,
+                             const supply_need& need) {
+    std::vector<int> out;
+    for (const auto& zone : zones) {
+        const int there = std::max(zone.serving, zone.ordered);
+        out.push_back(std::clamp(there, std::min(bounds.least, bounds.most), bounds.most));
+    }
+    int missing = targets_wanted(need) - std::accumulate(out.begin(), out.end(), 0);
+    while (missing > 0) {
+        // The zone with the fewest, so that the loss of one zone takes no more than its part; of
+        // equals the cheapest.
+        std::size_t best = zones.size();
+        for (std::size_t at = 0; at < zones.size(); ++at) {
+            if (out[at] >= bounds.most) {
+                continue;
+            }
+            const auto rank = [&](std::size_t one) {
+                return std::pair(out[one], price_of(bounds, zones[one].zone));
+            };
+            if (best == zones.size() || rank(at) < rank(best)) {
+                best = at;
+            }
+        }
+        if (best == zones.size()) {
+            break;
+        }
+        ++out[best];
+        --missing;
+    }
+    return out;
+}
+
+} // namespace cornelloom::front
--- a/src/front/types.hpp
+++ b/src/front/types.hpp
@@ -40,16 +40,32 @@
     std::vector<traffic_share> services;
     int attempts = 1; ///< Targets that may run one attempt of a caller.
     bool resumable = false;
+    bool open_to_all = false;     ///< Requests need no key, though there are client accounts.
     bool single_version = false;  ///< A sample may stem from one version of the weights only.
     milliseconds run_deadline{0}; ///< Results of a batch are due this long after its submission.
     milliseconds retention{0};    ///< An item may be given up this long after its submission.
 };
 
+/// How many targets of a service may be ordered from the platform.
+struct scaling_bounds {
+    int least = 0;                                          ///< In each zone.
+    int most = 0;                                           ///< In each zone.
+    milliseconds start{0};                                  ///< A new target serves after this.
+    std::map<std::string, double, std::less<>> zone_prices; ///< Of a target's second, by zone.
+};
+
 struct service {
     std::string name;
-    int connections_most = 0;        ///< That a target accepts from all callers together.
-    int slots = 0;                   ///< Requests that a target runs at once; 0: unknown.
-    std::vector<std::string> models; ///< Empty for a plain service.
+    int connections_most = 0;                ///< That a target accepts from all callers together.
+    int slots = 0;                           ///< Requests that a target runs at once; 0: unknown.
+    std::vector<std::string> models;         ///< Empty for a plain service.
+    std::optional<scaling_bounds> scaling{}; ///< Nothing: its targets can't be ordered.
+};
+
+/// Those who share a name towards targets, and the keys that identify them.
+struct client_account {
+    std::string name;
+    std::vector<std::string> key_hashes; ///< As `transport::token_hash` makes them.
 };
 
 /// One version of the operators' configuration, complete.
@@ -57,6 +73,8 @@
     std::uint64_t version = 0;
     std::vector<route> routes;
     std::map<std::string, service, std::less<>> services;
+    /// Nothing: requests need no keys, and headers about keys and accounts are like any other.
+    std::optional<std::vector<client_account>> accounts;
     loop::caller_limits bounds; ///< Of what callers send.
 };
 
@@ -87,6 +105,15 @@
     double processor = 0; ///< Share of a core that it has.
 };
 
+/// The calls that one host makes to the platform for all.
+struct duty_settings {
+    transport::endpoint where;
+    bool reports_usage = false;
+    bool orders_targets = false;
+    milliseconds usage_window{5000}; ///< Requests are counted by windows of this length.
+    milliseconds usage_due{10000};   ///< A window is reported by so long after its end.
+};
+
 /// What a process learns from its settings file.
 struct host_settings {
     std::string host;
@@ -107,6 +134,9 @@
     milliseconds thaw{300};            ///< Added to it for a holder that was suspended.
     milliseconds calm{4000};           ///< Without trouble for so long, time bounds hold again.
     milliseconds in_force{2500};       ///< A configuration is in force everywhere after this.
+    /// A key that was taken away opens nothing after this, at no host; nothing: no such bound.
+    std::optional<milliseconds> revocation;
+    std::optional<duty_settings> duties;
     int file_descriptors = 1024;
     double processor = 1; ///< Share of a core.
 };
--- a/src/front/watch.cpp
+++ b/src/front/watch.cpp
@@ -70,6 +70,7 @@
 
 loop::task<bool> list_all(std::shared_ptr<host> self, followed_ptr one) {
     object_page all;
+    const auto asked = self->clock.boot_now();
     const bool whole = co_await read_list(self, one, false, all);
     if (!whole) {
         co_return false;
@@ -77,6 +78,7 @@
     keep_list(*self, one->kind, all.items, all.at);
     one->replace(all.items);
     one->at = all.at;
+    note_confirmed(*self, one->kind, asked);
     co_return true;
 }
 
@@ -85,6 +87,7 @@
     const auto wait =
         ways.direct_first ? watch_wait(one->kind, self->settings) : watch_wait_by_peer;
     const auto asked = loop::steady_clock::now();
+    const auto known_from = self->clock.boot_now();
     auto answer = co_await call_store(self->store, self->wire.watch(one->kind, one->at, wait),
                                       wait + watch_allowance, store_way::one);
     note_touch(*self, *one, answer.fault);
@@ -119,6 +122,9 @@
     keep_changes(*self, one->kind, changes.value().changes, one->at);
     if (!changes.value().changes.empty()) {
         one->change(changes.value().changes);
+    }
+    note_confirmed(*self, one->kind, known_from);
+    if (!changes.value().changes.empty()) {
         co_await loop::pause_for(self->io, one->pause());
     }
     co_return true;
@@ -127,9 +133,20 @@
 /// Asks a feeder for everything, or for changes.
 loop::task<bool> ask_feeder(std::shared_ptr<host> self, followed_ptr one, host_entry feeder) {
     // Revisions are the store's, so what another feeder or the store itself said stays comparable.
-    auto outcome =
-        co_await loop::call(self->connections, feeder.where, feed_question(one->kind, one->at),
-                            loop::after(feed_wait + feed_allowance), feed_connect);
+    const auto asked = self->clock.boot_now();
+    auto question = feed_question(one->kind, one->at);
+    const auto told = self->usage.changes + self->demand.changes;
+    const bool tells = one->kind == object_kind::configuration &&
+                       (one->told_to != feeder.name || one->told != told);
+    if (tells) {
+        tell_counts(*self, question);
+    }
+    auto outcome = co_await loop::call(self->connections, feeder.where, std::move(question),
+                                       loop::after(feed_wait + feed_allowance), feed_connect);
+    if (tells && outcome.fault == loop::exchange_fault::none) {
+        one->told_to = feeder.name;
+        one->told = told;
+    }
     const bool answered = outcome.fault == loop::exchange_fault::none;
     if (answered && outcome.answer.status == status_list_again) {
         one->at = 0;
@@ -157,6 +174,9 @@
         one->change(news.changes);
     }
     one->at = std::max(one->at, news.at);
+    if (news.age) {
+        note_confirmed(*self, one->kind, asked - *news.age);
+    }
     co_return true;
 }
 
@@ -196,8 +216,13 @@
         return longest_wait; // no bound depends on how soon a peer is known
     }
     const auto soonest_bound = settings.calm + std::min(settings.in_force, settings.drain);
-    return std::clamp(soonest_bound - watch_allowance - catch_up_allowance, shortest_wait,
-                      longest_wait);
+    const auto usual = std::clamp(soonest_bound - watch_allowance - catch_up_allowance,
+                                  shortest_wait, longest_wait);
+    if (kind == object_kind::configuration && settings.revocation) {
+        // Two hosts pass it on, each with a wait of its own, and a quarter is for their delays.
+        return std::clamp(*settings.revocation / 4, shortest_wait, usual);
+    }
+    return usual;
 }
 
 void start_watch(const std::shared_ptr<host>& self, followed one) {
@@ -205,12 +230,17 @@
     loop::asio::co_spawn(self->io, follow(self, std::move(shared)), loop::asio::detached);
 }
 
-loop::task<void> look_once(std::shared_ptr<host> self, followed one) {
+loop::task<void> look_once(std::shared_ptr<host> self, followed one, bool may_be_stale) {
     auto shared = std::make_shared<followed>(std::move(one));
     object_page all;
-    const bool whole = co_await read_list(self, shared, true, all);
-    if (whole) {
-        shared->replace(all.items);
+    const auto asked = self->clock.boot_now();
+    const bool whole = co_await read_list(self, shared, may_be_stale, all);
+    if (!whole) {
+        co_return;
+    }
+    shared->replace(all.items);
+    if (!may_be_stale) {
+        note_confirmed(*self, shared->kind, asked);
     }
 }
 
--- a/tests/front/load_plan_tests.cpp
+++ b/tests/front/load_plan_tests.cpp
@@ -1,3 +1,4 @@
+#include "front/load_limit.hpp"
 #include "front/load_plan.hpp"
 
 #include <catch2/catch.hpp>
@@ -24,6 +25,10 @@
     int loads_without_harm = 2;
     int list_lag_ms = 0; ///< From the end of a load until the list shows it.
     load_pace pace{};
+    load_limit limit{};
+    std::map<std::string, int> began_ms{};          ///< Of the load in progress, by target.
+    std::map<std::string, std::uint64_t> lowered{}; ///< `load_limit::lowered` then.
+    int now_ms = 0;
     int loads = 0;
     int fewest_fresh = 1000; ///< Usable targets for a step at the moment its version is named.
 
@@ -51,6 +56,7 @@
     }
 
     void advance() {
+        now_ms += step_ms;
         const auto awaited = std::ranges::count_if(targets, &load_candidate::awaited);
         const int busy = static_cast<int>(loading.size()) - static_cast<int>(awaited);
         for (auto& target : targets) {
@@ -60,17 +66,23 @@
             const int speed =
                 busy > loads_without_harm ? step_ms * loads_without_harm / busy : step_ms;
             left_ms[target.id] -= speed;
+            if (left_ms[target.id] <= 0 && !target.awaited) {
+                note_load(limit, {std::chrono::milliseconds(now_ms - began_ms[target.id]),
+                                  static_cast<std::size_t>(busy), lowered[target.id]});
+            }
             target.awaited = left_ms[target.id] <= 0;
             if (left_ms[target.id] <= -list_lag_ms) {
                 target.busy = target.awaited = false;
                 loading.erase(target.id);
             }
         }
-        for (const auto& choice : plan_loads(needs, targets, loads_at_once(targets.size()), pace)) {
+        for (const auto& choice : plan_loads(needs, targets, loads_at_once(limit), pace)) {
             auto& target = *std::ranges::find(targets, choice.target, &load_candidate::id);
             target.busy = true;
             target.versions[choice.model] = choice.version;
             left_ms[target.id] = load_ms;
+            began_ms[target.id] = now_ms;
+            lowered[target.id] = limit.lowered;
             loading[target.id] = choice;
             ++loads;
         }
@@ -150,6 +162,7 @@
     constexpr int models = 6;
     world played(targets, models);
     played.list_lag_ms = 500;
+    played.limit.allowed = played.loads_without_harm; // as the lease tells the next holder
     played.pace = {std::chrono::milliseconds(load_ms), std::chrono::milliseconds(round_ms)};
     const int rounds = 12;
     played.play(rounds);
@@ -185,6 +198,20 @@
     CHECK(targets_per_version(0, 0, 2, pace) == 0);
 }
 
+TEST_CASE("loads follow the items of a model, not the number of targets",
+          "[front][load_plan][large]") {
+    // Guards against a fleet that spends itself on loading versions which no item needs.
+    const auto targets = GENERATE(48, 300, 3000);
+    constexpr int rounds = 6;
+    constexpr std::size_t wanted = 40; // 160 items twice over, on targets of eight slots
+    world played(targets, 1);
+    played.loads_without_harm = 10;
+    played.needs[0].targets_wanted = wanted;
+    played.play(rounds);
+    CHECK(played.loads <= rounds * static_cast<int>(wanted));
+    CHECK(played.fewest_fresh >= 10);
+}
+
 TEST_CASE("plans stay within the loads that may run at once", "[front][load_plan]") {
     world start(9, 3);
     for (auto& need : start.needs) {
--- a/tests/front/watch_tests.cpp
+++ b/tests/front/watch_tests.cpp
@@ -1,3 +1,4 @@
+#include "front/feed.hpp"
 #include "front/watch.hpp"
 
 #include <catch2/catch.hpp>
@@ -35,3 +36,19 @@
     CHECK(watch_wait(object_kind::hosts, settings) >= 20s);
     CHECK(watch_wait(object_kind::configuration, settings) >= 3s);
 }
+
+TEST_CASE("where keys are taken away strictly, each host hears of it within the bound",
+          "[front][watch]") {
+    // Guards against hosts that refuse good keys because nobody has proved their configuration to
+    // be the newest: one host watches the store, and the others ask it.
+    host_settings settings;
+    settings.calm = 5s;
+    settings.in_force = 4s;
+    for (const auto bound : {4s, 5s, 8s}) {
+        settings.revocation = bound;
+        const auto watched = watch_wait(object_kind::configuration, settings);
+        // The watch that is being answered when a host asks, that host's question, the next one.
+        CHECK(watched + feed_wait + feed_wait <= *settings.revocation - 1s);
+    }
+    CHECK(watch_wait(object_kind::targets, settings) >= 5s);
+}
--- a/tests/platform/adapter_tests.cpp
+++ b/tests/platform/adapter_tests.cpp
@@ -1,4 +1,5 @@
 #include "platform/parts.hpp"
+#include "transport/bearer_token.hpp"
 
 #include <catch2/catch.hpp>
 #include <rapidcheck/catch.h>
@@ -31,9 +32,16 @@
 grace-period-s = 8
 drain-ms = 2500
 lease-ms = 3000
+strict-revocation = true
+revoke-ms = 4500
+report-window-s = 5
+usage-late-s = 10
 [platform]
 address = "10.200.1.7:8142"
 value-bytes = 1048576
+[cloud]
+address = "10.200.0.114:8662"
+duties = ["usage_reporting"]
 )";
 
 const std::string submission_text =
@@ -42,6 +50,12 @@
     R"("body":"q83vEjRWeJA=","tokens":940,"group":"g1","scoring-endpoint":{"id":"s1",)"
     R"("host":"h.example","path":"/q/5","body":"3q2+7w=="}}]})";
 
+const std::string configuration_text =
+    R"({"version":3,"routes":[{"host":"h","path-prefix":"/a/","route-kind":"safe","service":"s"},)"
+    R"({"host":"h","path-prefix":"/b/","route-kind":"safe","service":"s","allow-anonymous":true}],)"
+    R"("services":[{"name":"s","scaling":{"minimum":1,"maximum":16,"boot-time-s":4.5,)"
+    R"("zone-prices":{"a":1.0,"b":0.8}}}],"tenants":[{"name":"east","api-keys":["secret-1"]}]})";
+
 const std::string target_text =
     R"({"service":"s","address":"10.128.0.9:8080","zone":"east-a","version":"v1","slots":16,)"
     R"("state":"ready","models":[{"name":"m","version":3,"adapters":[]}],"sequence":4,"born":17})";
@@ -74,6 +88,13 @@
     CHECK(read.value().grace == milliseconds(8000));
     CHECK(to_string(read.value().peers) == "10.1.0.38:8144");
     CHECK(read.value().processor == 0.25);
+    CHECK(read.value().revocation == milliseconds(4500));
+    REQUIRE(read.value().duties);
+    CHECK(to_string(read.value().duties->where) == "10.200.0.114:8662");
+    CHECK(read.value().duties->reports_usage);
+    CHECK_FALSE(read.value().duties->orders_targets);
+    CHECK(read.value().duties->usage_window == milliseconds(5000));
+    CHECK(read.value().duties->usage_due == milliseconds(10000));
 }
 
 TEST_CASE("faults of a settings file are reported together with their places",
@@ -88,6 +109,57 @@
     CHECK(broken.error().detail.find("line 1") != std::string::npos);
 }
 
+TEST_CASE("without duties and strict revocation there are no bounds for them",
+          "[platform][settings]") {
+    const auto read =
+        read_settings("node = \"n\"\nzone = \"z\"\n[platform]\naddress = \"1.2.3.4:5\"\n"
+                      "[bounds]\nrevoke-ms = 4500\n");
+    REQUIRE(read);
+    CHECK_FALSE(read.value().revocation);
+    CHECK_FALSE(read.value().duties);
+}
+
+TEST_CASE("duties without an address are a fault with its place", "[platform][settings]") {
+    const auto read =
+        read_settings("node = \"n\"\nzone = \"z\"\n[platform]\naddress = \"1.2.3.4:5\"\n"
+                      "[cloud]\nduties = [\"autoscaling\"]\n");
+    REQUIRE_FALSE(read);
+    CHECK(read.error().detail.find("cloud.address") != std::string::npos);
+}
+
+TEST_CASE("client accounts are read with hashes in place of their keys", "[platform][documents]") {
+    // Guards against keys in memory dumps, logs and errors.
+    auto text = json::parse(configuration_text);
+    auto read = decode_configuration(text);
+    REQUIRE(read);
+    REQUIRE(read.value().accounts);
+    const auto& account = read.value().accounts->at(0);
+    CHECK(account.name == "east");
+    CHECK(account.key_hashes == std::vector{transport::token_hash("secret-1")});
+    CHECK_FALSE(read.value().routes.at(0).open_to_all);
+    CHECK(read.value().routes.at(1).open_to_all);
+    const auto& scaling = read.value().services.at("s").scaling;
+    REQUIRE(scaling);
+    CHECK(scaling->most == 16);
+    CHECK(scaling->start == milliseconds(4500));
+    CHECK(scaling->zone_prices.at("b") == 0.8);
+    SECTION("without accounts") {
+        text.erase("tenants");
+        CHECK_FALSE(decode_configuration(text).value().accounts);
+    }
+    SECTION("a name that would smuggle a header") {
+        text["tenants"][0]["name"] = "x\r\nX-Evil: 1";
+        CHECK_FALSE(decode_configuration(text));
+    }
+    SECTION("keys of another type, reported without them") {
+        text["tenants"][0]["api-keys"] = json::array({"secret-1", 7});
+        const auto refused = decode_configuration(text);
+        REQUIRE_FALSE(refused);
+        CHECK(refused.error().detail.find("api-keys") != std::string::npos);
+        CHECK(refused.error().detail.find("secret-1") == std::string::npos);
+    }
+}
+
 TEST_CASE("a submission is read with its items", "[platform][batches]") {
     const auto read = decode_submission(json::parse(submission_text));
     REQUIRE(read);
@@ -181,6 +253,12 @@
         (void)decode_object(text);
         (void)decode_report(text);
     });
+    rc::prop("configurations", [] {
+        const auto value = parse_json(damage(configuration_text));
+        if (value) {
+            (void)decode_configuration(value.value());
+        }
+    });
     rc::prop("settings", [] { (void)read_settings(damage(settings_text)); });
 }
 
@@ -234,6 +312,55 @@
     CHECK(transport::find_header(sent.headers, "X-Expect-Instance") == "i-1");
 }
 
+TEST_CASE("a target gets the account of a request and never its key", "[platform][requests]") {
+    // Guards against a client that names an account itself, and against keys that reach targets.
+    transport::http_request message;
+    message.headers = {
+        {"X-Attempt-Id", "r1"}, {"authorization", "Bearer secret-1"}, {"x-tenant", "west"}};
+    CHECK(decode_request(message).key_hash == transport::token_hash("secret-1"));
+    front::batch_item item;
+    item.id = "i1";
+    item.path = "/p";
+    item.headers = message.headers;
+    const auto account_in = [](const transport::http_request& sent) {
+        return transport::find_header(sent.headers, "X-Tenant");
+    };
+    front::forward_terms terms{"i-1", milliseconds(1200), 0};
+    SECTION("under an account") {
+        terms.account = "east";
+        for (const auto& sent : {encode_forward(message, terms), encode_item(item, "h", terms)}) {
+            CHECK(account_in(sent) == "east");
+            CHECK_FALSE(transport::find_header(sent.headers, "Authorization"));
+            CHECK(std::ranges::count_if(
+                      sent.headers, [](const auto& each) { return each.name == "x-tenant"; }) == 0);
+        }
+    }
+    SECTION("under none") {
+        terms.account = "";
+        const auto sent = encode_forward(message, terms);
+        CHECK_FALSE(account_in(sent));
+        CHECK_FALSE(transport::find_header(sent.headers, "Authorization"));
+    }
+    SECTION("without accounts they are headers like any other") {
+        const auto sent = encode_forward(message, terms);
+        CHECK(account_in(sent) == "west");
+        CHECK(transport::find_header(sent.headers, "Authorization"));
+    }
+}
+
+TEST_CASE("calls for all hosts name their sender and its fence", "[platform][duties]") {
+    const auto usage = encode_usage_report({353445120, {{"east", 412}}}, {"host-1", 12});
+    CHECK(usage.method == "POST");
+    CHECK(usage.path == "/usage");
+    CHECK(transport::find_header(usage.headers, "X-Duty-Holder") == "host-1");
+    CHECK(transport::find_header(usage.headers, "X-Fencing-Token") == "12");
+    CHECK(json::parse(usage.body) == json::parse(R"({"window":353445120,"counts":{"east":412}})"));
+    const auto supply = encode_supply_order({"s", "zone-a", 6}, {"host-1", 12});
+    CHECK(supply.path == "/scale");
+    CHECK(json::parse(supply.body) ==
+          json::parse(R"({"service":"s","zone":"zone-a","desired-count":6})"));
+}
+
 TEST_CASE("a page of results starts where it was asked for and stays within a megabyte",
           "[platform][batches]") {
     std::vector<front::item_result> all(4);
--- a/tests/soak/promises_tests.cpp
+++ b/tests/soak/promises_tests.cpp
@@ -52,24 +52,47 @@
 TEST_CASE("the ledger notices a request that may run once and runs twice", "[soak]") {
     ledger book;
     const auto seen = observe(book);
-    note_sent(book, "sync", run_rule::once);
-    seen.ran({"sync", "target-1", "plain", "/sync/"});
+    note_sent(book, "sync", {run_rule::once, {}, false});
+    seen.ran({"sync", "target-1", "plain", "/sync/", {}, false});
     CHECK(book.broken.empty());
-    seen.ran({"sync", "target-2", "plain", "/sync/"});
+    seen.ran({"sync", "target-2", "plain", "/sync/", {}, false});
+    CHECK(book.broken.size() == 1);
+}
+
+TEST_CASE("the ledger notices a run under another account, a key too old, or with its key",
+          "[soak]") {
+    ledger book;
+    const auto seen = observe(book);
+    note_sent(book, "look", {run_rule::any, "callers", false});
+    note_sent(book, "late", {run_rule::any, "callers", true});
+    seen.ran({"look", "target-1", "plain", "/look/", "callers", false});
+    REQUIRE(book.broken.empty());
+    SECTION("another account") {
+        seen.ran({"look", "target-1", "plain", "/look/", "trainers", false});
+    }
+    SECTION("no account") {
+        seen.ran({"look", "target-1", "plain", "/look/", "", false});
+    }
+    SECTION("a key that was passed on") {
+        seen.ran({"look", "target-1", "plain", "/look/", "callers", true});
+    }
+    SECTION("a key that was taken away") {
+        seen.ran({"late", "target-1", "plain", "/look/", "callers", false});
+    }
     CHECK(book.broken.size() == 1);
 }
 
 TEST_CASE("the ledger notices a refusal of a request that runs", "[soak]") {
     ledger book;
     const auto seen = observe(book);
-    note_sent(book, "sync", run_rule::once);
+    note_sent(book, "sync", {run_rule::once, {}, false});
     SECTION("before the refusal") {
-        seen.ran({"sync", "target-1", "plain", "/sync/"});
+        seen.ran({"sync", "target-1", "plain", "/sync/", {}, false});
         judge_answer(book, "sync", plain_answer(503));
     }
     SECTION("after it") {
         judge_answer(book, "sync", plain_answer(503));
-        seen.ran({"sync", "target-1", "plain", "/sync/"});
+        seen.ran({"sync", "target-1", "plain", "/sync/", {}, false});
     }
     CHECK(book.broken.size() == 1);
 }
@@ -77,7 +100,7 @@
 TEST_CASE("the ledger notices an answer of another request", "[soak]") {
     ledger book;
     const auto seen = observe(book);
-    note_sent(book, "mine", run_rule::any);
+    note_sent(book, "mine", {run_rule::any, {}, false});
     seen.answered({"other", "stamp", "answer to other", 200});
     auto answer = plain_answer(200);
     answer.body = "answer to other";
