Feeders tell what changed instead of whole lists; owners and readers look at the log

A lost feeder's hosts all fetched the whole list from the next one, gave up after 1.4 s and went on to the one after; each feeder encoded the list once for every host. A batch went from owner to owner, an old one told a reader that results he had read don't exist (LOST), and one whose end was accepted elsewhere ran on for 13 s (UNASKED). Change: a feeder that has dropped the steps tells names and what is newer; lists are encoded once; a whole list has 4 s; a reader who knows more, and an owner that nobody reads, look at the log. Still red: owners change hands again and again while a third of the hosts is turned away by the store.

--- a/src/front/batch_drive.cpp
+++ b/src/front/batch_drive.cpp
@@ -16,6 +16,8 @@
 constexpr flush_rules flushing{};
 /// A target that leaves serves for some seconds more; what still runs there then moves.
 constexpr milliseconds leave_after{1500};
+/// Callers read about twice a second.
+constexpr milliseconds unread_patience{1500};
 /// A log entry that can't be stored for so long is built anew, with what has finished meanwhile.
 constexpr milliseconds append_patience{3000};
 
@@ -183,6 +185,19 @@
     co_await append_entry(one, make, one->self->now() + append_patience);
 }
 
+/// Whether no caller has asked for the batch for longer than callers pause.
+bool is_unread(const live_batch& one) {
+    const auto now = one.self->now();
+    return one.stored && now - one.used > unread_patience && now - one.confirmed > unread_patience;
+}
+
+/// Reads the log: the caller may have ended the batch at another host, which can't reach this one,
+/// and its items would run on for nobody.
+loop::task<void> read_log(live_batch_ptr one) {
+    co_await catch_up(one);
+    one->changed.open();
+}
+
 loop::task<void> drive(live_batch_ptr one) {
     auto self = one->self;
     while (one->owned && !is_over(one->state)) {
@@ -196,6 +211,10 @@
         if (due && *due <= self->now() && !one->appending) {
             loop::asio::co_spawn(self->io, flush(one), loop::asio::detached);
         }
+        if (is_unread(*one)) {
+            one->used = self->now();
+            loop::asio::co_spawn(self->io, read_log(one), loop::asio::detached);
+        }
         auto wake = self->now() + tick;
         if (due && !one->appending) {
             wake = std::min(wake, std::max(*due, self->now() + milliseconds(5)));
@@ -228,6 +247,7 @@
         return;
     }
     one->owned = true;
+    one->used = std::max(one->used, one->self->now());
     note(*one->self, batch_taken,
          {{"id", one->state.header.id},
           {"from", from},
--- a/src/front/batch_log.cpp
+++ b/src/front/batch_log.cpp
@@ -169,6 +169,7 @@
         const auto number = one->state.next_entry;
         auto read = co_await read_entry(one->self, entry_name(one->state.header.id, number));
         if (read.what == log_read::end) {
+            one->confirmed = one->self->now();
             co_return true;
         }
         if (read.what != log_read::entry) {
@@ -204,6 +205,7 @@
                 self->store, self->wire.create(object_kind::batch_log, name, value));
             if (answer.fault == store_fault::none) {
                 take_entry(*one, number, *entry);
+                one->confirmed = self->now();
                 stored = settled = true;
             } else if (answer.fault == store_fault::conflict) {
                 const auto there = entry_in(*self, name, answer.body);
--- a/src/front/feed.cpp
+++ b/src/front/feed.cpp
@@ -37,6 +37,21 @@
     return out;
 }
 
+/// All that a host must learn which knows everything up to `at`, when the steps since are dropped:
+/// a feeder that has just begun has none. Most objects are as they were, so their names suffice.
+feed_answer catch_up_since(const kept_kind& kept, std::uint64_t at) {
+    feed_answer out;
+    out.at = kept.at;
+    out.names.emplace();
+    for (const auto& [name, object] : kept.objects) {
+        out.names->push_back(name);
+        if (object.revision > at) {
+            out.changes.push_back({object, false});
+        }
+    }
+    return out;
+}
+
 /// A host that has just started knows only the seeds: it learns of the others from one of these.
 std::optional<host_entry> choose_seed(const host& self) {
     std::vector<host_entry> usable;
@@ -62,12 +77,39 @@
     return self.store.ways.last_direct + feed_touch;
 }
 
-/// What this host may say of a kind now; nothing while it has no fresh news of its own.
-std::optional<feed_answer> answer_of(const host& self, const kept_kind& kept, std::uint64_t at) {
-    if (kept.at == 0 || !kept.live || fresh_until(self) < loop::steady_clock::now()) {
-        return std::nullopt;
+/// Whether this host may say anything of a kind now: it has fresh news of its own.
+bool may_answer(const host& self, const kept_kind& kept) {
+    return kept.at != 0 && kept.live && fresh_until(self) >= loop::steady_clock::now();
+}
+
+/// Whether there is something to tell to a host that knows everything up to `at`.
+bool has_news(const kept_kind& kept, std::uint64_t at) {
+    const bool from_the_start = at == 0 || at < kept.oldest;
+    return from_the_start || std::ranges::any_of(kept.recent, [at](const kept_kind::step& step) {
+               return step.at > at;
+           });
+}
+
+/// The encoded list, made once for all hosts that ask for it: they start together, or lose their
+/// feeder together.
+const std::string& encoded_list(kept_kind& kept) {
+    if (kept.list_at != kept.at) {
+        kept.list = encode_feed(list_of(kept));
+        kept.list_at = kept.at;
+    }
+    return kept.list;
+}
+
+std::string encoded_news(const host& self, object_kind kind, kept_kind& kept, std::uint64_t at) {
+    const bool aged = kind == object_kind::configuration;
+    if (at == 0 && !aged) {
+        return encoded_list(kept);
+    }
+    auto news = news_since(kept, at);
+    if (aged && self.configuration_as_of != time_point{}) {
+        news.age = configuration_age(self);
     }
-    return at == 0 ? list_of(kept) : changes_since(kept, at);
+    return encode_feed(news);
 }
 
 } // namespace
@@ -124,6 +166,28 @@
     }
 }
 
+feed_answer news_since(const kept_kind& kept, std::uint64_t at) {
+    if (at == 0) {
+        return list_of(kept);
+    }
+    return at < kept.oldest ? catch_up_since(kept, at) : changes_since(kept, at);
+}
+
+std::vector<object_change> removals(const std::set<std::string, std::less<>>& known,
+                                    const std::vector<std::string>& names) {
+    const std::set<std::string_view> there(names.begin(), names.end());
+    std::vector<object_change> out;
+    for (const auto& name : known) {
+        if (!there.contains(name)) {
+            object_change gone;
+            gone.object.name = name;
+            gone.deleted = true;
+            out.push_back(std::move(gone));
+        }
+    }
+    return out;
+}
+
 transport::http_request feed_question(object_kind kind, std::uint64_t at) {
     transport::http_request out;
     out.path = feed_path;
@@ -146,6 +210,9 @@
                            {"deleted", change.deleted}});
     }
     json out = {{"at", answer.at}, {"changes", std::move(changes)}};
+    if (answer.names) {
+        out["names"] = *answer.names;
+    }
     if (answer.age) {
         out["age_ms"] = answer.age->count();
     }
@@ -165,6 +232,9 @@
             change.deleted = each.at("deleted").get<bool>();
             out.changes.push_back(std::move(change));
         }
+        if (value.contains("names")) {
+            out.names = value["names"].get<std::vector<std::string>>();
+        }
         if (value.contains("age_ms")) {
             out.age = milliseconds(value["age_ms"].get<std::int64_t>());
         }
@@ -188,29 +258,20 @@
     auto& kept = self->kept[static_cast<object_kind>(kind)];
     const auto at = number("at");
     const auto until = loop::after(feed_wait);
-    auto reply = answer_of(*self, kept, at);
-    while (reply && at != 0 && reply->changes.empty() && at >= kept.oldest &&
-           loop::steady_clock::now() < until) {
+    while (may_answer(*self, kept) && !has_news(kept, at) && loop::steady_clock::now() < until) {
         co_await kept.changed.wait(std::min(until, fresh_until(*self)));
-        reply = answer_of(*self, kept, at);
     }
     // Hosts that start together, or lose their feeder together, ask the next one before it has its
     // first list: a refusal would send them all on to one after another.
-    while (!reply && (!kept.live || kept.at == 0) && loop::steady_clock::now() < until) {
+    while (!may_answer(*self, kept) && (!kept.live || kept.at == 0) &&
+           loop::steady_clock::now() < until) {
         kept.asked = self->now();
         co_await kept.changed.wait(until);
-        reply = answer_of(*self, kept, at);
     }
     transport::http_response answer{status_out_of_touch, {}, {}};
-    if (reply && at != 0 && at < kept.oldest) {
-        answer.status = status_list_again;
-    } else if (reply) {
+    if (may_answer(*self, kept)) {
         answer.status = 200;
-        const bool proved = self->configuration_as_of != time_point{};
-        if (static_cast<object_kind>(kind) == object_kind::configuration && proved) {
-            reply->age = configuration_age(*self);
-        }
-        answer.body = encode_feed(*reply);
+        answer.body = encoded_news(*self, static_cast<object_kind>(kind), kept, at);
     }
     co_await request.answer(std::move(answer));
 }
--- a/src/front/feed.hpp
+++ b/src/front/feed.hpp
@@ -5,6 +5,9 @@
 
 #include <memory>
 #include <optional>
+#include <set>
+#include <string>
+#include <vector>
 
 namespace cornelloom::front {
 
@@ -21,6 +24,10 @@
 /// pause between two of its calls, and far below the shortest bound on being up to date, 2.5 s.
 inline constexpr milliseconds feed_touch{1700};
 
+/// A whole list of some thousand targets to some tens of hosts takes its feeder this long. Hosts
+/// that gave up midway would all ask for it once more.
+inline constexpr milliseconds list_time{4000};
+
 /// A fed host's question waits for so long; a suspended feeder shows after that and the allowance.
 inline constexpr milliseconds feed_wait{900};
 
@@ -37,9 +44,7 @@
 void keep_changes(host& self, object_kind kind, const std::vector<object_change>& changes,
                   std::uint64_t at);
 
-/// What a feeder answers beside 200: changes that it has dropped were asked for; it has no fresh
-/// news.
-inline constexpr int status_list_again = 410;
+/// What a feeder answers beside 200 when it has no fresh news.
 inline constexpr int status_out_of_touch = 503;
 
 /// The path of the question.
@@ -56,10 +61,19 @@
 struct feed_answer {
     std::uint64_t at = 0;
     std::vector<object_change> changes;
+    /// All names that there are; what is not among them is gone. Nothing: `changes` tells of that.
+    std::optional<std::vector<std::string>> names{};
     /// The store said all this so long ago at most; nothing: the feeder can't tell.
     std::optional<milliseconds> age{};
 };
 
+/// What a feeder tells a host that knows everything up to `at`.
+[[nodiscard]] feed_answer news_since(const kept_kind& kept, std::uint64_t at);
+
+/// Changes that remove what is known and is not among the names.
+[[nodiscard]] std::vector<object_change> removals(const std::set<std::string, std::less<>>& known,
+                                                  const std::vector<std::string>& names);
+
 [[nodiscard]] std::string encode_feed(const feed_answer& answer);
 [[nodiscard]] kernel::result<feed_answer> decode_feed(std::string_view body);
 
--- a/src/front/live_batch.hpp
+++ b/src/front/live_batch.hpp
@@ -35,6 +35,7 @@
     bool appending = false;    ///< An entry of its log is being written.
     std::map<std::size_t, item_run> runs{}; ///< By the item's index.
     time_point used{};                      ///< When a caller last asked for it.
+    time_point confirmed{};                 ///< When the log was last known to its end.
 };
 
 using live_batch_ptr = std::shared_ptr<live_batch>;
--- a/src/front/watch.cpp
+++ b/src/front/watch.cpp
@@ -68,6 +68,16 @@
     co_return true;
 }
 
+void note_names(followed& one, std::span<const object_change> changes) {
+    for (const auto& change : changes) {
+        if (change.deleted) {
+            one.names.erase(change.object.name);
+        } else {
+            one.names.insert(change.object.name);
+        }
+    }
+}
+
 loop::task<bool> list_all(std::shared_ptr<host> self, followed_ptr one) {
     object_page all;
     const auto asked = self->clock.boot_now();
@@ -76,6 +86,10 @@
         co_return false;
     }
     keep_list(*self, one->kind, all.items, all.at);
+    one->names.clear();
+    for (const auto& object : all.items) {
+        one->names.insert(object.name);
+    }
     one->replace(all.items);
     one->at = all.at;
     note_confirmed(*self, one->kind, asked);
@@ -121,6 +135,7 @@
     one->at = std::max(one->at, changes.value().at);
     keep_changes(*self, one->kind, changes.value().changes, one->at);
     if (!changes.value().changes.empty()) {
+        note_names(*one, changes.value().changes);
         one->change(changes.value().changes);
     }
     note_confirmed(*self, one->kind, known_from);
@@ -130,6 +145,28 @@
     co_return true;
 }
 
+/// Takes what a feeder has answered.
+void take_news(followed& one, feed_answer& news) {
+    if (one.at == 0) {
+        std::vector<stored_object> all;
+        all.reserve(news.changes.size());
+        one.names.clear();
+        note_names(one, news.changes);
+        for (auto& change : news.changes) {
+            all.push_back(std::move(change.object));
+        }
+        one.replace(all);
+        return;
+    }
+    if (news.names) {
+        std::ranges::move(removals(one.names, *news.names), std::back_inserter(news.changes));
+    }
+    if (!news.changes.empty()) {
+        note_names(one, news.changes);
+        one.change(news.changes);
+    }
+}
+
 /// Asks a feeder for everything, or for changes.
 loop::task<bool> ask_feeder(std::shared_ptr<host> self, followed_ptr one, host_entry feeder) {
     // Revisions are the store's, so what another feeder or the store itself said stays comparable.
@@ -141,17 +178,14 @@
     if (tells) {
         tell_counts(*self, question);
     }
+    const auto limit = one->at == 0 ? list_time : feed_wait + feed_allowance;
     auto outcome = co_await loop::call(self->connections, feeder.where, std::move(question),
-                                       loop::after(feed_wait + feed_allowance), feed_connect);
+                                       loop::after(limit), feed_connect);
     if (tells && outcome.fault == loop::exchange_fault::none) {
         one->told_to = feeder.name;
         one->told = told;
     }
     const bool answered = outcome.fault == loop::exchange_fault::none;
-    if (answered && outcome.answer.status == status_list_again) {
-        one->at = 0;
-        co_return true;
-    }
     auto read = decode_feed(answered && outcome.answer.status == 200 ? outcome.answer.body : "");
     if (!read) {
         note(*self, feeder_lost,
@@ -163,16 +197,7 @@
         co_return true;
     }
     auto& news = read.value();
-    if (one->at == 0) {
-        std::vector<stored_object> all;
-        all.reserve(news.changes.size());
-        for (auto& change : news.changes) {
-            all.push_back(std::move(change.object));
-        }
-        one->replace(all);
-    } else if (!news.changes.empty()) {
-        one->change(news.changes);
-    }
+    take_news(*one, news);
     one->at = std::max(one->at, news.at);
     if (news.age) {
         note_confirmed(*self, one->kind, asked - *news.age);
--- a/src/front/watch.hpp
+++ b/src/front/watch.hpp
@@ -4,7 +4,9 @@
 
 #include <functional>
 #include <memory>
+#include <set>
 #include <span>
+#include <string>
 
 namespace cornelloom::front {
 
@@ -20,6 +22,7 @@
     /// Whether this host needs the kind now; such a kind is read from the store itself. Empty: it
     /// always does, and asks a feeder if there is one.
     std::function<bool()> wanted{};
+    std::set<std::string, std::less<>> names{}; ///< Of the objects that this host knows.
     std::uint64_t at = 0; ///< Changes from this revision on are still to come; 0: list first.
     bool out_of_touch = false;
     /// The feeder that was told this host's counts, and how many changes these had had.
--- a/tests/front/window_counts_tests.cpp
+++ b/tests/front/window_counts_tests.cpp
@@ -23,7 +23,7 @@
 } // namespace
 
 TEST_CASE("a window is numbered by whole lengths since 1970", "[front][window_counts]") {
-    window_counts book;
+    const window_counts book;
     CHECK(window_at(book, 353445120LL * 5000) == 353445120);
     CHECK(window_at(book, 353445120LL * 5000 + 4999) == 353445120);
     CHECK(begin_of(book, 353445121) == 353445121LL * 5000);
