The limit of loads stops growing at the first load that takes longer

Cause: the limit doubled on while the mean was still below its bound, to 34 where the source carries some 13; loads of the first overload took 3.4 s. Change: a load that took a fifth longer than a single one raises nothing, and the first overload is believed after half as many loads. Reading results no longer waits for the log, but for a reader who knows more than the host.

--- a/src/front/batch.cpp
+++ b/src/front/batch.cpp
@@ -72,12 +72,8 @@
     return out;
 }
 
-bool may_be_outdated(std::size_t listed, std::size_t position, kernel::duration since_confirmed) {
-    // A batch that waits for its last results writes its log this often.
-    constexpr milliseconds confirmed_lately{1500};
-    const bool read_elsewhere = position > listed;
-    const bool doubtful = position > 0 && position == listed && since_confirmed > confirmed_lately;
-    return read_elsewhere || doubtful;
+bool is_outdated(std::size_t listed, std::size_t position) {
+    return position > listed;
 }
 
 bool is_visible(const batch_header& header, std::string_view account) {
--- a/src/front/batch.hpp
+++ b/src/front/batch.hpp
@@ -64,12 +64,11 @@
 /// did not exist.
 [[nodiscard]] bool is_visible(const batch_header& header, std::string_view account);
 
-/// Whether this host's copy of a batch's results may be older than what a reader has seen.
+/// Whether this host's copy of a batch's results is older than what a reader has seen.
 ///
 /// Failure it is made for: a host that was cut off does not know that another one runs its batch
 /// now, and tells the reader, who comes back to it, that results which he has read don't exist.
-[[nodiscard]] bool may_be_outdated(std::size_t listed, std::size_t position,
-                                   kernel::duration since_confirmed);
+[[nodiscard]] bool is_outdated(std::size_t listed, std::size_t position);
 
 /// A batch as this host knows it.
 struct batch {
--- a/src/front/batch_desk.cpp
+++ b/src/front/batch_desk.cpp
@@ -35,7 +35,7 @@
                                 batch_call call) {
     auto self = one->self;
     const auto until = self->now() + call.wait;
-    if (may_be_outdated(one->state.listed.size(), call.position, self->now() - one->confirmed)) {
+    if (is_outdated(one->state.listed.size(), call.position)) {
         co_await catch_up(one);
     }
     while (one->state.listed.size() <= call.position && !is_over(one->state) && one->owned &&
--- a/src/front/load_limit.cpp
+++ b/src/front/load_limit.cpp
@@ -11,6 +11,8 @@
 constexpr double newest_share = 0.25;
 /// The end of a load is seen late by a part of it; beyond this, loads do slow each other.
 constexpr double stretch_most = 1.35;
+/// A load that takes longer than this says nothing for more of them.
+constexpr double stretch_unharmed = 1.2;
 /// Once loads have slowed each other, the limit grows by this much while all of them end once.
 constexpr double careful_growth = 0.5;
 /// Loads of one size differ a little, and sources become slower for good: the shortest is forgotten
@@ -57,12 +59,14 @@
     if (load.lowered != limit.lowered) {
         return;
     }
-    limit.stretch_now += (stretch - limit.stretch_now) * newest_share;
+    // The first overload is the largest: the limit has doubled until then.
+    const double share = limit.lowered == 0 ? 2 * newest_share : newest_share;
+    limit.stretch_now += (stretch - limit.stretch_now) * share;
     // Loads that end together have each seen the limit as it was before the others raised it.
     const bool used = 2 * running > limit.allowed;
     if (limit.stretch_now > stretch_most) {
         lower(limit, running);
-    } else if (used) {
+    } else if (used && stretch < stretch_unharmed) {
         raise(limit, static_cast<double>(load.stands_for));
     }
 }
