--- a/src/front/batch_log.cpp
+++ b/src/front/batch_log.cpp
@@ -97,6 +97,57 @@
     one.changed.open();
 }
 
+void note_written(live_batch& one, std::uint64_t number, const log_entry& entry) {
+    note(*one.self, log_written,
+         {{"id", one.state.header.id},
+          {"entry", number},
+          {"results", static_cast<std::uint64_t>(entry.results.size())},
+          {"partials", static_cast<std::uint64_t>(entry.partials.size())},
+          {"ends", entry.ends},
+          {"new_owner", entry.new_owner}});
+}
+
+/// What has become of an entry.
+enum class append_end {
+    stored,
+    overtaken, ///< Another entry has its number: the log goes on behind that.
+    unsettled, ///< The store has not said by the time.
+};
+
+/// Stores the entry as the next one of the log.
+loop::task<append_end> store_entry(live_batch_ptr one, log_entry entry, time_point until) {
+    auto self = one->self;
+    const auto number = one->state.next_entry;
+    const auto name = entry_name(one->state.header.id, number);
+    const auto value = encode_entry(entry);
+    while (self->now() < until) {
+        const auto request = self->wire.create(object_kind::batch_log, name, value);
+        auto answer = co_await call_store(self->store, request);
+        if (answer.fault == store_fault::none) {
+            take_entry(*one, number, entry);
+            one->confirmed = self->now();
+            note_written(*one, number, entry);
+            co_return append_end::stored;
+        }
+        if (answer.fault == store_fault::conflict) {
+            const auto there = entry_in(*self, name, answer.body);
+            if (!there) {
+                co_return append_end::unsettled;
+            }
+            take_entry(*one, number, *there);
+            if (there->nonce != entry.nonce) {
+                co_return append_end::overtaken;
+            }
+            note_written(*one, number, entry);
+            co_return append_end::stored;
+        }
+        note(*self, log_delayed,
+             {{"id", one->state.header.id}, {"entry", number}, {"fault", to_string(answer.fault)}});
+        co_await loop::pause_for(self->io, store_pause(*self, entry_pause_most));
+    }
+    co_return append_end::unsettled;
+}
+
 } // namespace
 
 loop::task<store_fault> store_batch(std::shared_ptr<host> self, batch_header header,
@@ -188,58 +239,20 @@
         }
     }
     one->appending = true;
-    bool stored = false;
-    while (!stored) {
+    auto end = append_end::overtaken;
+    while (end == append_end::overtaken) {
         auto entry = make(*one);
         if (!entry) {
             break;
         }
         entry->writer = self->settings.host;
         entry->nonce = self->random();
-        const auto number = one->state.next_entry;
-        const auto name = entry_name(one->state.header.id, number);
-        const auto value = encode_entry(*entry);
-        bool settled = false;
-        while (!settled && self->now() < until) {
-            auto answer = co_await call_store(
-                self->store, self->wire.create(object_kind::batch_log, name, value));
-            if (answer.fault == store_fault::none) {
-                take_entry(*one, number, *entry);
-                one->confirmed = self->now();
-                stored = settled = true;
-            } else if (answer.fault == store_fault::conflict) {
-                const auto there = entry_in(*self, name, answer.body);
-                if (!there) {
-                    break;
-                }
-                stored = there->nonce == entry->nonce;
-                take_entry(*one, number, *there);
-                settled = true;
-            } else {
-                note(*self, log_delayed,
-                     {{"id", one->state.header.id},
-                      {"entry", number},
-                      {"fault", to_string(answer.fault)}});
-                co_await loop::pause_for(self->io, store_pause(*self, entry_pause_most));
-            }
-        }
-        if (!settled) {
-            break;
-        }
-        if (stored) {
-            note(*self, log_written,
-                 {{"id", one->state.header.id},
-                  {"entry", number},
-                  {"results", static_cast<std::uint64_t>(entry->results.size())},
-                  {"partials", static_cast<std::uint64_t>(entry->partials.size())},
-                  {"ends", entry->ends},
-                  {"new_owner", entry->new_owner}});
-        }
+        end = co_await store_entry(one, std::move(*entry), until);
     }
     one->appending = false;
     one->state.last_flush = self->now();
     one->changed.open();
-    co_return stored;
+    co_return end == append_end::stored;
 }
 
 } // namespace cornelloom::front
--- a/src/front/order_giver.cpp
+++ b/src/front/order_giver.cpp
@@ -67,7 +67,7 @@
 /// Targets that the items of a model fill, as often as slots are taken by what is slow or loads.
 std::size_t targets_wanted(const host& self, const service& of, std::string_view model) {
     constexpr double headroom = 2;
-    const double items = static_cast<double>(peak_demand(self, model));
+    const auto items = static_cast<double>(peak_demand(self, model));
     return static_cast<std::size_t>(std::ceil(items * headroom / std::max(of.slots, 1)));
 }
 
