An ended batch is read back in a few round trips, and a lost owner is asked once

Cause: the host that owned the batch was gone. Each host that was asked waited for it twice (as announced, then as the batch's header says), 0.3 to 0.4 s each time, and then read the batch with a dozen calls to the store one after the other, 1.0 s at the median. A caller waits 1.5 s and goes to another host, which begins anew.

Evidence: the fault was masked by keeping finished batches for 120 s. For the unreadable batch 39 calls at 29 hosts took 1.5 to 2.9 s and their callers had left; of a load, 0.15 s were for the submission, 0.06 s for parsing and 0.95 s for ten entries of the log.

Ruled out: processor time (parsing is a tenth of a load); a failing store (no call failed).

Fix: an owner is asked once for a call; while it is slow to answer the batch is loaded already; the submission and the log are read side by side, the log eight entries at a time. The same elsewhere: a call that ends a batch waited 2.7 s for a silent owner, longer than its caller does; the host that was asked now writes the end itself after 0.7 s.

Logs: the status of a peer that did not answer was shown as 200; it is 0.

--- a/src/front/batch_desk.cpp
+++ b/src/front/batch_desk.cpp
@@ -3,6 +3,7 @@
 #include "front/answers.hpp"
 #include "front/batch_drive.hpp"
 #include "front/batch_log.hpp"
+#include "front/batch_owner.hpp"
 
 #include <algorithm>
 
@@ -10,17 +11,12 @@
 
 namespace {
 
-/// A read that is passed on waits no longer than this, so that a dead owner shows soon.
-constexpr milliseconds passed_wait{600};
 /// Entries that move the owner or end a batch: their caller waits, at most this long.
 constexpr milliseconds entry_patience{2000};
-/// A batch that nobody has asked for is forgotten. It can be loaded again, which takes ten calls
-/// and a second or two for one of half a megabyte, longer than a reader waits: so it is kept for
-/// about as long as results are read.
+/// A batch that nobody has asked for is forgotten: results are read for about so long, and to load
+/// it again takes a dozen calls and half a second.
 constexpr std::chrono::seconds unused_most{120};
 
-constexpr int status_other_owner = 409;
-
 bool owns_by_log(const live_batch& one) {
     return one.state.header.owner == one.self->settings.host;
 }
@@ -104,38 +100,6 @@
     }
 }
 
-/// Passes a call on to the batch's owner; false if that is silent, or is the owner no more.
-loop::task<bool> try_owner(std::shared_ptr<batch_desk> desk, loop::served_request& request,
-                           batch_call call, transport::endpoint owner) {
-    auto self = desk->self;
-    transport::http_request message = request.message;
-    message.path.insert(0, passed_path);
-    std::erase_if(message.headers, [](const transport::http_header& header) {
-        return header.name == account_header;
-    });
-    message.headers.push_back({std::string(account_header), call.account});
-    const bool ends = call.what == batch_call::verb::end;
-    const auto patience = std::min(call.wait, passed_wait) + owner_allowance +
-                          (ends ? entry_patience : milliseconds(0));
-    auto outcome = co_await loop::call(self->connections, owner, std::move(message),
-                                       loop::after(patience), owner_connect);
-    auto& answer = outcome.answer;
-    const bool silent = outcome.fault != loop::exchange_fault::none || answer.status >= 500;
-    if (silent) {
-        note_silent_owner(*self, call.batch, owner, outcome);
-    }
-    if (silent || answer.status == status_other_owner) {
-        desk->owners.erase(call.batch);
-        co_return false;
-    }
-    std::erase_if(answer.headers, [](const transport::http_header& header) {
-        return header.name != "Content-Type";
-    });
-    co_await request.answer(std::move(answer));
-    note_owner(*desk, call.batch, owner);
-    co_return true;
-}
-
 /// A call that a peer has passed on: answered only if this host owns the batch, or nothing is left
 /// to run.
 loop::task<void> serve_passed(std::shared_ptr<batch_desk> desk, loop::served_request& request,
@@ -172,15 +136,6 @@
     return out;
 }
 
-void note_silent_owner(host& self, std::string_view batch, const transport::endpoint& owner,
-                       const loop::call_outcome& outcome) {
-    note(self, read_forwarded_failed,
-         {{"id", batch},
-          {"owner_at", to_string(owner)},
-          {"fault", to_string(outcome.fault)},
-          {"status", outcome.answer.status}});
-}
-
 loop::task<loaded_batch> get_batch(std::shared_ptr<batch_desk> desk, std::string id) {
     for (;;) {
         const auto found = desk->known.find(id);
@@ -234,53 +189,58 @@
     }
 }
 
-loop::task<void> serve_batch_call(std::shared_ptr<batch_desk> desk, loop::served_request& request,
-                                  batch_call call, bool by_peer) {
+namespace {
+
+/// Asks those who are said to own the batch; false if none of them answers for it.
+loop::task<bool> ask_owners(std::shared_ptr<batch_desk> desk, loop::served_request& request,
+                            const batch_call& call, call_tries& tries) {
     auto self = desk->self;
-    if (by_peer) {
-        co_await serve_passed(desk, request, call);
-        co_return;
-    }
-    const auto known = desk->known.find(call.batch);
-    if (known != desk->known.end() && (known->second->owned || is_over(known->second->state))) {
-        co_await answer_call(known->second, request, call);
-        co_return;
-    }
     const auto owner = desk->owners.find(call.batch);
     if (owner != desk->owners.end()) {
         const transport::endpoint where = owner->second;
-        const bool served = co_await try_owner(desk, request, call, where);
+        const bool served = co_await try_owner(desk, request, call, where, tries);
         if (served) {
-            co_return;
+            co_return true;
         }
     }
-    if (!desk->known.contains(call.batch)) {
-        // The owner answers for most batches of other hosts; loading one costs ten calls.
-        const auto read = co_await read_header(self, call.batch);
-        if (read.missing) {
-            co_await answer_status(request, 404);
-            co_return;
-        }
-        if (read.header && read.header->owner != self->settings.host) {
-            const bool served = co_await try_owner(desk, request, call, read.header->owner_at);
-            if (served) {
-                co_return;
-            }
-        }
+    if (desk->known.contains(call.batch) || desk->loading.contains(call.batch)) {
+        co_return false;
+    }
+    // The owner answers for most batches of other hosts; loading one costs many calls.
+    const auto read = co_await read_header(self, call.batch);
+    if (read.missing) {
+        co_await answer_status(request, 404);
+        co_return true;
     }
+    if (!read.header || read.header->owner == self->settings.host) {
+        co_return false;
+    }
+    co_return co_await try_owner(desk, request, call, read.header->owner_at, tries);
+}
+
+/// Serves a call on a batch from the store; takes the batch over if it is read and has no owner
+/// that answers.
+loop::task<void> serve_from_store(std::shared_ptr<batch_desk> desk, loop::served_request& request,
+                                  const batch_call& call, call_tries& tries) {
+    auto self = desk->self;
+    const auto asked = self->now();
     auto loaded = co_await get_batch(desk, call.batch);
     if (loaded.missing) {
         co_await answer_status(request, 404);
         co_return;
     }
-    const bool whole = loaded.batch && co_await catch_up(loaded.batch);
+    bool whole = loaded.batch && loaded.batch->confirmed >= asked;
+    if (loaded.batch && !whole) {
+        whole = co_await catch_up(loaded.batch);
+    }
     if (!whole) {
         co_await refuse(*self, request, call.batch, "platform_unavailable", come_back_later);
         co_return;
     }
     auto one = loaded.batch;
     if (!one->owned && !is_over(one->state) && !owns_by_log(*one)) {
-        const bool served = co_await try_owner(desk, request, call, one->state.header.owner_at);
+        const bool served =
+            co_await try_owner(desk, request, call, one->state.header.owner_at, tries);
         if (served) {
             co_return;
         }
@@ -291,6 +251,54 @@
     co_await answer_call(one, request, call);
 }
 
+loop::task<void> serve_direct(std::shared_ptr<batch_desk> desk, loop::served_request& request,
+                              const batch_call& call, call_tries& tries) {
+    const auto known = desk->known.find(call.batch);
+    if (known != desk->known.end() && (known->second->owned || is_over(known->second->state))) {
+        co_await answer_call(known->second, request, call);
+        co_return;
+    }
+    const bool served = co_await ask_owners(desk, request, call, tries);
+    if (!served) {
+        co_await serve_from_store(desk, request, call, tries);
+    }
+}
+
+std::string_view to_string(batch_call::verb what) {
+    switch (what) {
+    case batch_call::verb::read_results:
+        return "read_results";
+    case batch_call::verb::read_item:
+        return "read_item";
+    case batch_call::verb::end:
+        return "end";
+    }
+    return "";
+}
+
+} // namespace
+
+loop::task<void> serve_batch_call(std::shared_ptr<batch_desk> desk, loop::served_request& request,
+                                  batch_call call, bool by_peer) {
+    auto self = desk->self;
+    if (by_peer) {
+        co_await serve_passed(desk, request, call);
+        co_return;
+    }
+    const auto received = self->now();
+    call_tries tries;
+    co_await serve_direct(desk, request, call, tries);
+    if (request.gone()) {
+        note(*self, batch_caller_left,
+             {{"id", call.batch},
+              {"what", to_string(call.what)},
+              {"position", static_cast<std::uint64_t>(call.position)},
+              {"owners_asked", static_cast<std::uint64_t>(tries.owners.size())},
+              {"wait_ms", call.wait.count()},
+              {"ms", ms_between(received, self->now())}});
+    }
+}
+
 loop::task<void> adopt_batch(std::shared_ptr<batch_desk> desk, std::string id) {
     auto loaded = co_await get_batch(desk, id);
     if (!loaded.batch) {
--- a/src/front/batch_desk.hpp
+++ b/src/front/batch_desk.hpp
@@ -43,10 +43,6 @@
 /// A call of this host on a peer, about one batch.
 [[nodiscard]] transport::http_request peer_call(std::string_view path, const std::string& id);
 
-/// Writes a line about an owner that did not answer.
-void note_silent_owner(host& self, std::string_view batch, const transport::endpoint& owner,
-                       const loop::call_outcome& outcome);
-
 /// Forgets batches that nobody has asked for in a while; they can be loaded again.
 void forget_unused(batch_desk& desk);
 
--- a/src/front/batch_log.cpp
+++ b/src/front/batch_log.cpp
@@ -1,6 +1,11 @@
 #include "front/batch_log.hpp"
 
+#include "front/log_reader.hpp"
 #include "front/records.hpp"
+#include "loop/gather.hpp"
+
+#include <algorithm>
+#include <functional>
 
 namespace cornelloom::front {
 
@@ -28,33 +33,38 @@
     co_return doubtful ? store_fault::unknown : last;
 }
 
+/// The text of one part; nothing if the store can't tell, or the object is damaged.
+loop::task<std::optional<std::string>> read_part(std::shared_ptr<host> self, std::string name) {
+    auto answer =
+        co_await call_store(self->store, self->wire.get(object_kind::batch_parts, name, false));
+    if (answer.fault != store_fault::none) {
+        co_return std::nullopt;
+    }
+    const auto object = self->wire.object(answer.body);
+    if (!object || !object.value().specification.is_string()) {
+        note(*self, object_unreadable, {{"kind", "batch_parts"}, {"id", name}});
+        co_return std::nullopt;
+    }
+    co_return object.value().specification.get<std::string>();
+}
+
 loop::task<std::optional<std::string>> read_parts(std::shared_ptr<host> self, std::string id,
                                                   int parts) {
-    std::string text;
+    std::vector<loop::task<std::optional<std::string>>> calls;
     for (int part = 0; part < parts; ++part) {
-        const auto name = entry_name(id, static_cast<std::uint64_t>(part));
-        auto answer =
-            co_await call_store(self->store, self->wire.get(object_kind::batch_parts, name, false));
-        if (answer.fault != store_fault::none) {
-            co_return std::nullopt;
-        }
-        const auto object = self->wire.object(answer.body);
-        if (!object || !object.value().specification.is_string()) {
-            note(*self, object_unreadable, {{"kind", "batch_parts"}, {"id", name}});
+        calls.push_back(read_part(self, entry_name(id, static_cast<std::uint64_t>(part))));
+    }
+    const auto pieces = co_await loop::gather(self->io, std::move(calls));
+    std::string text;
+    for (const auto& piece : pieces) {
+        if (!piece) {
             co_return std::nullopt;
         }
-        text += object.value().specification.get<std::string>();
+        text += *piece;
     }
     co_return text;
 }
 
-enum class log_read { entry, end, unreadable, unavailable };
-
-struct read_entry_result {
-    log_read what = log_read::unavailable;
-    log_entry entry{};
-};
-
 std::optional<log_entry> entry_in(host& self, std::string_view name, std::string_view body) {
     const auto object = self.wire.object(body);
     if (object) {
@@ -81,6 +91,10 @@
     co_return out;
 }
 
+entry_reader reader_of(const std::shared_ptr<host>& self, const std::string& id) {
+    return [self, id](std::uint64_t number) { return read_entry(self, entry_name(id, number)); };
+}
+
 /// Another host may have become the owner, or the caller may have ended the batch.
 void take_entry(live_batch& one, std::uint64_t number, const log_entry& entry) {
     if (!apply_entry(one.state, number, entry)) {
@@ -121,11 +135,12 @@
     const auto name = entry_name(one->state.header.id, number);
     const auto value = encode_entry(entry);
     while (self->now() < until) {
+        const auto asked = self->now();
         const auto request = self->wire.create(object_kind::batch_log, name, value);
         auto answer = co_await call_store(self->store, request);
         if (answer.fault == store_fault::none) {
             take_entry(*one, number, entry);
-            one->confirmed = self->now();
+            one->confirmed = std::max(one->confirmed, asked);
             note_written(*one, number, entry);
             co_return append_end::stored;
         }
@@ -186,48 +201,98 @@
     co_return out;
 }
 
-loop::task<loaded_batch> load_batch(std::shared_ptr<host> self, std::string id) {
-    loaded_batch out;
-    auto read = co_await read_header(self, id);
-    out.missing = read.missing;
-    if (!read.header) {
-        co_return out;
-    }
-    auto& header = *read.header;
-    auto text = co_await read_parts(self, id, header.parts);
-    if (!text) {
-        co_return out;
-    }
-    const auto body = nlohmann::json::parse(*text, nullptr, false);
+namespace {
+
+/// What the store holds of a batch beside its header.
+struct stored_batch {
+    std::optional<std::string> submission{};
+    std::vector<log_entry> entries{};
+    log_read log_end = log_read::unavailable;
+    time_point asked{}; ///< When the reading began: the log may be longer since.
+};
+
+loop::task<bool> take_submission(std::shared_ptr<host> self, std::string id, int parts,
+                                 std::shared_ptr<stored_batch> out) {
+    out->submission = co_await read_parts(self, std::move(id), parts);
+    co_return out->submission.has_value();
+}
+
+loop::task<bool> take_log(std::shared_ptr<host> self, std::string id,
+                          std::shared_ptr<stored_batch> out) {
+    out->asked = self->now();
+    // GCC 12 destroys temporaries of a co_await expression twice, so they have names.
+    const entry_reader read = reader_of(self, id);
+    const entry_taker take = [out](std::uint64_t, const log_entry& entry) {
+        out->entries.push_back(entry);
+    };
+    out->log_end = co_await read_log(self->io, 0, entries_at_once, read, take);
+    co_return out->log_end == log_read::end;
+}
+
+/// The batch as the store holds it; null if its submission can't be read.
+live_batch_ptr rebuild(const std::shared_ptr<host>& self, batch_header header,
+                       const stored_batch& stored) {
+    const auto body = nlohmann::json::parse(*stored.submission, nullptr, false);
     auto spec = self->wire.submission(body);
     if (!spec) {
-        note(*self, object_unreadable, {{"kind", "batches"}, {"id", id}});
-        co_return out;
+        note(*self, object_unreadable, {{"kind", "batches"}, {"id", header.id}});
+        return nullptr;
     }
     const auto age = milliseconds(self->clock.wall_now().unix_ms - header.received_ms);
     const auto known_age = std::max(age - clock_margin, milliseconds(0));
     auto one = std::make_shared<live_batch>(
         self, make_batch(std::move(header), std::move(spec.value()), self->now() - known_age));
-    const bool whole = co_await catch_up(one);
-    if (whole) {
-        out.batch = one;
+    for (std::uint64_t number = 0; number < stored.entries.size(); ++number) {
+        take_entry(*one, number, stored.entries[number]);
+    }
+    one->confirmed = stored.asked;
+    return one;
+}
+
+void note_loaded(host& self, std::string_view id, std::string_view outcome,
+                 const stored_batch& stored, time_point asked) {
+    note(self, batch_loaded,
+         {{"id", id},
+          {"outcome", outcome},
+          {"bytes", static_cast<std::uint64_t>(stored.submission.value_or("").size())},
+          {"entries", static_cast<std::uint64_t>(stored.entries.size())},
+          {"ms", ms_between(asked, self.now())}});
+}
+
+} // namespace
+
+loop::task<loaded_batch> load_batch(std::shared_ptr<host> self, std::string id) {
+    const auto asked = self->now();
+    const auto stored = std::make_shared<stored_batch>();
+    loaded_batch out;
+    auto read = co_await read_header(self, id);
+    out.missing = read.missing;
+    if (!read.header) {
+        note_loaded(*self, id, out.missing ? "not_found" : "unavailable", *stored, asked);
+        co_return out;
+    }
+    std::vector<loop::task<bool>> calls;
+    calls.push_back(take_submission(self, id, read.header->parts, stored));
+    calls.push_back(take_log(self, id, stored));
+    const auto read_all = co_await loop::gather(self->io, std::move(calls));
+    if (std::ranges::all_of(read_all, std::identity{})) {
+        out.batch = rebuild(self, std::move(*read.header), *stored);
     }
+    note_loaded(*self, id, out.batch ? "done" : "unavailable", *stored, asked);
     co_return out;
 }
 
 loop::task<bool> catch_up(live_batch_ptr one) {
-    for (;;) {
-        const auto number = one->state.next_entry;
-        auto read = co_await read_entry(one->self, entry_name(one->state.header.id, number));
-        if (read.what == log_read::end) {
-            one->confirmed = one->self->now();
-            co_return true;
-        }
-        if (read.what != log_read::entry) {
-            co_return false;
-        }
-        take_entry(*one, number, read.entry);
+    const auto asked = one->self->now();
+    const entry_reader read = reader_of(one->self, one->state.header.id);
+    const entry_taker take = [one](std::uint64_t number, const log_entry& entry) {
+        take_entry(*one, number, entry);
+    };
+    const auto end = co_await read_log(one->self->io, one->state.next_entry, 1, read, take);
+    if (end == log_read::end) {
+        one->confirmed = std::max(one->confirmed, asked);
     }
+    co_return end == log_read::end;
 }
 
 loop::task<bool> append_entry(live_batch_ptr one, entry_maker make, time_point until) {
--- a/src/front/batch_start.cpp
+++ b/src/front/batch_start.cpp
@@ -2,6 +2,7 @@
 
 #include "front/batch_drive.hpp"
 #include "front/batch_log.hpp"
+#include "front/batch_owner.hpp"
 #include "front/records.hpp"
 
 #include <algorithm>
--- a/src/front/events.hpp
+++ b/src/front/events.hpp
@@ -72,6 +72,10 @@
                                              "the owner of a batch does not answer its peer"};
 inline constexpr event batch_dropped{9041, "batch_dropped", event_level::warning,
                                      "a batch that began before it was stored is not run on"};
+inline constexpr event batch_loaded{9043, "batch_loaded", event_level::info,
+                                    "a batch was read back from the store"};
+inline constexpr event batch_caller_left{9044, "batch_caller_left", event_level::warning,
+                                         "a call on a batch took longer than its caller waited"};
 inline constexpr event order_lease_changed{9050, "order_lease_changed", event_level::info,
                                            "the right to give orders has moved"};
 inline constexpr event order_given{9051, "order_given", event_level::info,
--- a/src/front/order_giver.cpp
+++ b/src/front/order_giver.cpp
@@ -315,7 +315,7 @@
           {"expected_orders", order.expected_orders},
           {"lease_age_ms", ms_between(self->lead.view.renewed, self->clock.boot_now())},
           {"fault", to_string(outcome.fault)},
-          {"status", outcome.answer.status}});
+          {"status", status_of(outcome)}});
 }
 
 void give_orders(const giver_ptr& one) {
--- a/src/front/watch.cpp
+++ b/src/front/watch.cpp
@@ -192,7 +192,7 @@
              {{"watch", to_string(one->kind)},
               {"feeder", feeder.name},
               {"fault", to_string(outcome.fault)},
-              {"status", outcome.answer.status}});
+              {"status", status_of(outcome)}});
         avoid_feeder(self->avoided, feeder.name, self->now());
         co_return true;
     }
--- a/src/loop/exchange.hpp
+++ b/src/loop/exchange.hpp
@@ -107,6 +107,11 @@
     transport::http_response answer{};
 };
 
+/// The status of the whole answer; 0 if there is none.
+[[nodiscard]] inline int status_of(const call_outcome& outcome) {
+    return outcome.fault == exchange_fault::none ? outcome.answer.status : 0;
+}
+
 /// Which connection a call takes.
 enum class connection_use {
     any,   ///< An idle one if there is one.
--- a/src/loop/loop.hpp
+++ b/src/loop/loop.hpp
@@ -4,5 +4,6 @@
 
 #include "loop/exchange.hpp"
 #include "loop/gate.hpp"
+#include "loop/gather.hpp"
 #include "loop/listener.hpp"
 #include "loop/task.hpp"
--- a/tests/loop/loop_tests.cpp
+++ b/tests/loop/loop_tests.cpp
@@ -329,3 +329,52 @@
         CHECK(handled == (status == "200" ? 1 : 0));
     });
 }
+
+namespace {
+
+task<int> answer_after(io_context& io, milliseconds pause, int value, bool fails) {
+    co_await pause_for(io, pause);
+    if (fails) {
+        throw std::runtime_error("failed");
+    }
+    co_return value;
+}
+
+} // namespace
+
+TEST_CASE("tasks that run side by side give their results in the order of the tasks",
+          "[loop][gather]") {
+    io_context io;
+    run(io, [&]() -> task<void> {
+        std::vector<task<int>> tasks;
+        tasks.push_back(answer_after(io, 2ms, 1, false));
+        tasks.push_back(answer_after(io, 0ms, 2, false));
+        const auto results = co_await gather(io, std::move(tasks));
+        CHECK(results == std::vector<int>{1, 2});
+    });
+}
+
+TEST_CASE("no tasks side by side end at once", "[loop][gather]") {
+    io_context io;
+    run(io, [&]() -> task<void> {
+        std::vector<task<int>> none;
+        const auto results = co_await gather(io, std::move(none));
+        CHECK(results.empty());
+    });
+}
+
+TEST_CASE("a task that throws beside others is told once all have ended", "[loop][gather]") {
+    io_context io;
+    run(io, [&]() -> task<void> {
+        std::vector<task<int>> tasks;
+        tasks.push_back(answer_after(io, 0ms, 1, true));
+        tasks.push_back(answer_after(io, 2ms, 2, false));
+        bool failed = false;
+        try {
+            co_await gather(io, std::move(tasks));
+        } catch (const std::runtime_error&) {
+            failed = true;
+        }
+        CHECK(failed);
+    });
+}
