An owner sends items only while it knows the log of its batch

A former owner read the log only when no caller had come for 1.5 s; hosts that still knew it as the owner passed reads on to it, and each put that off. "Somebody reads it" says nothing of who owns a batch and whether it has ended.

Evidence: code, and the order of batch_taken and batch_left in the log of entry: a former owner left its batch up to 7 s after another host had taken it.

Fix: the owner reads the log when it has not known its end for half of cancel-ms (a setting now), sends no item and no scoring call 0.5 s before cancel-ms has passed, and gives up scoring calls with the batch. While the store leaves its question without an answer, no end is accepted either, and the batch goes on: zones that are cut off serve on. batch_held tells.

--- a/src/front/batch_desk.cpp
+++ b/src/front/batch_desk.cpp
@@ -229,7 +229,7 @@
         co_await answer_status(request, 404);
         co_return;
     }
-    bool whole = loaded.batch && loaded.batch->confirmed >= asked;
+    bool whole = loaded.batch && loaded.batch->log.confirmed >= asked;
     if (loaded.batch && !whole) {
         whole = co_await catch_up(loaded.batch);
     }
--- a/src/front/batch_drive.cpp
+++ b/src/front/batch_drive.cpp
@@ -16,8 +16,6 @@
 constexpr flush_rules flushing{};
 /// A target that leaves serves for some seconds more; what still runs there then moves.
 constexpr milliseconds leave_after{1500};
-/// Callers read about twice a second.
-constexpr milliseconds unread_patience{1500};
 /// A log entry that can't be stored for so long is built anew, with what has finished meanwhile.
 constexpr milliseconds append_patience{3000};
 
@@ -187,17 +185,41 @@
     co_await append_entry(one, make, one->self->now() + append_patience);
 }
 
-/// Whether no caller has asked for the batch for longer than callers pause.
-bool is_unread(const live_batch& one) {
-    const auto now = one.self->now();
-    return one.stored && now - one.used > unread_patience && now - one.confirmed > unread_patience;
-}
-
 /// Reads the log: the caller may have ended the batch at another host, which can't reach this one,
 /// and its items would run on for nobody.
 loop::task<void> read_log(live_batch_ptr one) {
-    co_await catch_up(one);
+    auto self = one->self;
+    one->log.asked = self->now();
+    const bool whole = co_await catch_up(one);
+    one->log.asked = {};
     one->changed.open();
+    if (!whole) {
+        co_await loop::pause_for(self->io, store_pause(*self, store_pause_most));
+    }
+    one->reading_log = false;
+}
+
+void keep_log_known(const live_batch_ptr& one) {
+    auto& self = *one->self;
+    if (one->stored && !one->reading_log &&
+        is_log_due(one->log, self.now(), self.settings.cancel)) {
+        one->reading_log = true;
+        loop::asio::co_spawn(self.io, read_log(one), loop::asio::detached);
+    }
+}
+
+/// Whether items may be sent now; writes a line when that changes.
+bool may_dispatch(live_batch& one) {
+    const bool held = !may_send_items(one);
+    if (held != one.held) {
+        one.held = held;
+        note(*one.self, batch_held,
+             {{"id", one.state.header.id},
+              {"held", held},
+              {"log_age_ms", ms_between(one.log.confirmed, one.self->now())},
+              {"entry", one.state.next_entry}});
+    }
+    return !held && !one.handing_over;
 }
 
 loop::task<void> drive(live_batch_ptr one) {
@@ -205,7 +227,8 @@
     while (one->owned && !is_over(one->state)) {
         give_up_late(*one);
         judge_runs(*one);
-        if (!one->handing_over) {
+        keep_log_known(one);
+        if (may_dispatch(*one)) {
             dispatch(one);
         }
         const auto due = one->stored ? next_flush(one->state, flushing, deadline_of(*one))
@@ -213,10 +236,6 @@
         if (due && *due <= self->now() && !one->appending) {
             loop::asio::co_spawn(self->io, flush(one), loop::asio::detached);
         }
-        if (is_unread(*one)) {
-            one->used = self->now();
-            loop::asio::co_spawn(self->io, read_log(one), loop::asio::detached);
-        }
         auto wake = self->now() + tick;
         if (due && !one->appending) {
             wake = std::min(wake, std::max(*due, self->now() + milliseconds(5)));
@@ -224,6 +243,9 @@
         co_await one->changed.wait(to_deadline(*self, wake));
     }
     stop_runs(*one);
+    for (const auto& [index, control] : one->scorings) {
+        control->cancel();
+    }
     note(*self, batch_over,
          {{"id", one->state.header.id},
           {"ended", one->state.ended},
--- a/src/front/batch_log.cpp
+++ b/src/front/batch_log.cpp
@@ -111,6 +111,12 @@
     one.changed.open();
 }
 
+/// The log was known to its end at `when`.
+void note_confirmed(live_batch& one, time_point when) {
+    one.log.confirmed = std::max(one.log.confirmed, when);
+    one.log.unavailable = false;
+}
+
 void note_written(live_batch& one, std::uint64_t number, const log_entry& entry) {
     note(*one.self, log_written,
          {{"id", one.state.header.id},
@@ -140,7 +146,7 @@
         auto answer = co_await call_store(self->store, request);
         if (answer.fault == store_fault::none) {
             take_entry(*one, number, entry);
-            one->confirmed = std::max(one->confirmed, asked);
+            note_confirmed(*one, asked);
             note_written(*one, number, entry);
             co_return append_end::stored;
         }
@@ -156,6 +162,7 @@
             note_written(*one, number, entry);
             co_return append_end::stored;
         }
+        one->log.unavailable = true;
         note(*self, log_delayed,
              {{"id", one->state.header.id}, {"entry", number}, {"fault", to_string(answer.fault)}});
         co_await loop::pause_for(self->io, store_pause(*self, entry_pause_most));
@@ -245,7 +252,7 @@
     for (std::uint64_t number = 0; number < stored.entries.size(); ++number) {
         take_entry(*one, number, stored.entries[number]);
     }
-    one->confirmed = stored.asked;
+    one->log.confirmed = stored.asked;
     return one;
 }
 
@@ -289,8 +296,9 @@
         take_entry(*one, number, entry);
     };
     const auto end = co_await read_log(one->self->io, one->state.next_entry, 1, read, take);
+    one->log.unavailable = end != log_read::end;
     if (end == log_read::end) {
-        one->confirmed = std::max(one->confirmed, asked);
+        note_confirmed(*one, asked);
     }
     co_return end == log_read::end;
 }
--- a/src/front/batch_start.cpp
+++ b/src/front/batch_start.cpp
@@ -51,8 +51,10 @@
     }
 }
 
-void note_stored(const live_batch_ptr& one) {
+/// `log_known`: when its log was known to be as this host knows it.
+void note_stored(const live_batch_ptr& one, time_point log_known) {
     one->stored = true;
+    one->log.confirmed = std::max(one->log.confirmed, log_known);
     one->changed.open();
     loop::asio::co_spawn(one->self->io, announce(one->self, one->state.header.id),
                          loop::asio::detached);
@@ -82,7 +84,7 @@
         co_return;
     }
     if (read.header && read.header->owner == desk->self->settings.host) {
-        note_stored(one);
+        note_stored(one, {}); // by an earlier attempt: it may have been ended since
     } else if (read.header) {
         note_owner(*desk, one->state.header.id, read.header->owner_at);
         drop(*desk, one, "another host runs it");
@@ -126,7 +128,7 @@
     auto& self = *desk->self;
     const auto known = find_known(*desk, id);
     if (known && stored && !known->stored) {
-        note_stored(known);
+        note_stored(known, self.now());
     }
     if (known) {
         return stored || !known->stored ? status_done : status_not_so;
@@ -142,7 +144,7 @@
     }
     const auto one = start_batch(desk, std::move(header.value()), std::move(spec.value()), stored);
     if (stored) {
-        note_stored(one);
+        note_stored(one, self.now());
     } else {
         loop::asio::co_spawn(self.io, watch_unstored(desk, one), loop::asio::detached);
     }
@@ -273,7 +275,7 @@
     }
     if (what == call_stored) {
         if (known && !known->stored) {
-            note_stored(known);
+            note_stored(known, desk->self->now());
         }
         co_return known ? status_done : status_not_so;
     }
--- a/src/front/events.hpp
+++ b/src/front/events.hpp
@@ -76,6 +76,9 @@
                                     "a batch was read back from the store"};
 inline constexpr event batch_caller_left{9044, "batch_caller_left", event_level::warning,
                                          "a call on a batch took longer than its caller waited"};
+inline constexpr event batch_held{9045, "batch_held", event_level::info,
+                                  "no item of the batch is sent while its log may be longer than "
+                                  "this host knows, or items are sent again"};
 inline constexpr event order_lease_changed{9050, "order_lease_changed", event_level::info,
                                            "the right to give orders has moved"};
 inline constexpr event order_given{9051, "order_given", event_level::info,
--- a/src/front/item_run.cpp
+++ b/src/front/item_run.cpp
@@ -341,7 +341,7 @@
            one->state.items[index].phase == item_phase::scoring) {
         const auto path = scoring->path.substr(0, scoring->path.find('?'));
         const auto* way = self->routes ? find_route(*self->routes, scoring->host, path) : nullptr;
-        if (way == nullptr) {
+        if (way == nullptr || !may_send_items(*one)) {
             co_await loop::pause_for(self->io, scoring_pause);
             continue;
         }
@@ -360,7 +360,10 @@
         const auto* own_way = route_of(*one);
         const int failures_most =
             std::max(way->attempts, own_way != nullptr ? own_way->attempts : 1);
-        auto outcome = co_await run_plain(self, std::move(call), std::make_shared<call_control>());
+        const auto control = std::make_shared<call_control>();
+        one->scorings.insert_or_assign(index, control);
+        auto outcome = co_await run_plain(self, std::move(call), control);
+        one->scorings.erase(index);
         if (one->state.items[index].phase != item_phase::scoring) {
             co_return;
         }
--- a/src/front/live_batch.cpp
+++ b/src/front/live_batch.cpp
@@ -20,6 +20,11 @@
     return find(one, item.path);
 }
 
+bool may_send_items(const live_batch& one) {
+    // One that is being stored can't have been ended.
+    return !one.stored || may_send_items(one.log, one.self->now(), one.self->settings.cancel);
+}
+
 time_point deadline_of(const live_batch& one) {
     const auto* route = route_of(one);
     return one.state.submitted + (route != nullptr ? route->run_deadline : milliseconds(0));
--- a/src/front/live_batch.hpp
+++ b/src/front/live_batch.hpp
@@ -2,6 +2,8 @@
 
 #include "front/batch.hpp"
 #include "front/host.hpp"
+#include "front/log_knowledge.hpp"
+#include "front/plain_call.hpp"
 #include "loop/exchange.hpp"
 
 #include <map>
@@ -33,9 +35,12 @@
     bool stored = true;        ///< False while another host stores it and this one runs it already.
     bool handing_over = false; ///< Its runs are stopped; another host goes on with them.
     bool appending = false;    ///< An entry of its log is being written.
-    std::map<std::size_t, item_run> runs{}; ///< By the item's index.
-    time_point used{};                      ///< When a caller last asked for it.
-    time_point confirmed{};                 ///< When the log was last known to its end.
+    std::map<std::size_t, item_run> runs{};                          ///< By the item's index.
+    std::map<std::size_t, std::shared_ptr<call_control>> scorings{}; ///< By the item's index.
+    time_point used{};        ///< When a caller last asked for it.
+    log_knowledge log{};      ///< How much is known of what others have appended.
+    bool reading_log = false; ///< The drive reads the log.
+    bool held = false;        ///< No item is sent: the log may be longer than known.
 };
 
 using live_batch_ptr = std::shared_ptr<live_batch>;
@@ -46,6 +51,9 @@
 /// The same for one of its items.
 [[nodiscard]] const route* route_of_item(const live_batch& one, const batch_item& item);
 
+/// Whether its items, and the calls that give their scores, may be sent to targets.
+[[nodiscard]] bool may_send_items(const live_batch& one);
+
 /// When the results of the batch are due.
 [[nodiscard]] time_point deadline_of(const live_batch& one);
 
--- a/src/front/types.hpp
+++ b/src/front/types.hpp
@@ -129,6 +129,7 @@
     std::size_t value_bytes = 1048576; ///< The largest object that the platform takes.
     milliseconds heartbeat{1200};      ///< Between two signs of life of a target.
     milliseconds grace{8000};          ///< From SIGTERM to SIGKILL.
+    milliseconds cancel{3000};         ///< Items of an ended batch reach no target after this.
     milliseconds drain{2500};          ///< A leaving target gets no new work after this.
     milliseconds order_turn{3000};     ///< Least pause between orders of two holders to one target.
     milliseconds thaw{300};            ///< Added to it for a holder that was suspended.
