An owner that was silent is asked again before its open batch is taken over

Cause: the second question to a silent owner, which was taken out, had given owners that were just starting the second that they need. Without it their batches were taken over.

Fix: each owner is asked once before the batch is read from the store, so that ended batches are read in time; the owner of an open batch is asked again before it is taken over. An owner that has just started loads the batch first, so other hosts begin to load it after 0.4 s.

--- a/src/front/batch_desk.cpp
+++ b/src/front/batch_desk.cpp
@@ -239,6 +239,8 @@
     }
     auto one = loaded.batch;
     if (!one->owned && !is_over(one->state) && !owns_by_log(*one)) {
+        // One that was silent may have been starting, and can go on with less loss.
+        tries.owners.clear();
         const bool served =
             co_await try_owner(desk, request, call, one->state.header.owner_at, tries);
         if (served) {
@@ -293,7 +295,7 @@
              {{"id", call.batch},
               {"what", to_string(call.what)},
               {"position", static_cast<std::uint64_t>(call.position)},
-              {"owners_asked", static_cast<std::uint64_t>(tries.owners.size())},
+              {"owners_asked", tries.asked},
               {"wait_ms", call.wait.count()},
               {"ms", ms_between(received, self->now())}});
     }
--- a/src/front/batch_owner.cpp
+++ b/src/front/batch_owner.cpp
@@ -6,9 +6,9 @@
 
 namespace {
 
-/// An owner answers within this beyond the wait of a read: a round trip between regions and a slice
-/// of processor time.
-constexpr milliseconds owner_usual{250};
+/// An owner answers within this beyond the wait of a read, also one that has to load the batch
+/// itself because it has just started.
+constexpr milliseconds owner_usual{400};
 
 /// Begins to load the batch unless its owner has answered by then.
 loop::task<void> load_after(std::shared_ptr<batch_desk> desk, std::string id, milliseconds pause,
@@ -39,6 +39,7 @@
         co_return false;
     }
     tries.owners.push_back(owner);
+    ++tries.asked;
     const auto wait = std::min(call.wait, passed_wait);
     const auto answered = std::make_shared<bool>(false);
     loop::asio::co_spawn(self->io, load_after(desk, call.batch, wait + owner_usual, answered),
--- a/src/front/batch_owner.hpp
+++ b/src/front/batch_owner.hpp
@@ -10,7 +10,8 @@
 ///
 /// Load it is made for: a batch whose owner is lost, and a caller that waits 1.5 s and then asks
 /// another host, which knows no more. Within that time the owner has to be given up and the batch
-/// read from the store, so each owner is asked once, and a slow one does not delay the reading.
+/// read from the store, so each owner is asked once before that, and a slow one does not delay the
+/// reading. Only one that may go on with the batch is asked again.
 
 /// A read that is passed on waits no longer than this, so that a dead owner shows soon.
 inline constexpr milliseconds passed_wait{600};
@@ -20,7 +21,8 @@
 
 /// What has been tried for one call of a caller.
 struct call_tries {
-    std::vector<transport::endpoint> owners{}; ///< Each was asked, in vain.
+    std::vector<transport::endpoint> owners{}; ///< Asked in vain, and not to be asked again.
+    int asked = 0;                             ///< Questions to owners.
 };
 
 /// Passes the call on and answers it; false if the owner is silent, is the owner no more, or was
