--- a/src/front/feed.cpp
+++ b/src/front/feed.cpp
@@ -122,7 +122,7 @@
     if (self.peers.empty()) {
         return choose_seed(self);
     }
-    return first_of_zone(own_entry(self), self.peers, self.avoided, self.now());
+    return first_of_group(own_entry(self), self.peers, self.avoided, self.now());
 }
 
 bool watches_store(const host& self) {
