News are encoded once for all hosts, in answers of 500 changes at most; one feeder a zone again

Cause: a feeder encoded all changes since anew for each host that asked, 53 ms on a quarter of a core for 3,000 of them. While targets register, a hundred and fifty hosts are steps behind; they gave the question up after 1.4 s, turned to the next feeder together, and came back as far behind as before.

Ruled out: the number of hosts behind a feeder.

Fix: an answer ends at the step that would go beyond 500 changes; its `at` says where to go on. Answers are kept encoded by the revision that they begin at until there is something newer.

Also loop_delayed and cornelloom_loop_delay_seconds: a process that answers nobody says so.

Tests: "news of thousands of changes come in answers of some hundred" (3,000 in one before); "news that were encoded are not given out once there are newer ones".

--- a/src/front/batch_start.cpp
+++ b/src/front/batch_start.cpp
@@ -6,7 +6,6 @@
 #include "front/records.hpp"
 
 #include <algorithm>
-#include <iterator>
 
 namespace cornelloom::front {
 
@@ -35,12 +34,11 @@
     message.query += "&at=" + to_string(self->settings.peers);
     std::vector<transport::endpoint> told;
     for (const auto& [zone, region] : self->settings.region_of_zone) {
-        if (zone == self->settings.zone) {
-            continue;
+        const host_entry nobody{{}, zone, {}, -1};
+        const auto first = first_of_zone(nobody, self->peers, self->avoided, self->now());
+        if (zone != self->settings.zone && first) {
+            told.push_back(first->where);
         }
-        const auto firsts =
-            first_hosts(zone, own_entry(*self), self->peers, self->avoided, self->now());
-        std::ranges::transform(firsts, std::back_inserter(told), &host_entry::where);
     }
     for (const auto& [name, peer] : self->peers) {
         if (peer.zone == self->settings.zone) {
@@ -212,7 +210,7 @@
     if (self.stopping) {
         return own;
     }
-    return first_of_group(own, self.peers, self.avoided, self.now()).value_or(std::move(own));
+    return first_of_zone(own, self.peers, self.avoided, self.now()).value_or(std::move(own));
 }
 
 early_start_ptr ask_early_start(const std::shared_ptr<batch_desk>& desk, const batch_header& header,
--- a/src/front/count_exchange.cpp
+++ b/src/front/count_exchange.cpp
@@ -71,8 +71,8 @@
     co_return true;
 }
 
-loop::task<void> ask_group(std::shared_ptr<host> self, std::vector<host_entry> hosts,
-                           window_number window, std::shared_ptr<gathering> round) {
+loop::task<void> ask_zone(std::shared_ptr<host> self, std::vector<host_entry> hosts,
+                          window_number window, std::shared_ptr<gathering> round) {
     std::size_t answered = 0;
     for (const auto& peer : hosts) {
         const bool served = co_await ask_host(self, peer.where, window);
@@ -131,14 +131,13 @@
 loop::task<bool> gather_counts(std::shared_ptr<host> self, window_number window) {
     auto round = std::make_shared<gathering>(self->io);
     for (const auto& [zone, region] : self->settings.region_of_zone) {
-        for (auto& hosts : groups_of_zone(zone, own_entry(*self), self->peers)) {
-            if (hosts.empty()) {
-                continue;
-            }
-            ++round->open;
-            loop::asio::co_spawn(self->io, ask_group(self, std::move(hosts), window, round),
-                                 loop::asio::detached);
+        auto hosts = order_of_zone(zone, self->peers);
+        if (hosts.empty()) {
+            continue;
         }
+        ++round->open;
+        loop::asio::co_spawn(self->io, ask_zone(self, std::move(hosts), window, round),
+                             loop::asio::detached);
     }
     while (round->open > 0) {
         co_await round->changed.wait(loop::deadline::max());
@@ -147,7 +146,7 @@
 }
 
 loop::task<void> hand_counts_over(std::shared_ptr<host> self) {
-    const auto hosts = own_group(own_entry(*self), self->peers);
+    const auto hosts = order_of_zone(self->settings.zone, self->peers);
     if (self->usage.windows.empty() || hosts.empty()) {
         co_return;
     }
--- a/src/front/events.hpp
+++ b/src/front/events.hpp
@@ -16,6 +16,8 @@
                                          "the settings file was read again"};
 inline constexpr event lines_dropped{9005, "lines_dropped", event_level::warning,
                                      "lines of one kind went beyond their rate and were left out"};
+inline constexpr event loop_delayed{9006, "loop_delayed", event_level::warning,
+                                    "this process answered nobody for a while"};
 inline constexpr event platform_lost{9010, "platform_lost", event_level::warning,
                                      "the platform's store does not answer"};
 inline constexpr event platform_back{9011, "platform_back", event_level::info,
--- a/src/front/feed.cpp
+++ b/src/front/feed.cpp
@@ -16,6 +16,11 @@
 constexpr milliseconds watch_when_asked = feeder_avoidance;
 /// Changes that a feeder remembers of each kind; who asks for older ones gets the list.
 constexpr std::size_t remembered_most = 256;
+/// Changes of one answer, unless a single step has more. What is left is asked for at once: a
+/// feeder that writes thousands of them to each host of its zone has no time for the others.
+constexpr std::size_t changes_most = 500;
+/// Answers that are kept encoded. Hosts follow the same steps, so most ask from the same revisions.
+constexpr std::size_t encoded_most = 16;
 
 feed_answer list_of(const kept_kind& kept) {
     feed_answer out;
@@ -28,12 +33,17 @@
 
 feed_answer changes_since(const kept_kind& kept, std::uint64_t at) {
     feed_answer out;
-    out.at = kept.at;
     for (const auto& step : kept.recent) {
-        if (step.at > at) {
-            out.changes.insert(out.changes.end(), step.changes.begin(), step.changes.end());
+        if (step.at <= at) {
+            continue;
+        }
+        if (!out.changes.empty() && out.changes.size() + step.changes.size() > changes_most) {
+            return out;
         }
+        out.changes.insert(out.changes.end(), step.changes.begin(), step.changes.end());
+        out.at = step.at;
     }
+    out.at = kept.at;
     return out;
 }
 
@@ -90,23 +100,12 @@
            });
 }
 
-/// The encoded list, made once for all hosts that ask for it: they start together, or lose their
-/// feeder together.
-const std::string& encoded_list(kept_kind& kept) {
-    if (kept.list_at != kept.at) {
-        kept.list = encode_feed(list_of(kept));
-        kept.list_at = kept.at;
-    }
-    return kept.list;
-}
-
 std::string encoded_news(const host& self, object_kind kind, kept_kind& kept, std::uint64_t at) {
-    const bool aged = kind == object_kind::configuration;
-    if (at == 0 && !aged) {
-        return encoded_list(kept);
+    if (kind != object_kind::configuration) {
+        return encode_news_once(kept, at);
     }
     auto news = news_since(kept, at);
-    if (aged && self.configuration_as_of != time_point{}) {
+    if (self.configuration_as_of != time_point{}) {
         news.age = configuration_age(self);
     }
     return encode_feed(news);
@@ -122,7 +121,7 @@
     if (self.peers.empty()) {
         return choose_seed(self);
     }
-    return first_of_group(own_entry(self), self.peers, self.avoided, self.now());
+    return first_of_zone(own_entry(self), self.peers, self.avoided, self.now());
 }
 
 bool watches_store(const host& self) {
@@ -173,6 +172,21 @@
     return at < kept.oldest ? catch_up_since(kept, at) : changes_since(kept, at);
 }
 
+const std::string& encode_news_once(kept_kind& kept, std::uint64_t at) {
+    if (kept.encoded_at != kept.at) {
+        kept.encoded.clear();
+        kept.encoded_at = kept.at;
+    }
+    const auto known = kept.encoded.find(at);
+    if (known != kept.encoded.end()) {
+        return known->second;
+    }
+    if (kept.encoded.size() >= encoded_most) {
+        kept.encoded.clear();
+    }
+    return kept.encoded.emplace(at, encode_feed(news_since(kept, at))).first->second;
+}
+
 std::vector<object_change> removals(const std::set<std::string, std::less<>>& known,
                                     const std::vector<std::string>& names) {
     const std::set<std::string_view> there(names.begin(), names.end());
--- a/src/front/feed.hpp
+++ b/src/front/feed.hpp
@@ -67,9 +67,14 @@
     std::optional<milliseconds> age{};
 };
 
-/// What a feeder tells a host that knows everything up to `at`.
+/// What a feeder tells a host that knows everything up to `at`: not all of it if it is much. The
+/// host asks for the rest from `at` of the answer on.
 [[nodiscard]] feed_answer news_since(const kept_kind& kept, std::uint64_t at);
 
+/// The same encoded, made once for all hosts that know as much: they start together, or lose their
+/// feeder together. Valid until `kept` changes or news for others are encoded.
+[[nodiscard]] const std::string& encode_news_once(kept_kind& kept, std::uint64_t at);
+
 /// Changes that remove what is known and is not among the names.
 [[nodiscard]] std::vector<object_change> removals(const std::set<std::string, std::less<>>& known,
                                                   const std::vector<std::string>& names);
--- a/src/front/feeder_choice.hpp
+++ b/src/front/feeder_choice.hpp
@@ -30,29 +30,16 @@
 /// How long a feeder is avoided.
 inline constexpr milliseconds feeder_avoidance{4000};
 
-/// Hosts of a zone that share a feeder, about. A feeder writes a list of thousands of targets to
-/// each of them, and answers each once a second; larger zones have several, each for a group of
-/// hosts. A host's group depends on its name alone.
-inline constexpr std::size_t fed_hosts_most = 64;
-
-/// The first host of this host's group, in the order that all agree on, that is not avoided;
-/// nothing if that is this host itself.
-[[nodiscard]] std::optional<host_entry> first_of_group(const host_entry& own,
-                                                       const host_entries& peers,
-                                                       const avoided_feeders& avoided,
-                                                       time_point now);
-
-/// The hosts of a zone by group, without `own` and each group in that order.
-[[nodiscard]] std::vector<std::vector<host_entry>>
-groups_of_zone(std::string_view zone, const host_entry& own, const host_entries& peers);
-
-/// The hosts of this host's group in that order, without itself.
-[[nodiscard]] std::vector<host_entry> own_group(const host_entry& own, const host_entries& peers);
-
-/// The first host that is not avoided of each group of a zone.
-[[nodiscard]] std::vector<host_entry> first_hosts(std::string_view zone, const host_entry& own,
-                                                  const host_entries& peers,
-                                                  const avoided_feeders& avoided, time_point now);
+/// The first host of the zone, in the order that all agree on, that is not avoided; nothing if that
+/// is this host itself.
+[[nodiscard]] std::optional<host_entry> first_of_zone(const host_entry& own,
+                                                      const host_entries& peers,
+                                                      const avoided_feeders& avoided,
+                                                      time_point now);
+
+/// The hosts of a zone in that order.
+[[nodiscard]] std::vector<host_entry> order_of_zone(std::string_view zone,
+                                                    const host_entries& peers);
 
 /// Takes note of a feeder that did not serve a question.
 void avoid_feeder(avoided_feeders& avoided, std::string_view name, time_point now);
--- a/src/front/follower.cpp
+++ b/src/front/follower.cpp
@@ -213,20 +213,6 @@
             [](std::span<const object_change>) {}};
 }
 
-loop::task<void> list_targets_early(std::shared_ptr<host> self, std::shared_ptr<known_list> out) {
-    auto look = look_at_targets(self);
-    *out = co_await look_once(self, std::move(look), true);
-}
-
-/// Goes on from the list that was read at the start, if it was: asking for the whole list once more
-/// would make the feeder write it to all hosts of its group at the same moment.
-followed follow_targets_from(const std::shared_ptr<host>& self, known_list known) {
-    auto out = follow_targets(self);
-    out.at = known.at;
-    out.names = std::move(known.names);
-    return out;
-}
-
 /// Only the host that gives orders needs the newest versions, and one that may have to take over.
 followed follow_versions(const std::shared_ptr<host>& self) {
     auto out = take_each(self, object_kind::versions, no_pause, take_version);
@@ -244,8 +230,8 @@
     loop::asio::co_spawn(self->io, keep_announcing(self), loop::asio::detached);
     const auto configuration =
         take_each(self, object_kind::configuration, no_pause, take_configuration);
-    const auto targets = std::make_shared<known_list>();
-    loop::asio::co_spawn(self->io, list_targets_early(self, targets), loop::asio::detached);
+    loop::asio::co_spawn(self->io, look_once(self, look_at_targets(self), true),
+                         loop::asio::detached);
     // Keys that may have been taken away can't be checked against a copy of unknown age.
     const bool may_be_stale = !self->settings.revocation;
     co_await look_once(self, configuration, may_be_stale);
@@ -260,7 +246,7 @@
         start_watch(self, configuration);
     }
     start_watch(self, follow_versions(self));
-    start_watch(self, follow_targets_from(self, std::move(*targets)));
+    start_watch(self, follow_targets(self));
     start_watch(self, follow_retirements(self));
 }
 
--- a/src/front/host.hpp
+++ b/src/front/host.hpp
@@ -36,12 +36,13 @@
     std::map<std::string, stored_object, std::less<>> objects{};
     std::deque<step> recent{}; ///< Changes after `oldest`, in order.
     std::uint64_t oldest = 0;
-    std::uint64_t at = 0;      ///< The store's revision that all this shows; 0: nothing yet.
-    bool live = false;         ///< This host watches the store for this kind now.
-    std::string list{};        ///< The objects as they are passed on whole; empty: not made yet.
-    std::uint64_t list_at = 0; ///< The revision that it shows.
-    time_point asked{};        ///< When a host of the zone last asked for it in vain.
-    loop::gate changed;        ///< Opened when any of this changes.
+    std::uint64_t at = 0; ///< The store's revision that all this shows; 0: nothing yet.
+    bool live = false;    ///< This host watches the store for this kind now.
+    /// Answers that were made since `at`, by the revision that they begin at.
+    std::map<std::uint64_t, std::string> encoded{};
+    std::uint64_t encoded_at = 0; ///< The revision that they show.
+    time_point asked{};           ///< When a host of the zone last asked for it in vain.
+    loop::gate changed;           ///< Opened when any of this changes.
 };
 
 /// Creates the entry of a kind at its first use.
--- a/src/front/process.cpp
+++ b/src/front/process.cpp
@@ -26,6 +26,8 @@
 
 /// Housekeeping: idle connections, vanished targets, unused batches.
 constexpr loop::milliseconds tick{250};
+/// Peers take a host for lost that answers nobody for three times as long.
+constexpr double noted_delay_ms = 200;
 /// Parts of the time of grace: until the first, requests are served as before; until the second,
 /// new ones are refused and open ones end. A request that is taken and not answered is lost to its
 /// caller.
@@ -126,10 +128,20 @@
     loop::start_listening(server, where);
 }
 
+/// Work that holds the loop up, or a processor that others use, shows as a late tick.
+void note_delay(host& self, double late_ms) {
+    self.metrics.record("cornelloom_loop_delay_seconds", late_ms / 1000);
+    if (late_ms >= noted_delay_ms) {
+        note(self, loop_delayed, {{"ms", late_ms}});
+    }
+}
+
 loop::task<void> keep_house(std::shared_ptr<batch_desk> desk) {
     auto self = desk->self;
     for (;;) {
+        const auto due = self->now() + tick;
         co_await loop::pause_for(self->io, tick);
+        note_delay(*self, ms_between(due, self->now()));
         loop::close_stale(self->connections);
         expire_vanished(self->targets, self->now());
         forget_unused(*desk);
--- a/src/front/watch.cpp
+++ b/src/front/watch.cpp
@@ -255,24 +255,18 @@
     loop::asio::co_spawn(self->io, follow(self, std::move(shared)), loop::asio::detached);
 }
 
-loop::task<known_list> look_once(std::shared_ptr<host> self, followed one, bool may_be_stale) {
+loop::task<void> look_once(std::shared_ptr<host> self, followed one, bool may_be_stale) {
     auto shared = std::make_shared<followed>(std::move(one));
     object_page all;
     const auto asked = self->clock.boot_now();
     const bool whole = co_await read_list(self, shared, may_be_stale, all);
-    known_list out;
     if (!whole) {
-        co_return out;
+        co_return;
     }
     shared->replace(all.items);
     if (!may_be_stale) {
         note_confirmed(*self, shared->kind, asked);
     }
-    out.at = all.at;
-    for (const auto& object : all.items) {
-        out.names.insert(object.name);
-    }
-    co_return out;
 }
 
 } // namespace cornelloom::front
--- a/src/front/watch.hpp
+++ b/src/front/watch.hpp
@@ -48,13 +48,7 @@
 /// Follows the kind until the loop ends.
 void start_watch(const std::shared_ptr<host>& self, followed one);
 
-/// A list that was read, as far as following it from there needs it.
-struct known_list {
-    std::uint64_t at = 0; ///< The revision that it shows; 0: none was read.
-    std::set<std::string, std::less<>> names{};
-};
-
 /// Reads the list once. As some copy of the store has it, it may be seconds old, and costs a tenth.
-loop::task<known_list> look_once(std::shared_ptr<host> self, followed one, bool may_be_stale);
+loop::task<void> look_once(std::shared_ptr<host> self, followed one, bool may_be_stale);
 
 } // namespace cornelloom::front
--- a/tests/front/feed_tests.cpp
+++ b/tests/front/feed_tests.cpp
@@ -55,6 +55,55 @@
     }
 }
 
+TEST_CASE("news of thousands of changes come in answers of some hundred", "[front][feed][large]") {
+    // Guards against a feeder that answers nobody for a third of a second, again and again: it
+    // wrote three thousand changes to each of fifty hosts, which had given up before they were
+    // read.
+    cornelloom::loop::io_context io(1);
+    kept_kind kept(io);
+    kept.oldest = 1;
+    for (std::uint64_t revision = 2; revision <= 31; ++revision) {
+        kept.recent.push_back({revision, {}});
+        for (int each = 0; each < 100; ++each) {
+            const auto name = std::to_string(revision) + "-" + std::to_string(each);
+            kept.recent.back().changes.push_back({object_at(name, revision), false});
+        }
+        kept.at = revision;
+    }
+    std::size_t heard = 0;
+    std::uint64_t at = 1;
+    while (at < kept.at) {
+        const auto news = news_since(kept, at);
+        REQUIRE(news.at > at);
+        CHECK(news.changes.size() <= 500);
+        CHECK(news.changes.front().object.revision == at + 1);
+        heard += news.changes.size();
+        at = news.at;
+    }
+    CHECK(heard == 3000);
+    SECTION("each of them encoded once for all who ask for it") {
+        const auto* first = encode_news_once(kept, 1).data();
+        CHECK(encode_news_once(kept, 1).data() == first);
+        CHECK(decode_feed(encode_news_once(kept, 1)).value().at == 6);
+    }
+    SECTION("and a step that is larger comes whole") {
+        for (auto& step : kept.recent) {
+            step.changes.resize(600);
+        }
+        CHECK(news_since(kept, 1).changes.size() == 600);
+    }
+}
+
+TEST_CASE("news that were encoded are not given out once there are newer ones", "[front][feed]") {
+    // Guards against hosts that stay behind, or ask in circles, with an answer of before.
+    cornelloom::loop::io_context io(1);
+    auto kept = new_feeder(io);
+    CHECK(decode_feed(encode_news_once(kept, 40)).value().at == 41);
+    kept.recent.push_back({42, {{object_at("d", 42), false}}});
+    kept.at = 42;
+    CHECK(decode_feed(encode_news_once(kept, 40)).value().changes.size() == 2);
+}
+
 TEST_CASE("what a new feeder does not have is gone", "[front][feed]") {
     // Guards against work for a target that left while a host had no feeder.
     const auto gone = removals({"a", "b", "x"}, {"a", "b", "c"});
--- a/tests/front/feeder_choice_tests.cpp
+++ b/tests/front/feeder_choice_tests.cpp
@@ -55,7 +55,7 @@
     }
     auto peers = all.entries;
     peers.erase(one.entry.name);
-    return first_of_group(one.entry, peers, one.avoided, all.now);
+    return first_of_zone(one.entry, peers, one.avoided, all.now);
 }
 
 /// Every living host asks its feeder once; the hosts that watch the store after that.
@@ -156,33 +156,3 @@
     all.now += feeder_avoidance;
     CHECK(feeder_of(all, one)->name == "front-100");
 }
-
-TEST_CASE("a zone of some hundred hosts has several feeders", "[front][feed]") {
-    // Guards against configurations that are in force after ten seconds: one host wrote lists of
-    // thousands of targets to a hundred and fifty others, and all of them gave it up together.
-    host_entries all;
-    for (int at = 0; at < 150; ++at) {
-        host_entry entry;
-        entry.name = "front-" + std::to_string(100 + at);
-        entry.zone = "krakow-a";
-        entry.processor = 0.25;
-        all.emplace(entry.name, entry);
-    }
-    std::map<std::string, std::size_t> fed;
-    for (const auto& [name, entry] : all) {
-        auto peers = all;
-        peers.erase(name);
-        const auto feeder = first_of_group(entry, peers, {}, time_point{} + 1h);
-        ++fed[feeder ? feeder->name : name];
-    }
-    CHECK(fed.size() == 3);
-    CHECK(std::ranges::all_of(fed, [](const auto& each) { return each.second < 64; }));
-    SECTION("each of which is told of batches and asked for counts in another zone") {
-        host_entry elsewhere;
-        elsewhere.zone = "gdansk-a";
-        const auto firsts = first_hosts("krakow-a", elsewhere, all, {}, time_point{} + 1h);
-        CHECK(firsts.size() == 3);
-        CHECK(std::ranges::all_of(
-            firsts, [&fed](const host_entry& host) { return fed.contains(host.name); }));
-    }
-}
