--- a/src/front/batch_log.cpp
+++ b/src/front/batch_log.cpp
@@ -51,6 +51,7 @@
 loop::task<std::optional<std::string>> read_parts(std::shared_ptr<host> self, std::string id,
                                                   int parts) {
     std::vector<loop::task<std::optional<std::string>>> calls;
+    calls.reserve(static_cast<std::size_t>(std::max(parts, 0)));
     for (int part = 0; part < parts; ++part) {
         calls.push_back(read_part(self, entry_name(id, static_cast<std::uint64_t>(part))));
     }
--- a/src/front/log_reader.cpp
+++ b/src/front/log_reader.cpp
@@ -8,6 +8,7 @@
                               entry_reader read, entry_taker take) {
     for (auto next = from;; next += at_once) {
         std::vector<loop::task<read_entry_result>> calls;
+        calls.reserve(at_once);
         for (std::uint64_t number = next; number < next + at_once; ++number) {
             calls.push_back(read(number));
         }
