The process takes signals before it does anything else

Cause: SIGHUP and SIGTERM were taken only after the settings were read and the listeners stood; until then a SIGHUP ends the process.

No test in the tree fails before this: the window is some milliseconds.

--- a/src/front/process.cpp
+++ b/src/front/process.cpp
@@ -205,6 +205,11 @@
 } // namespace
 
 int run_process(const process_options& options) {
+    // Before anything else: a signal that nobody waits for ends the process.
+    loop::io_context io(1);
+    boost::asio::signal_set ends(io, SIGTERM, SIGINT);
+    boost::asio::signal_set reloads(io, SIGHUP);
+    std::signal(SIGPIPE, SIG_IGN);
     const auto& wire = the_adapter();
     auto settings = wire.settings(read_file(options.settings_file));
     if (!settings) {
@@ -213,13 +218,9 @@
     }
     kernel::configure_log(kernel::log_format::json, kernel::event_level::info,
                           kernel::log_sink::standard_output_async);
-    std::signal(SIGPIPE, SIG_IGN);
-    loop::io_context io(1);
     auto self = std::make_shared<host>(io, wire, std::move(settings.value()));
     connect_peers(self);
     auto desk = std::make_shared<batch_desk>(self);
-    boost::asio::signal_set ends(io, SIGTERM, SIGINT);
-    boost::asio::signal_set reloads(io, SIGHUP);
     try {
         if (self->settings.serves_callers) {
             start_serving(desk);
