--- a/src/front/count_exchange.cpp
+++ b/src/front/count_exchange.cpp
@@ -1,9 +1,10 @@
 #include "front/count_exchange.hpp"
 
 #include "kernel/number.hpp"
-#include "loop/gate.hpp"
+#include "loop/gather.hpp"
 
 #include <algorithm>
+#include <functional>
 #include <ranges>
 
 namespace cornelloom::front {
@@ -46,15 +47,6 @@
     merge(book, told.value());
 }
 
-/// What one round of questions has come to.
-struct gathering {
-    explicit gathering(loop::io_context& io) : changed(io) {}
-
-    loop::gate changed;
-    std::size_t open = 0;   ///< Zones that are still being asked.
-    std::size_t silent = 0; ///< Zones of which no host has answered.
-};
-
 loop::task<bool> ask_host(std::shared_ptr<host> self, transport::endpoint where,
                           window_number window) {
     transport::http_request question;
@@ -71,8 +63,9 @@
     co_return true;
 }
 
-loop::task<void> ask_zone(std::shared_ptr<host> self, std::vector<host_entry> hosts,
-                          window_number window, std::shared_ptr<gathering> round) {
+/// Asks hosts of one zone, in order; false if none of them has answered.
+loop::task<bool> ask_zone(std::shared_ptr<host> self, std::vector<host_entry> hosts,
+                          window_number window) {
     std::size_t answered = 0;
     for (const auto& peer : hosts) {
         const bool served = co_await ask_host(self, peer.where, window);
@@ -81,9 +74,7 @@
             break;
         }
     }
-    round->silent += answered == 0 ? 1 : 0;
-    --round->open;
-    round->changed.open();
+    co_return answered > 0;
 }
 
 loop::task<void> keep_gathering(std::shared_ptr<host> self) {
@@ -129,20 +120,15 @@
 }
 
 loop::task<bool> gather_counts(std::shared_ptr<host> self, window_number window) {
-    auto round = std::make_shared<gathering>(self->io);
+    std::vector<loop::task<bool>> calls;
     for (const auto& [zone, region] : self->settings.region_of_zone) {
         auto hosts = order_of_zone(zone, self->peers);
-        if (hosts.empty()) {
-            continue;
+        if (!hosts.empty()) {
+            calls.push_back(ask_zone(self, std::move(hosts), window));
         }
-        ++round->open;
-        loop::asio::co_spawn(self->io, ask_zone(self, std::move(hosts), window, round),
-                             loop::asio::detached);
-    }
-    while (round->open > 0) {
-        co_await round->changed.wait(loop::deadline::max());
     }
-    co_return round->silent == 0;
+    const auto answered = co_await loop::gather(self->io, std::move(calls));
+    co_return std::ranges::all_of(answered, std::identity{});
 }
 
 loop::task<void> hand_counts_over(std::shared_ptr<host> self) {
