--- a/src/front/count_exchange.cpp
+++ b/src/front/count_exchange.cpp
@@ -79,10 +79,7 @@
 
 loop::task<void> keep_gathering(std::shared_ptr<host> self) {
     for (;;) {
-        if (!holds_lease(*self)) {
-            co_await self->lead.taken.wait(loop::deadline::max());
-            continue;
-        }
+        co_await wait_for_lease(self);
         co_await gather_counts(self, window_at(self->demand, self->clock.wall_now().unix_ms));
         co_await loop::pause_for(self->io, gather_every);
     }
--- a/src/front/leadership.cpp
+++ b/src/front/leadership.cpp
@@ -124,6 +124,12 @@
     return holds(self.lead.view, self.settings.host);
 }
 
+loop::task<void> wait_for_lease(std::shared_ptr<host> self) {
+    while (!holds_lease(*self)) {
+        co_await self->lead.taken.wait(loop::deadline::max());
+    }
+}
+
 void start_leadership(const std::shared_ptr<host>& self) {
     self->lead.rules.turn = self->settings.order_turn + self->settings.thaw;
     loop::asio::co_spawn(self->io, keep_lease(self), loop::asio::detached);
--- a/src/front/leadership.hpp
+++ b/src/front/leadership.hpp
@@ -2,6 +2,7 @@
 
 #include "front/order_lease.hpp"
 #include "loop/gate.hpp"
+#include "loop/task.hpp"
 
 #include <cstdint>
 #include <memory>
@@ -29,6 +30,9 @@
 /// Whether this process has the lease, though it may have to wait for its first act.
 [[nodiscard]] bool holds_lease(const host& self);
 
+/// Returns once this process has the lease.
+loop::task<void> wait_for_lease(std::shared_ptr<host> self);
+
 /// Follows the lease, takes it when nobody has it, and renews it, until the loop ends.
 void start_leadership(const std::shared_ptr<host>& self);
 
--- a/src/front/order_giver.cpp
+++ b/src/front/order_giver.cpp
@@ -352,10 +352,7 @@
 loop::task<void> run(giver_ptr one) {
     auto self = one->self;
     for (;;) {
-        if (!holds_lease(*self)) {
-            co_await self->lead.taken.wait(loop::deadline::max());
-            continue;
-        }
+        co_await wait_for_lease(self);
         if (one->fence != self->lead.view.fence) {
             begin_holding(*one);
         }
--- a/src/front/target_supplier.cpp
+++ b/src/front/target_supplier.cpp
@@ -114,10 +114,7 @@
 loop::task<void> run(std::shared_ptr<supplier> one) {
     auto self = one->self;
     for (;;) {
-        if (!holds_lease(*self)) {
-            co_await self->lead.taken.wait(loop::deadline::max());
-            continue;
-        }
+        co_await wait_for_lease(self);
         if (leads(*self)) {
             co_await judge(*one);
         }
--- a/src/front/usage_reporter.cpp
+++ b/src/front/usage_reporter.cpp
@@ -151,10 +151,7 @@
     auto self = one->self;
     one->first = window_at(self->usage, self->clock.wall_now().unix_ms);
     for (;;) {
-        if (!holds_lease(*self)) {
-            co_await self->lead.taken.wait(loop::deadline::max());
-            continue;
-        }
+        co_await wait_for_lease(self);
         if (leads(*self)) {
             co_await step(*one);
         }
