--- a/src/front/target_supplier.cpp
+++ b/src/front/target_supplier.cpp
@@ -38,7 +38,7 @@
     const auto outcome = co_await loop::call(self->connections, self->settings.duties->where,
                                              self->wire.supply(order, sender),
                                              loop::after(supply_limit), supply_connect);
-    const int status = outcome.fault == loop::exchange_fault::none ? outcome.answer.status : 0;
+    const int status = status_of(outcome);
     note(*self, targets_ordered,
          {{"service", of.name},
           {"zone", zone},
--- a/src/front/usage_reporter.cpp
+++ b/src/front/usage_reporter.cpp
@@ -88,7 +88,7 @@
     const auto outcome = co_await loop::call(self->connections, self->settings.duties->where,
                                              self->wire.usage(report, sender),
                                              loop::after(report_limit), report_connect);
-    const int status = outcome.fault == loop::exchange_fault::none ? outcome.answer.status : 0;
+    const int status = status_of(outcome);
     const auto over = begin_of(self->usage, report.window + 1);
     note(*self, usage_reported,
          {{"window", report.window},
