--- a/src/front/order_giver.cpp
+++ b/src/front/order_giver.cpp
@@ -40,7 +40,6 @@
     time_point given{};   ///< When that order was given.
     time_point until{};   ///< It counts as busy until then, or until the list shows the load.
     time_point expires{}; ///< A load that the list does not show by then is looked into.
-    bool loaded = false;  ///< The target has said that the load is over.
 };
 
 /// When a model's newest version was seen first.
@@ -216,7 +215,6 @@
             co_return;
         }
         if (report && has_loaded(*report, order)) {
-            order.loaded = true;
             order.until = {};
             const auto took = std::chrono::duration_cast<milliseconds>(self->now() - given);
             note_load(one->limit, {took, together, lowered, stands_for});
@@ -290,7 +288,6 @@
     known.version = choice.version;
     known.given = self->now();
     known.until = known.expires = known.given + longest_load(*one);
-    known.loaded = false;
     bool ready = known.orders.has_value();
     if (!ready) {
         ready = co_await learn_orders(one, choice.target, where);
