--- a/src/front/order_giver.cpp
+++ b/src/front/order_giver.cpp
@@ -4,10 +4,9 @@
 #include "front/load_limit.hpp"
 #include "front/load_plan.hpp"
 #include "front/placement.hpp"
+#include "front/target_supply.hpp"
 
 #include <algorithm>
-#include <cmath>
-#include <set>
 
 namespace cornelloom::front {
 
@@ -63,13 +62,6 @@
 
 using giver_ptr = std::shared_ptr<giver>;
 
-/// Targets that the items of a model fill, as often as slots are taken by what is slow or loads.
-std::size_t targets_wanted(const host& self, const service& of, std::string_view model) {
-    constexpr double headroom = 2;
-    const auto items = static_cast<double>(peak_demand(self, model));
-    return static_cast<std::size_t>(std::ceil(items * headroom / std::max(of.slots, 1)));
-}
-
 std::vector<model_need> needs_of(const host& self, const service& of) {
     bool single = false;
     for (const auto& route : self.routes->source.routes) {
@@ -81,7 +73,8 @@
     for (const auto& model : of.models) {
         const auto named = self.named_versions.find(model);
         if (named != self.named_versions.end() && named->second > 1) {
-            out.push_back({model, named->second, single, targets_wanted(self, of, model)});
+            out.push_back(
+                {model, named->second, single, targets_for(peak_demand(self, model), of.slots)});
         }
     }
     return out;
--- a/src/front/target_supply.cpp
+++ b/src/front/target_supply.cpp
@@ -8,11 +8,6 @@
 
 namespace {
 
-int targets_wanted(const supply_need& need) {
-    const double slots = std::max(need.slots, 1);
-    return static_cast<int>(std::ceil(static_cast<double>(need.peak) * supply_headroom / slots));
-}
-
 double price_of(const scaling_bounds& bounds, std::string_view zone) {
     const auto found = bounds.zone_prices.find(zone);
     return found == bounds.zone_prices.end() ? 1 : found->second;
@@ -20,6 +15,11 @@
 
 } // namespace
 
+std::size_t targets_for(std::uint64_t items, int slots) {
+    const double needed = static_cast<double>(items) * supply_headroom / std::max(slots, 1);
+    return static_cast<std::size_t>(std::ceil(needed));
+}
+
 std::vector<int> plan_supply(const scaling_bounds& bounds, std::span<const zone_supply> zones,
                              const supply_need& need) {
     std::vector<int> out;
@@ -27,7 +27,8 @@
         const int there = std::max(zone.serving, zone.ordered);
         out.push_back(std::clamp(there, std::min(bounds.least, bounds.most), bounds.most));
     }
-    int missing = targets_wanted(need) - std::accumulate(out.begin(), out.end(), 0);
+    int missing = static_cast<int>(targets_for(need.peak, need.slots)) -
+                  std::accumulate(out.begin(), out.end(), 0);
     while (missing > 0) {
         // The zone with the fewest, so that the loss of one zone takes no more than its part; of
         // equals the cheapest.
--- a/src/front/target_supply.hpp
+++ b/src/front/target_supply.hpp
@@ -28,6 +28,9 @@
 /// model has only those that hold its newest versions.
 inline constexpr double supply_headroom = 2.0;
 
+/// Targets that so many items in work at once need, headroom included.
+[[nodiscard]] std::size_t targets_for(std::uint64_t items, int slots);
+
 /// The number to order in each zone, in the order of `zones`.
 ///
 /// Load it is made for: trainers that each submit a hundred or two items at one moment, and wait
