Owners that were asked are compared where the second one is found

A list of them was kept for a whole call, searched for one comparison, and emptied before the last question. What is left of it counts the questions, for the log. The same owners are asked as before.

--- a/src/front/batch_desk.cpp
+++ b/src/front/batch_desk.cpp
@@ -6,6 +6,7 @@
 #include "front/batch_owner.hpp"
 
 #include <algorithm>
+#include <optional>
 
 namespace cornelloom::front {
 
@@ -195,10 +196,10 @@
 loop::task<bool> ask_owners(std::shared_ptr<batch_desk> desk, loop::served_request& request,
                             const batch_call& call, call_tries& tries) {
     auto self = desk->self;
-    const auto owner = desk->owners.find(call.batch);
-    if (owner != desk->owners.end()) {
-        const transport::endpoint where = owner->second;
-        const bool served = co_await try_owner(desk, request, call, where, tries);
+    std::optional<transport::endpoint> announced;
+    if (const auto owner = desk->owners.find(call.batch); owner != desk->owners.end()) {
+        announced = owner->second;
+        const bool served = co_await try_owner(desk, request, call, *announced, tries);
         if (served) {
             co_return true;
         }
@@ -212,7 +213,8 @@
         co_await answer_status(request, 404);
         co_return true;
     }
-    if (!read.header || read.header->owner == self->settings.host) {
+    if (!read.header || read.header->owner == self->settings.host ||
+        read.header->owner_at == announced) {
         co_return false;
     }
     co_return co_await try_owner(desk, request, call, read.header->owner_at, tries);
@@ -240,7 +242,6 @@
     auto one = loaded.batch;
     if (!one->owned && !is_over(one->state) && !owns_by_log(*one)) {
         // One that was silent may have been starting, and can go on with less loss.
-        tries.owners.clear();
         const bool served =
             co_await try_owner(desk, request, call, one->state.header.owner_at, tries);
         if (served) {
@@ -295,7 +296,7 @@
              {{"id", call.batch},
               {"what", to_string(call.what)},
               {"position", static_cast<std::uint64_t>(call.position)},
-              {"owners_asked", tries.asked},
+              {"owners_asked", tries.owners_asked},
               {"wait_ms", call.wait.count()},
               {"ms", ms_between(received, self->now())}});
     }
--- a/src/front/batch_owner.cpp
+++ b/src/front/batch_owner.cpp
@@ -35,11 +35,7 @@
 loop::task<bool> try_owner(std::shared_ptr<batch_desk> desk, loop::served_request& request,
                            const batch_call& call, transport::endpoint owner, call_tries& tries) {
     auto self = desk->self;
-    if (std::ranges::find(tries.owners, owner) != tries.owners.end()) {
-        co_return false;
-    }
-    tries.owners.push_back(owner);
-    ++tries.asked;
+    ++tries.owners_asked;
     const auto wait = std::min(call.wait, passed_wait);
     const auto answered = std::make_shared<bool>(false);
     loop::asio::co_spawn(self->io, load_after(desk, call.batch, wait + owner_usual, answered),
--- a/src/front/batch_owner.hpp
+++ b/src/front/batch_owner.hpp
@@ -2,8 +2,6 @@
 
 #include "front/batch_desk.hpp"
 
-#include <vector>
-
 namespace cornelloom::front {
 
 /// Passing a caller's call on a batch on to the host that owns the batch.
@@ -21,12 +19,10 @@
 
 /// What has been tried for one call of a caller.
 struct call_tries {
-    std::vector<transport::endpoint> owners{}; ///< Asked in vain, and not to be asked again.
-    int asked = 0;                             ///< Questions to owners.
+    int owners_asked = 0;
 };
 
-/// Passes the call on and answers it; false if the owner is silent, is the owner no more, or was
-/// asked before.
+/// Passes the call on and answers it; false if the owner is silent, or is the owner no more.
 loop::task<bool> try_owner(std::shared_ptr<batch_desk> desk, loop::served_request& request,
                            const batch_call& call, transport::endpoint owner, call_tries& tries);
 
