--- a/src/front/batch_log.cpp
+++ b/src/front/batch_log.cpp
@@ -215,7 +215,6 @@
 struct stored_batch {
     std::optional<std::string> submission{};
     std::vector<log_entry> entries{};
-    log_read log_end = log_read::unavailable;
     time_point asked{}; ///< When the reading began: the log may be longer since.
 };
 
@@ -233,8 +232,8 @@
     const entry_taker take = [out](std::uint64_t, const log_entry& entry) {
         out->entries.push_back(entry);
     };
-    out->log_end = co_await read_log(self->io, 0, entries_at_once, read, take);
-    co_return out->log_end == log_read::end;
+    const auto end = co_await read_log(self->io, 0, entries_at_once, read, take);
+    co_return end == log_read::end;
 }
 
 /// The batch as the store holds it; null if its submission can't be read.
