A look at the items of a batch finds out its places once

Judging and placing each made a round of their own at the same moment, so the median pace and the targets of a model were worked out twice a tick. Nothing that a round keeps changes between them; a target that fails meanwhile is asked about live. `used` is set once when a batch begins.

--- a/src/front/batch_drive.cpp
+++ b/src/front/batch_drive.cpp
@@ -54,9 +54,8 @@
 }
 
 /// Gives waiting items to targets, the most urgent first.
-void dispatch(const live_batch_ptr& one) {
+void dispatch(const live_batch_ptr& one, placement_round& round) {
     auto& self = *one->self;
-    auto round = begin_placement(self.targets, self.here(), self.now());
     for (const auto index : startable(one->state, round.now)) {
         auto& state = one->state.items[index];
         const auto& item = one->state.spec.items[index];
@@ -118,9 +117,8 @@
     run.link->abort();
 }
 
-void judge_runs(live_batch& one) {
+void judge_runs(live_batch& one, placement_round& round) {
     auto& self = *one.self;
-    auto round = begin_placement(self.targets, self.here(), self.now());
     for (auto& [index, run] : one.runs) {
         const auto found = self.targets.by_id.find(run.target);
         const auto* way = route_of_item(one, one.state.spec.items[index]);
@@ -226,10 +224,11 @@
     auto self = one->self;
     while (one->owned && !is_over(one->state)) {
         give_up_late(*one);
-        judge_runs(*one);
+        auto round = begin_placement(self->targets, self->here(), self->now());
+        judge_runs(*one, round);
         keep_log_known(one);
         if (may_dispatch(*one)) {
-            dispatch(one);
+            dispatch(one, round);
         }
         const auto due = one->stored ? next_flush(one->state, flushing, deadline_of(*one))
                                      : std::optional<time_point>{};
@@ -271,7 +270,7 @@
         return;
     }
     one->owned = true;
-    one->used = std::max(one->used, one->self->now());
+    one->used = one->self->now();
     note(*one->self, batch_taken,
          {{"id", one->state.header.id},
           {"from", from},
--- a/src/front/batch_start.cpp
+++ b/src/front/batch_start.cpp
@@ -109,7 +109,6 @@
     const std::string id = header.id;
     auto one = std::make_shared<live_batch>(
         desk->self, make_batch(std::move(header), std::move(spec), desk->self->now()));
-    one->used = desk->self->now();
     one->stored = stored;
     desk->known.emplace(id, one);
     start_driving(one, {}, stored ? "submitted" : "being stored");
