--- a/cmake/cornelloom_targets.cmake
+++ b/cmake/cornelloom_targets.cmake
@@ -119,6 +119,10 @@
         target_include_directories(test_${name} PRIVATE "${PROJECT_SOURCE_DIR}")
         target_link_libraries(test_${name} PRIVATE cornelloom_test_main cornelloom_${name}
             cornelloom_json_deps PkgConfig::lua)
+        if(name STREQUAL soak)
+            # An object library comes along only when it is named.
+            target_link_libraries(test_soak PRIVATE cornelloom_platform)
+        endif()
         if(TARGET cornelloom_${name}_fake)
             target_link_libraries(test_${name} PRIVATE cornelloom_${name}_fake)
         endif()
--- a/soak/internal/proxy.cpp
+++ b/soak/internal/proxy.cpp
@@ -99,8 +99,15 @@
     co_await pump(self, one, direction::back);
 }
 
-loop::task<void> accept_all(proxy_ptr self, std::shared_ptr<loop::tcp::acceptor> acceptor) {
+loop::task<void> accept_all(proxy_ptr self) {
     for (;;) {
+        while (self->state == link_state::down) {
+            co_await self->changed.wait(loop::deadline::max());
+        }
+        if (!self->acceptor) {
+            self->acceptor = std::make_shared<loop::tcp::acceptor>(*self->io, self->address);
+        }
+        const auto acceptor = self->acceptor; // `set_link` may drop the other one
         boost::system::error_code failed;
         auto socket =
             co_await acceptor->async_accept(asio::redirect_error(asio::use_awaitable, failed));
@@ -117,14 +124,21 @@
 } // namespace
 
 void start_proxy(const proxy_ptr& self, const transport::endpoint& where) {
-    const loop::tcp::endpoint address(asio::ip::make_address(where.address), where.port);
-    auto acceptor = std::make_shared<loop::tcp::acceptor>(*self->io, address);
-    asio::co_spawn(*self->io, accept_all(self, std::move(acceptor)), asio::detached);
+    self->address = {asio::ip::make_address(where.address), where.port};
+    self->acceptor = std::make_shared<loop::tcp::acceptor>(*self->io, self->address);
+    asio::co_spawn(*self->io, accept_all(self), asio::detached);
 }
 
 void set_link(proxy& self, link_state state, milliseconds delay) {
     self.state = state;
     self.delay = delay;
+    if (state == link_state::down) {
+        reset_links(self);
+        if (self.acceptor) {
+            self.acceptor->close();
+            self.acceptor.reset();
+        }
+    }
     if (state == link_state::silent_when_old) {
         for (const auto& each : self.connections) {
             if (const auto one = each.lock()) {
--- a/soak/internal/proxy.hpp
+++ b/soak/internal/proxy.hpp
@@ -19,6 +19,7 @@
     no_way_back,     ///< Requests arrive, their answers don't.
     silent,          ///< Nothing passes; connections are accepted and stay open.
     refused,         ///< New connections are closed at once.
+    down,            ///< Nobody listens, as after the end of the server.
     silent_when_old, ///< Connections that are open now are silent, new ones work.
 };
 
@@ -41,6 +42,8 @@
     transport::endpoint upstream;
     loop::gate changed;
     link_state state = link_state::open;
+    std::shared_ptr<loop::tcp::acceptor> acceptor{};
+    loop::tcp::endpoint address{};
     milliseconds delay{0};
     std::vector<std::weak_ptr<connection>> connections{};
 };
@@ -50,6 +53,7 @@
 /// Accepts at that address until the loop ends.
 void start_proxy(const proxy_ptr& self, const transport::endpoint& where);
 
+/// A link that goes down resets its connections.
 void set_link(proxy& self, link_state state, milliseconds delay = milliseconds(0));
 
 /// Resets every open connection.
--- a/src/front/process.cpp
+++ b/src/front/process.cpp
@@ -206,6 +206,17 @@
 
 } // namespace
 
+std::shared_ptr<batch_registry> start_host(loop::io_context& io, const adapter& platform,
+                                           host_settings settings) {
+    auto self = std::make_shared<host>(io, platform, std::move(settings));
+    configure_store_client(self);
+    auto registry = std::make_shared<batch_registry>(self);
+    if (self->settings.serves_callers) {
+        start_serving(registry);
+    }
+    return registry;
+}
+
 int run_process(const process_options& options) {
     // Signal handlers come first, because the default action of these signals ends the process.
     loop::io_context io(1);
@@ -220,15 +231,12 @@
     }
     kernel::configure_log(kernel::log_format::json, kernel::event_level::info,
                           kernel::log_sink::standard_output_async);
-    auto self = std::make_shared<host>(io, wire, std::move(settings.value()));
-    configure_store_client(self);
-    auto registry = std::make_shared<batch_registry>(self);
+    std::shared_ptr<batch_registry> registry;
     try {
-        if (self->settings.serves_callers) {
-            start_serving(registry);
-        }
+        registry = start_host(io, wire, std::move(settings.value()));
         if (options.metrics_port != 0) {
             const transport::endpoint address{"0.0.0.0", options.metrics_port};
+            const auto& self = registry->self;
             start_internal_listener(self, address, [self](loop::served_request& request) {
                 return answer_metrics(self, request);
             });
@@ -237,6 +245,7 @@
         std::cerr << "cornelloom_frontd: " << error.what() << '\n';
         return exit_start_failed;
     }
+    const auto& self = registry->self;
     handle_reloads(self, reload_signals, options.settings_file);
     stop_signals.async_wait([&](const boost::system::error_code& ec, int) {
         if (ec) {
