front: logs tell a crashed target from a lost answer, and name a request by its content

attempt_failed now has the digest of the request's content: caller, host, method, path, query and body. When a connection breaks with a request in flight, its target is asked for a new connection; target_crashed names the digests that ran there, target_alive says that only the answer was lost. cornelloom_broken_targets_total counts both. Nothing is decided by it.

--- a/src/front/batch.hpp
+++ b/src/front/batch.hpp
@@ -33,6 +33,7 @@
     std::string last_target;            ///< The target of the latest attempt.
     bool moved_for_deadline = false;    ///< Moved to another target, once, to meet the deadline.
     time_point deferred_since{}; ///< Since when it waits for a faster target; zero: it does not.
+    std::uint64_t digest = 0;    ///< Of its content; 0: not computed yet.
 };
 
 /// One entry of a batch's log.
--- a/src/front/events.hpp
+++ b/src/front/events.hpp
@@ -50,6 +50,10 @@
                                       "an attempt at a target failed"};
 inline constexpr event caller_left{9024, "caller_left", event_level::info,
                                    "the caller disconnected before its answer"};
+inline constexpr event target_crashed{9025, "target_crashed", event_level::warning,
+                                      "a target ended while it ran requests of this host"};
+inline constexpr event target_alive{9026, "target_alive", event_level::info,
+                                    "a connection broke, but its target accepts new ones"};
 inline constexpr event batch_accepted{9030, "batch_accepted", event_level::info,
                                       "a batch was stored and accepted"};
 inline constexpr event batch_refused{9031, "batch_refused", event_level::warning,
--- a/src/front/gateway.cpp
+++ b/src/front/gateway.cpp
@@ -64,6 +64,7 @@
     call.max_runs = request_route.attempts;
     call.objective = request_route.objective;
     call.deadline = deadline_of(*self, request_route, request_info);
+    call.digest = digest_of_request(request.message, request_info, account);
     const auto deadline = call.deadline;
     // A losing hedged attempt may outlive this handler, so the attempts share ownership of the
     // message.
--- a/src/front/host.hpp
+++ b/src/front/host.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "front/adapter.hpp"
+#include "front/crash_watch.hpp"
 #include "front/events.hpp"
 #include "front/feeder_choice.hpp"
 #include "front/leadership.hpp"
@@ -93,6 +94,7 @@
     leadership lead;
     window_counts usage{};  ///< Requests that started to run, by client account.
     window_counts demand{}; ///< Items in progress concurrently, by service.
+    crash_watch crashes{};  ///< Runs in flight, and targets whose connections broke.
     bool sends_load_orders =
         false; ///< This host sends load orders to targets, or may soon have to.
     bool stopping = false;
--- a/src/front/item_run.cpp
+++ b/src/front/item_run.cpp
@@ -27,8 +27,14 @@
 struct run_result {
     run_outcome kind = run_outcome::retry;
     std::string reason{};
+    run_end end_of_run = run_end::unknown;
 };
 
+run_result failed_exchange(loop::exchange_fault fault) {
+    return {run_outcome::retry, std::string(to_string(fault)),
+            fault == loop::exchange_fault::broken ? run_end::broken : run_end::unknown};
+}
+
 bool contains(const std::vector<int>& versions, int version) {
     return std::ranges::find(versions, version) != versions.end();
 }
@@ -96,7 +102,7 @@
         // No timeout here: evaluate_run() detects silent targets and takes their load into account.
         const auto fault = co_await exchange->read_piece(loop::deadline::max(), chunk);
         if (fault != loop::exchange_fault::none) {
-            co_return run_result{run_outcome::retry, std::string(to_string(fault))};
+            co_return failed_exchange(fault);
         }
         buffer += chunk;
         for (const auto& event : batch->local_host->platform_adapter.events(buffer)) {
@@ -112,7 +118,7 @@
             record_event(*batch, run);
         }
     }
-    co_return buffer.empty() ? run_result{run_outcome::complete, {}}
+    co_return buffer.empty() ? run_result{run_outcome::complete, {}, run_end::survived}
                              : run_result{run_outcome::retry, "stream ended inside an event"};
 }
 
@@ -135,9 +141,9 @@
         return {run_outcome::retry, "not run, " + reason};
     }
     if (status == 422) {
-        return {run_outcome::unprocessable, reason};
+        return {run_outcome::unprocessable, reason, run_end::survived};
     }
-    return {run_outcome::failed, reason};
+    return {run_outcome::failed, reason, run_end::survived};
 }
 
 /// The client account to forward to targets, if the configuration uses accounts; see
@@ -167,7 +173,7 @@
         fault = co_await exchange->read_head(loop::deadline::max());
     }
     if (fault != loop::exchange_fault::none) {
-        co_return run_result{run_outcome::retry, std::string(to_string(fault))};
+        co_return failed_exchange(fault);
     }
     const auto reply = self->platform_adapter.answer(exchange->headers());
     if (!reply.request_id.empty() && reply.request_id != item.id) {
@@ -278,8 +284,25 @@
     }
 }
 
+std::uint64_t digest_of_scoring(const scoring_call& scoring) {
+    const std::string_view target = scoring.path;
+    const auto mark = std::min(target.find('?'), target.size());
+    return digest_of(
+        {{}, scoring.host, "POST", target.substr(0, mark), target.substr(mark), scoring.body});
+}
+
 } // namespace
 
+std::uint64_t digest_of_item(live_batch& batch, std::size_t index) {
+    auto& state = batch.state.items[index];
+    if (state.digest == 0) {
+        const auto& item = batch.state.spec.items[index];
+        const auto& header = batch.state.header;
+        state.digest = digest_of({header.account, header.host, "POST", item.path, {}, item.body});
+    }
+    return state.digest;
+}
+
 void give_up_item(live_batch& batch, std::size_t index, std::string_view reason) {
     log_event(*batch.local_host, item_given_up,
               {{"id", batch.state.spec.items[index].id},
@@ -314,7 +337,9 @@
     run.sent = run.last_event = self->now();
     batch->runs.insert_or_assign(index, run);
     batch->state.items[index].last_target = target_id;
+    const auto watched = begin_run(*self, digest_of_item(*batch, index), target_id);
     const auto result = co_await send_item(batch, index, item_route);
+    end_run(self, watched, result.end_of_run);
     run.exchange->abort();
     record_run_end(*batch, index, result);
     batch->runs.erase(index);
@@ -367,6 +392,7 @@
         call.max_runs = scoring_route->attempts;
         call.objective = scoring_route->objective;
         call.deadline = self->now() + scoring_timeout;
+        call.digest = digest_of_scoring(*scoring);
         const bool near_deadline = self->now() + near_deadline_window >= deadline_of(*batch);
         call.hedge_factor = near_deadline ? short_hedge_factor : default_hedge_factor;
         call.build_request = [self, scoring](const forward_options& terms) {
--- a/src/front/item_run.hpp
+++ b/src/front/item_run.hpp
@@ -12,6 +12,9 @@
 /// Requests the score of an item whose text is complete and retries until it has a result.
 loop::task<void> score_item(live_batch_ptr batch, std::size_t index);
 
+/// The digest of an item's content.
+[[nodiscard]] std::uint64_t digest_of_item(live_batch& batch, std::size_t index);
+
 /// Finishes the item as failed, with the text generated so far.
 void give_up_item(live_batch& batch, std::size_t index, std::string_view reason);
 
--- a/src/front/plain_call.cpp
+++ b/src/front/plain_call.cpp
@@ -49,6 +49,7 @@
     transport::http_response answer{};
     target_answer facts{};
     std::string reason{};
+    run_end end_of_run = run_end::unknown;
 };
 
 /// The target of an attempt, and how to reach it.
@@ -75,6 +76,7 @@
         result.reason = "not run, status " + std::to_string(status);
         return result;
     }
+    result.end_of_run = run_end::survived;
     const bool success = status >= 200 && status < 300;
     if (success && !result.facts.stamped) {
         result.reason = "success without stamp";
@@ -115,6 +117,8 @@
     }
     if (fault != loop::exchange_fault::none) {
         result.reason = to_string(fault);
+        result.end_of_run =
+            fault == loop::exchange_fault::broken ? run_end::broken : run_end::unknown;
         co_return result;
     }
     answer.status = exchange->status();
@@ -149,6 +153,7 @@
                   {{"id", state.call.id},
                    {"target", target_id},
                    {"why", result.reason},
+                   {"digest", digest_text(state.call.digest)},
                    {"ms", duration_ms}});
         const kernel::label reason{"reason", result.end == attempt_end::not_run ? "not_run"
                                              : result.end == attempt_end::target_error
@@ -197,7 +202,9 @@
     if (state->decided) {
         exchange->abort(); // the call was decided before this attempt started
     }
+    const auto run = begin_run(self, state->call.digest, plan.target_id);
     auto result = co_await exchange_once(state, exchange, plan);
+    end_run(state->self, run, result.end_of_run);
     std::erase(state->exchanges, exchange);
     --state->running_attempts;
     if (result.end == attempt_end::not_run || result.end == attempt_end::not_sent) {
--- a/src/front/stream_call.cpp
+++ b/src/front/stream_call.cpp
@@ -28,8 +28,16 @@
     int may_have_run = 0;
     int refusals = 0;
     std::string reason{};
+    std::uint64_t digest = 0;              ///< Of the request's content; see `digest_of`.
+    run_end end_of_run = run_end::unknown; ///< Of the current attempt.
 };
 
+/// Records why an exchange with a target failed.
+void record_fault(stream_state& stream, loop::exchange_fault fault) {
+    stream.reason = to_string(fault);
+    stream.end_of_run = fault == loop::exchange_fault::broken ? run_end::broken : run_end::unknown;
+}
+
 enum class stream_end { complete, error_forwarded, not_run, broken_off, caller_gone };
 
 /// Forwards the body of the target's answer until it ends.
@@ -44,7 +52,7 @@
             co_return stream_end::caller_gone;
         }
         if (fault != loop::exchange_fault::none) {
-            stream.reason = to_string(fault);
+            record_fault(stream, fault);
             co_return stream_end::broken_off;
         }
         if (!stream.request_route.resumable) {
@@ -62,6 +70,7 @@
     if (!pending.empty()) {
         co_await stream.request->piece(pending);
     }
+    stream.end_of_run = run_end::survived;
     co_return stream_end::complete;
 }
 
@@ -99,7 +108,7 @@
         fault = co_await stream.exchange->read_head(deadline);
     }
     if (fault != loop::exchange_fault::none) {
-        stream.reason = to_string(fault);
+        record_fault(stream, fault);
         co_return stream.request->gone() ? stream_end::caller_gone : stream_end::broken_off;
     }
     const auto answer = stream.self->platform_adapter.answer(stream.exchange->headers());
@@ -113,6 +122,7 @@
         co_return stream_end::broken_off;
     }
     if (status < 200 || status >= 300) {
+        stream.end_of_run = run_end::survived;
         const auto end = co_await forward_error(stream, status);
         co_return end;
     }
@@ -152,7 +162,10 @@
     ++stream.may_have_run;
     stream.exchange = std::make_shared<loop::exchange>(self.connections, target->entry.address);
     stream.request->on_gone([link = stream.exchange] { link->abort(); });
+    stream.end_of_run = run_end::unknown;
+    const auto run = begin_run(self, stream.digest, id);
     const auto end = co_await run_attempt(stream, id);
+    end_run(stream.self, run, stream.end_of_run);
     const auto found = self.targets.by_id.find(id);
     if (found != self.targets.by_id.end()) {
         --found->second.running;
@@ -169,6 +182,7 @@
                   {{"id", stream.request_info.id},
                    {"target", id},
                    {"why", stream.reason},
+                   {"digest", digest_text(stream.digest)},
                    {"after_event", stream.last_event}});
     }
     co_return end;
@@ -196,6 +210,7 @@
                               std::optional<std::string> account) {
     stream_state stream{self, &request, request_route, request_info, std::move(account)};
     stream.last_event = request_info.last_event;
+    stream.digest = digest_of_request(request.message, request_info, stream.account);
     auto limit = request_info.time_left.value_or(request_route.timeout);
     if (request_route.timeout > milliseconds::zero()) {
         limit = std::min(limit, request_route.timeout);
