decide: a quarantine notice does not use an iterator that a new record made invalid

Found by reading, not seen by callers: quarantine() searched the ledger for a conflicting digest, then added the record of the notice's own digest, which may rehash or evict, and then used the iterator of the search. The record comes first now. No behaviour changes otherwise; the tests of decide pass.

--- a/src/decide/quarantine.cpp
+++ b/src/decide/quarantine.cpp
@@ -109,17 +109,18 @@
 
 void quarantine(crash_ledger& ledger, const quarantine_policy& rules,
                 const quarantine_notice& notice, kernel::time_point now) {
-    const auto conflicting = std::ranges::find_if(ledger.digests, [&](const auto& entry) {
-        const auto& record = entry.second;
-        return entry.first != notice.digest && record.identified_by != 0 &&
-               record.identified_by == notice.crashed_target &&
-               now < record.identified_at + 2 * rules.confirmation_delay;
-    });
+    // First, since a new record may move the others.
     auto& record = record_of(ledger, rules, notice.digest);
     if (record.quarantined_until > now) {
         return;
     }
     record.last_crash = now;
+    const auto conflicting = std::ranges::find_if(ledger.digests, [&](const auto& entry) {
+        const auto& other = entry.second;
+        return entry.first != notice.digest && other.identified_by != 0 &&
+               other.identified_by == notice.crashed_target &&
+               now < other.identified_at + 2 * rules.confirmation_delay;
+    });
     if (conflicting != ledger.digests.end()) {
         undo_identification(conflicting->second);
         return;
