decide: the crash ledger can be shared, and says of fewer requests that they crash targets

For its use on hosts that serve callers directly. Crashes that several hosts saw add up (export_crashes, merge_crashes); an answer on one host clears a request on all. Suspects that were on the same crashed targets exclude each other, where before such a crash was not counted at all. Runs that were sent before the crash counted last don't count again, so targets that end together count once. A request is not quarantined while as many other targets crash without it. Once a request is identified, the others on its targets are cleared. A flood of suspects evicts no quarantine. The thresholds of cornelloomd stay as they were.

--- a/src/decide/internal/outcomes.cpp
+++ b/src/decide/internal/outcomes.cpp
@@ -233,7 +233,7 @@
     const auto ended = *running;
     observe_response(state, *record, ended, answer.tokens, now);
     if (!state.crashes.digests.empty()) {
-        clear_suspicion(state.crashes, digest_of(record->work));
+        clear_suspicion(state.crashes, digest_of(record->work), now);
     }
     end_attempt(state, *record, attempt);
     const auto oldest = older_version(ended.oldest_version, answer.oldest_version);
--- a/src/decide/policy.hpp
+++ b/src/decide/policy.hpp
@@ -96,7 +96,10 @@
     kernel::duration confirmation_delay = 2s;
     /// Afterwards it is admitted again: the engine may have been fixed.
     kernel::duration lifetime = 600s;
-    std::size_t max_entries = 4096; ///< The oldest entries are evicted first.
+    /// Crashes of other targets within this time speak for a common cause outside the request.
+    kernel::duration coincidence_window = 2s;
+    std::size_t max_entries =
+        4096; ///< The oldest entries are evicted first, quarantined ones last.
 };
 
 struct health_policy {
--- a/src/decide/quarantine.hpp
+++ b/src/decide/quarantine.hpp
@@ -2,6 +2,7 @@
 
 #include "decide/policy.hpp"
 
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -12,20 +13,39 @@
     /// Hashes of the distinct targets that it may have crashed.
     std::vector<std::uint64_t> targets;
     kernel::time_point last_crash{};
+    /// Crashes of runs that were sent after the crash counted before. Targets that end together
+    /// count once, however many of them ran the request.
+    std::uint32_t counted = 0;
+    kernel::time_point last_counted{};
     kernel::time_point quarantined_until{};
     kernel::time_point identified_at{}; ///< When it was identified as the cause of a crash.
     std::uint64_t identified_by = 0; ///< The target whose crash identified it; 0: not identified.
     kernel::duration longest_run{};  ///< Longest time that it had run when a target crashed.
+    kernel::time_point cleared_at{}; ///< Crashes up to then don't count: it was answered.
+    /// Identifications up to then don't count: another digest was identified by the same crash.
+    kernel::time_point disputed_at{};
+};
+
+/// A crash of a target, whatever ran there.
+struct observed_crash {
+    std::uint64_t target = 0; ///< Hash of the target's id.
+    kernel::time_point when{};
 };
 
 /// Crash records by digest, used to find a request that crashes every target it runs on.
 ///
 /// All requests in flight on a crashed target become suspects. Suspects are placed on different
-/// targets, so a second crash usually involves one suspect and identifies the cause; with several
-/// or none, no crash count grows. A suspect that has run longer than it had before the crash is
-/// proven safe and no longer counts, unless it was alone on the target.
+/// targets, so a second crash usually involves one suspect and identifies the cause. Suspects that
+/// were on the same crashed targets can't be told apart, and none of them is quarantined until they
+/// differ. A suspect that has run longer than it had before the crash is proven safe and no longer
+/// counts, unless it was alone on the target.
+///
+/// A rack, a zone or a release can end many targets at once, and a request that is retried may be
+/// on several of them. Nothing is quarantined while at least as many other targets crash without
+/// it.
 struct crash_ledger {
     std::unordered_map<std::uint64_t, crash_record> digests;
+    std::vector<observed_crash> recent_crashes; ///< Of distinct targets, the oldest first.
 };
 
 /// A request that was in flight on a crashed target.
@@ -35,7 +55,7 @@
     bool unproven = false;       ///< It was already a suspect and not yet proven safe.
 };
 
-/// Attributes one crash; returns the digest that is now quarantined, or 0.
+/// Attributes one crash, which happened at `now`; returns the digest that is now quarantined, or 0.
 [[nodiscard]] std::uint64_t attribute_crash(crash_ledger& ledger, const quarantine_policy& rules,
                                             std::uint64_t target,
                                             const std::vector<crash_suspect>& in_flight,
@@ -54,14 +74,49 @@
 [[nodiscard]] bool is_confirmed(const crash_ledger& ledger, const quarantine_policy& rules,
                                 std::uint64_t digest, kernel::time_point now);
 
+/// What a host knows of one digest, as told to another host. Ages, since clocks differ.
+struct shared_crash_record {
+    std::uint64_t digest = 0;
+    std::vector<std::uint64_t> targets;
+    kernel::duration last_crash_age{};
+    std::uint32_t counted = 0;
+    kernel::duration last_counted_age{};
+    kernel::duration longest_run{};
+    kernel::duration quarantine_left{}; ///< Zero: not quarantined.
+    kernel::duration identified_age{};
+    std::uint64_t identified_by = 0;
+    std::optional<kernel::duration> cleared_age; ///< Unset: never answered.
+};
+
+/// A crash of a target, as told to another host.
+struct shared_crash {
+    std::uint64_t target = 0;
+    kernel::duration age{};
+};
+
+struct shared_crashes {
+    std::vector<shared_crash_record> records;
+    std::vector<shared_crash> crashes;
+};
+
+/// What this host knows, for another host: the newest `max_records` records, and as many crashes.
+[[nodiscard]] shared_crashes export_crashes(const crash_ledger& ledger, kernel::time_point now,
+                                            std::size_t max_records);
+
+/// Adds what another host knows; returns whether any of it was new. Telling the same twice, or
+/// through a third host, changes nothing.
+bool merge_crashes(crash_ledger& ledger, const quarantine_policy& rules,
+                   const shared_crashes& received, kernel::time_point now);
+
 /// Applies a quarantine notice of another host. If a different digest was recently identified for
 /// the crash of the same target, two hosts each had a suspect on it, and both digests become
 /// suspects again. Every host that receives both notices reaches the same result.
 void quarantine(crash_ledger& ledger, const quarantine_policy& rules,
                 const quarantine_notice& notice, kernel::time_point now);
 
-/// Clears a digest whose request was answered completely.
-void clear_suspicion(crash_ledger& ledger, std::uint64_t digest);
+/// Clears a digest whose request was answered completely. The record stays until it expires, so
+/// that other hosts learn of it.
+void clear_suspicion(crash_ledger& ledger, std::uint64_t digest, kernel::time_point now);
 
 /// Drops suspicions recorded since `from`, because the host assumes that its own link failed.
 void drop_suspicions_since(crash_ledger& ledger, kernel::time_point from);
--- a/src/decide/types.hpp
+++ b/src/decide/types.hpp
@@ -144,6 +144,7 @@
     std::uint64_t digest = 0;
     kernel::duration remaining{}; ///< Counted from receipt: monotonic clocks differ between hosts.
     std::uint64_t crashed_target = 0; ///< Hash of the id of the target whose crash identified it.
+    kernel::duration age{};           ///< Time since it was identified.
 };
 
 /// What the embedding code must do now, in any order. The scheduler state already assumes that all
--- /dev/null
+++ b/tests/decide/quarantine_tests.cpp
@@ -0,0 +1,231 @@
+#include "decide/quarantine.hpp"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+#include <algorithm>
+
+using namespace cornelloom;
+using namespace cornelloom::decide;
+using namespace std::chrono_literals;
+
+namespace {
+
+const kernel::time_point start{1000s};
+constexpr std::size_t all_records = 100;
+constexpr std::uint64_t culprit = 7;
+constexpr std::uint64_t neighbour = 8;
+
+quarantine_policy three_targets() {
+    quarantine_policy rules;
+    rules.crash_threshold = 3;
+    rules.confirmation_delay = 500ms;
+    return rules;
+}
+
+const quarantine_policy rules = three_targets();
+
+/// A crash of the target while it ran these requests; each is judged as the ledger knows it.
+std::uint64_t crash(crash_ledger& ledger, std::uint64_t target,
+                    const std::vector<std::uint64_t>& digests, kernel::time_point now) {
+    std::vector<crash_suspect> in_flight;
+    for (const auto digest : digests) {
+        in_flight.push_back({digest, 50ms, is_suspect(ledger, rules, digest, now)});
+    }
+    return attribute_crash(ledger, rules, target, in_flight, now);
+}
+
+bool is_quarantined(const crash_ledger& ledger, std::uint64_t digest, kernel::time_point now) {
+    return quarantined_for(ledger, digest, now) > kernel::duration{};
+}
+
+/// Both hosts tell each other all they know.
+void exchange(crash_ledger& a, crash_ledger& b, kernel::time_point now) {
+    merge_crashes(b, rules, export_crashes(a, now, all_records), now);
+    merge_crashes(a, rules, export_crashes(b, now, all_records), now);
+}
+
+} // namespace
+
+TEST_CASE("a request that crashes three targets is quarantined", "[decide][quarantine]") {
+    crash_ledger ledger;
+    CHECK(crash(ledger, 1, {culprit}, start) == 0);
+    CHECK(crash(ledger, 2, {culprit}, start + 1s) == 0);
+    CHECK(crash(ledger, 3, {culprit}, start + 2s) == culprit);
+    CHECK(is_quarantined(ledger, culprit, start + 3s));
+    SECTION("and tried again once the quarantine is over") {
+        const auto later = start + 3s + rules.lifetime;
+        CHECK_FALSE(is_quarantined(ledger, culprit, later));
+        expire(ledger, rules, later);
+        CHECK(ledger.digests.empty());
+    }
+    SECTION("and at once if it is answered after all") {
+        clear_suspicion(ledger, culprit, start + 4s);
+        CHECK_FALSE(is_quarantined(ledger, culprit, start + 4s));
+    }
+}
+
+TEST_CASE("crashes on several hosts add up", "[decide][quarantine]") {
+    // Failure: each host counted for itself, so the crashes multiplied with the number of hosts.
+    std::vector<crash_ledger> hosts(4);
+    crash(hosts[0], 1, {culprit}, start);
+    exchange(hosts[0], hosts[1], start + 50ms);
+    crash(hosts[1], 2, {culprit}, start + 200ms);
+    CHECK_FALSE(is_quarantined(hosts[1], culprit, start + 200ms));
+    exchange(hosts[1], hosts[2], start + 250ms);
+    CHECK(crash(hosts[2], 3, {culprit}, start + 400ms) == culprit);
+    exchange(hosts[2], hosts[3], start + 450ms);
+    CHECK(is_quarantined(hosts[3], culprit, start + 450ms));
+}
+
+TEST_CASE("suspects that were on the same targets are not quarantined", "[decide][quarantine]") {
+    // Failure: a host sends two requests to the same best target each time; both crash three.
+    crash_ledger ledger;
+    for (std::uint64_t target = 1; target <= 4; ++target) {
+        CHECK(crash(ledger, target, {culprit, neighbour}, start + target * 100ms) == 0);
+    }
+    SECTION("until one of them crashes a target alone") {
+        CHECK(crash(ledger, 5, {culprit}, start + 1s) == culprit);
+        CHECK_FALSE(is_quarantined(ledger, neighbour, start + 1s));
+        CHECK_FALSE(is_suspect(ledger, rules, neighbour, start + 1s));
+    }
+    SECTION("until one of them is answered") {
+        clear_suspicion(ledger, neighbour, start + 1s);
+        CHECK(crash(ledger, 5, {culprit, neighbour}, start + 2s) == culprit);
+        CHECK_FALSE(is_quarantined(ledger, neighbour, start + 2s));
+    }
+    SECTION("also where another host only hears of them") {
+        crash_ledger other;
+        exchange(ledger, other, start + 1s);
+        CHECK(quarantined_count(other, start + 1s) == 0);
+    }
+}
+
+TEST_CASE("requests on targets that end together are not quarantined", "[decide][quarantine]") {
+    // Failure: a rack is lost, and a request that was retried on three of its targets is refused.
+    crash_ledger ledger;
+    for (std::uint64_t target = 1; target <= 3; ++target) {
+        crash(ledger, target + 100, {target + 1000}, start + target * 50ms);
+    }
+    for (std::uint64_t target = 1; target <= 3; ++target) {
+        CHECK(crash(ledger, target, {culprit}, start + 200ms + target * 60ms) == 0);
+    }
+    SECTION("but a request that goes on crashing targets is") {
+        CHECK(crash(ledger, 4, {culprit}, start + 3s) == culprit);
+    }
+    SECTION("also when another host saw the other targets end") {
+        crash_ledger other;
+        merge_crashes(other, rules, export_crashes(ledger, start + 400ms, all_records),
+                      start + 400ms);
+        CHECK(quarantined_count(other, start + 400ms) == 0);
+    }
+}
+
+TEST_CASE("a popular request on many targets that end together is not quarantined",
+          "[decide][quarantine]") {
+    // Failure: a zone loses its power, and what all callers asked for at that moment is refused.
+    crash_ledger a;
+    crash_ledger b;
+    for (std::uint64_t target = 1; target <= 3; ++target) {
+        CHECK(crash(a, target, {culprit}, start + target * 1ms) == 0);
+        CHECK(crash(b, target + 10, {culprit}, start + target * 1ms) == 0);
+    }
+    exchange(a, b, start + 50ms);
+    CHECK(quarantined_count(a, start + 50ms) == 0);
+    CHECK(quarantined_count(b, start + 50ms) == 0);
+    SECTION("but it is if it goes on to crash targets, at however high a rate") {
+        std::uint64_t target = 20;
+        std::uint64_t found = 0;
+        for (auto now = start + 100ms; now < start + 1s && found == 0; now += 5ms) {
+            found = crash(a, ++target, {culprit}, now);
+        }
+        CHECK(found == culprit);
+    }
+}
+
+TEST_CASE("a request that was answered on one host is cleared on all", "[decide][quarantine]") {
+    crash_ledger a;
+    crash_ledger b;
+    crash(a, 1, {culprit, neighbour}, start);
+    exchange(a, b, start + 100ms);
+    REQUIRE(is_suspect(b, rules, neighbour, start + 100ms));
+    clear_suspicion(a, neighbour, start + 2s);
+    exchange(a, b, start + 2100ms);
+    CHECK_FALSE(is_suspect(b, rules, neighbour, start + 2100ms));
+    CHECK_FALSE(is_suspect(a, rules, neighbour, start + 2100ms));
+    CHECK(is_suspect(a, rules, culprit, start + 2100ms));
+}
+
+TEST_CASE("an exchange without news changes nothing", "[decide][quarantine]") {
+    // Failure: hosts that pass on what they were just told never stop.
+    crash_ledger a;
+    crash_ledger b;
+    for (std::uint64_t target = 1; target <= 3; ++target) {
+        crash(a, target, {culprit}, start - 1s + target * 100ms);
+    }
+    clear_suspicion(a, neighbour, start);
+    exchange(a, b, start + 100ms);
+    const auto now = start + 200ms;
+    CHECK_FALSE(merge_crashes(b, rules, export_crashes(a, now, all_records), now));
+    CHECK_FALSE(merge_crashes(a, rules, export_crashes(b, now, all_records), now));
+}
+
+TEST_CASE("a disputed identification does not come back through a third host",
+          "[decide][quarantine]") {
+    crash_ledger ledger;
+    for (std::uint64_t target = 1; target <= 3; ++target) {
+        crash(ledger, target, {culprit}, start - 300ms + target * 100ms);
+    }
+    REQUIRE(is_quarantined(ledger, culprit, start));
+    const quarantine_notice notice{neighbour, 600s, 3, 100ms};
+    quarantine(ledger, rules, notice, start + 200ms);
+    CHECK(quarantined_count(ledger, start + 200ms) == 0);
+    quarantine(ledger, rules, {neighbour, 600s, 3, 300ms}, start + 400ms);
+    CHECK(quarantined_count(ledger, start + 400ms) == 0);
+}
+
+TEST_CASE("a flood of distinct requests neither grows the ledger nor ends a quarantine",
+          "[decide][quarantine]") {
+    auto small = rules;
+    small.max_entries = 50;
+    crash_ledger ledger;
+    for (std::uint64_t target = 1; target <= 3; ++target) {
+        attribute_crash(ledger, small, target, {{culprit, 50ms, target > 1}},
+                        start - 1s + target * 100ms);
+    }
+    for (std::uint64_t each = 100; each < 1000; ++each) {
+        attribute_crash(ledger, small, each, {{each, 50ms, false}}, start + 1s);
+    }
+    CHECK(ledger.digests.size() <= small.max_entries);
+    CHECK(ledger.recent_crashes.size() <= small.max_entries);
+    CHECK(is_quarantined(ledger, culprit, start + 1s));
+}
+
+TEST_CASE("hosts agree on the quarantined requests, in whatever order they exchange",
+          "[decide][quarantine]") {
+    rc::prop("after a full round of exchanges all ledgers quarantine the same", [] {
+        constexpr std::size_t hosts = 4;
+        std::vector<crash_ledger> ledgers(hosts);
+        auto now = start;
+        const auto crashes = *rc::gen::inRange(1, 12);
+        for (int each = 0; each < crashes; ++each) {
+            now += 700ms;
+            const auto host = *rc::gen::inRange<std::size_t>(0, hosts);
+            const auto digest = *rc::gen::inRange<std::uint64_t>(1, 4);
+            crash(ledgers[host], static_cast<std::uint64_t>(100 + each), {digest}, now);
+            exchange(ledgers[*rc::gen::inRange<std::size_t>(0, hosts)], ledgers[host], now);
+        }
+        now += 5s;
+        for (std::size_t round = 0; round < hosts; ++round) {
+            for (std::size_t host = 0; host + 1 < hosts; ++host) {
+                exchange(ledgers[host], ledgers[host + 1], now);
+            }
+        }
+        for (std::uint64_t digest = 1; digest < 4; ++digest) {
+            const bool first = is_quarantined(ledgers[0], digest, now);
+            RC_ASSERT(std::ranges::all_of(ledgers, [&](const crash_ledger& each) {
+                return is_quarantined(each, digest, now) == first;
+            }));
+        }
+    });
+}
