--- a/soak/internal/day.cpp
+++ b/soak/internal/day.cpp
@@ -32,6 +32,8 @@
 constexpr std::chrono::seconds recovery{15};
 constexpr std::chrono::seconds last_reading{10};
 constexpr milliseconds grace{4000};
+/// How long a target is away that a request has crashed.
+constexpr milliseconds restart_time{1500};
 
 transport::endpoint address(const day& self, int group, int index, std::uint16_t port) {
     return {"127." + std::to_string(self.options.network) + "." + std::to_string(group) + "." +
@@ -67,6 +69,15 @@
     self.hosts.push_back(std::move(one));
 }
 
+/// A request has crashed the target; it is back after a while, as another start.
+loop::task<void> end_target(day& self, std::size_t number) {
+    auto& one = self.targets.at(number);
+    set_link(*one.way, link_state::down);
+    co_await loop::pause_for(self.io, restart_time);
+    restart_target(*one.target);
+    set_link(*one.way, link_state::open);
+}
+
 void add_target(day& self, std::string_view service, int index) {
     auto one = std::make_shared<standins::target>();
     const auto number = static_cast<int>(self.targets.size());
@@ -84,6 +95,10 @@
     auto way = std::make_shared<proxy>(self.io, where);
     start_proxy(way, one->address);
     start_target(one, where);
+    one->on_crash = [&self, number] {
+        loop::asio::co_spawn(self.io, end_target(self, static_cast<std::size_t>(number)),
+                             loop::asio::detached);
+    };
     self.targets.push_back({std::move(one), std::move(way), false});
 }
 
@@ -190,10 +205,13 @@
     for (const auto& model : self.models) {
         loop::asio::co_spawn(self.io, run_trainer(self, model), loop::asio::detached);
     }
+    bool crashes_over = false;
+    loop::asio::co_spawn(self.io, run_crashing_caller(self, crashes_over), loop::asio::detached);
     self.book.calm_since = loop::steady_clock::now();
     co_await play_troubles(self);
     co_await wait_for_calm(self);
     co_await do_planned_work(self);
+    crashes_over = true;
     co_await kill_and_recover(self);
     self.over = true;
     while (self.busy > 0) {
--- a/soak/internal/promises.cpp
+++ b/soak/internal/promises.cpp
@@ -12,6 +12,9 @@
 /// What two clocks of one loop and a busy machine may add to a bound.
 constexpr milliseconds slack{400};
 
+/// Targets that a request which crashes them may still reach in calm.
+constexpr std::uint64_t crashes_most = 3;
+
 bool passed(deadline since, milliseconds bound) {
     return loop::steady_clock::now() > since + bound + slack;
 }
@@ -48,6 +51,13 @@
     }
 }
 
+void judge_crash(ledger& book, const standins::run_seen& seen) {
+    const bool crashes = seen.path.find(standins::crashes_targets) != std::string::npos;
+    if (crashes && is_calm(book) && ++book.calm_crashes > crashes_most) {
+        note_broken(book, "crashing request", seen.request + " reached " + seen.target);
+    }
+}
+
 void take_run(ledger& book, const standins::run_seen& seen) {
     auto& all = book.runs[seen.request];
     all.push_back({seen.target, seen.path, loop::steady_clock::now()});
@@ -60,6 +70,7 @@
         return;
     }
     judge_account(book, seen, sent->second);
+    judge_crash(book, seen);
     if (sent->second.rule == run_rule::once && all.size() > 1) {
         note_broken(book, "at most once",
                     seen.request + " runs at " + all.front().target + " and " + seen.target);
--- a/soak/internal/promises.hpp
+++ b/soak/internal/promises.hpp
@@ -85,6 +85,7 @@
     std::uint64_t answered = 0;
     std::uint64_t refusals = 0;
     std::uint64_t steps_done = 0;
+    std::uint64_t calm_crashes = 0; ///< Runs in calm of requests that crash their targets.
 };
 
 /// Notes a promise that does not hold; the first words of each kind are printed at the end.
--- a/soak/internal/traffic.cpp
+++ b/soak/internal/traffic.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr milliseconds caller_pause{60};
+constexpr milliseconds crashing_caller_pause{250};
 constexpr milliseconds time_left{3000};
 /// A caller waits this much longer than it allows.
 constexpr milliseconds allowance{1500};
@@ -52,6 +53,13 @@
     }
 }
 
+/// Only the request that crashes targets may be refused for that.
+void judge_quarantine(day& self, const std::string& id, const transport::http_response& answer) {
+    if (answer.status == 503 && answer.body.find("quarantined") != std::string::npos) {
+        note_broken(self.book, "wrongly quarantined", id);
+    }
+}
+
 /// One request of a caller, and what became of it.
 loop::task<loop::call_outcome> ask(loop::connection_pool& pool, const program& host, std::string id,
                                    std::string path, std::string key) {
@@ -72,6 +80,7 @@
         co_await ask(pool, host, id, std::string(kind.path) + id, key_of(self, caller_account));
     if (outcome.fault == loop::exchange_fault::none) {
         judge_answer(self.book, id, outcome.answer);
+        judge_quarantine(self, id, outcome.answer);
     } else {
         judge_lost(self, host, boot, sent, id, outcome.fault);
     }
@@ -352,6 +361,20 @@
     --self.busy;
 }
 
+loop::task<void> run_crashing_caller(day& self, const bool& stop) {
+    ++self.busy;
+    const auto path = "/look/" + std::string(standins::crashes_targets);
+    while (!stop) {
+        const auto id = make_id(self);
+        note_sent(self.book, id, {run_rule::any, std::string(caller_account)});
+        auto message = standins::with_key(standins::caller_request(id, route_host, path, time_left),
+                                          key_of(self, caller_account));
+        co_await call_any(self, std::move(message), time_left + allowance);
+        co_await loop::pause_for(self.io, crashing_caller_pause);
+    }
+    --self.busy;
+}
+
 loop::task<void> run_trainer(day& self, std::string model) {
     ++self.busy;
     int version = 1;
--- a/soak/internal/traffic.hpp
+++ b/soak/internal/traffic.hpp
@@ -7,6 +7,10 @@
 /// A caller of plain requests and streams, until the day is over.
 loop::task<void> run_caller(day& self);
 
+/// A caller that sends one request again and again, at any host, until `stop`. The request crashes
+/// each target that runs it.
+loop::task<void> run_crashing_caller(day& self, const bool& stop);
+
 /// A trainer of one model, step after step, until the day is over.
 loop::task<void> run_trainer(day& self, std::string model);
 
