front: hosts exchange only what has crashed more than one target

Found by reading, before any large deployment met it: each exchange carried the whole ledger, so after a crash of many targets every host would have sent its hundreds of suspects around every 1.5 s for two minutes, and passed on at once what it had just been told. Now a host tells at once what it found out itself, of first crashes only those of callers' requests, since the items of a batch run on one host; and what is exchanged regularly are quarantines and suspects of more than one crash. Hosts that are not told first exchange within their zone.

--- a/src/decide/quarantine.cpp
+++ b/src/decide/quarantine.cpp
@@ -318,10 +318,17 @@
     });
 }
 
+bool is_repeated(const crash_record& record, kernel::time_point now) {
+    return record.quarantined_until > now || record.counted > 1;
+}
+
 shared_crashes export_crashes(const crash_ledger& ledger, kernel::time_point now,
-                              std::size_t max_records) {
+                              std::size_t max_records, const record_filter& is_wanted) {
     shared_crashes out;
     for (const auto& [digest, record] : ledger.digests) {
+        if (!is_wanted(digest, record)) {
+            continue;
+        }
         shared_crash_record shared;
         shared.digest = digest;
         shared.targets = record.targets;
--- a/src/decide/quarantine.hpp
+++ b/src/decide/quarantine.hpp
@@ -2,6 +2,7 @@
 
 #include "decide/policy.hpp"
 
+#include <functional>
 #include <optional>
 #include <unordered_map>
 #include <vector>
@@ -99,9 +100,18 @@
     std::vector<shared_crash> crashes;
 };
 
-/// What this host knows, for another host: the newest `max_records` records, and as many crashes.
+/// Selects the records that another host is told of.
+using record_filter = std::function<bool(std::uint64_t digest, const crash_record& record)>;
+
+/// Whether every host should know the record: it is quarantined, or has crashed again after its
+/// first crash. Most suspects are cleared before that.
+[[nodiscard]] bool is_repeated(const crash_record& record, kernel::time_point now);
+
+/// What this host knows, for another host: the newest `max_records` records that `is_wanted`, and
+/// as many crashes.
 [[nodiscard]] shared_crashes export_crashes(const crash_ledger& ledger, kernel::time_point now,
-                                            std::size_t max_records);
+                                            std::size_t max_records,
+                                            const record_filter& is_wanted);
 
 /// Adds what another host knows; returns whether any of it was new. Telling the same twice, or
 /// through a third host, changes nothing.
--- a/src/front/crash_exchange.cpp
+++ b/src/front/crash_exchange.cpp
@@ -3,7 +3,9 @@
 #include "loop/gather.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <ranges>
+#include <utility>
 #include <vector>
 
 namespace cornelloom::front {
@@ -77,13 +79,18 @@
     return out;
 }
 
-std::string encode_own_crashes(const host& self) {
-    return encode_crashes(
-        decide::export_crashes(self.crashes.ledger, self.now(), max_records_sent));
+/// Encodes what every host should know, and besides what this host knows of `digests`.
+std::string encode_own_crashes(const host& self, const std::set<std::uint64_t>& digests) {
+    const auto now = self.now();
+    return encode_crashes(decide::export_crashes(
+        self.crashes.ledger, now, max_records_sent,
+        [&](std::uint64_t digest, const decide::crash_record& record) {
+            return decide::is_repeated(record, now) || digests.contains(digest);
+        }));
 }
 
 /// The hosts that are told at once: a few of each zone, or the seeds while no peer is known.
-std::vector<transport::endpoint> exchange_partners(const host& self) {
+std::vector<transport::endpoint> all_partners(const host& self) {
     std::vector<transport::endpoint> out;
     if (self.peers.empty()) {
         std::ranges::copy_if(self.settings.seeds, std::back_inserter(out),
@@ -101,13 +108,29 @@
     return out;
 }
 
-loop::task<bool> exchange_with(std::shared_ptr<host> self, transport::endpoint partner) {
+/// The hosts that this host regularly asks. Traffic between zones is paid for, so only the hosts
+/// that are told first exchange across zones.
+std::vector<transport::endpoint> usual_partners(const host& self) {
+    const auto own_zone = ranked_zone_hosts(self.settings.zone, self.peers);
+    const bool is_told = own_zone.size() < zone_hosts_told ||
+                         ranks_before(host_entry_of(self), own_zone[zone_hosts_told - 1]);
+    if (is_told) {
+        return all_partners(self);
+    }
+    std::vector<transport::endpoint> out;
+    std::ranges::transform(own_zone | std::views::take(zone_hosts_told), std::back_inserter(out),
+                           &host_entry::address);
+    return out;
+}
+
+loop::task<bool> exchange_with(std::shared_ptr<host> self, transport::endpoint partner,
+                               std::string knowledge) {
     transport::http_request message;
     message.method = "POST";
     message.path = crashes_path;
     message.query = std::string(sender_field) + "=" + self->settings.host;
     message.headers.push_back({"Host", "peer"});
-    message.body = encode_own_crashes(*self);
+    message.body = std::move(knowledge);
     const auto partner_name = to_string(partner);
     auto outcome = co_await loop::call(self->connections, std::move(partner), std::move(message),
                                        loop::after(exchange_timeout), exchange_connect_timeout);
@@ -118,28 +141,30 @@
     co_return answered;
 }
 
-/// Tells other hosts at once whenever this host has learned something.
-loop::task<void> tell_changes(std::shared_ptr<host> self) {
-    std::uint64_t told = 0;
+/// Tells other hosts at once what this host has found out.
+loop::task<void> tell_news(std::shared_ptr<host> self) {
     for (;;) {
-        while (self->crashes.changes == told) {
+        while (self->crashes.news.empty()) {
             co_await self->crashes.changed.wait(loop::deadline::max());
         }
         co_await loop::pause_for(self->io, collect_delay);
-        told = self->crashes.changes;
-        std::vector<loop::task<bool>> calls;
-        std::ranges::transform(
-            exchange_partners(*self), std::back_inserter(calls),
-            [&self](const transport::endpoint& partner) { return exchange_with(self, partner); });
-        co_await loop::gather(self->io, std::move(calls));
+        const auto knowledge = encode_own_crashes(*self, std::exchange(self->crashes.news, {}));
+        for (auto& partner : all_partners(*self)) {
+            loop::asio::co_spawn(self->io, exchange_with(self, std::move(partner), knowledge),
+                                 loop::asio::detached);
+        }
     }
 }
 
 loop::task<void> exchange_periodically(std::shared_ptr<host> self) {
+    bool answered = true;
     for (;;) {
-        const auto partners = exchange_partners(*self);
+        // Those of this zone may all be lost.
+        const auto partners = answered ? usual_partners(*self) : all_partners(*self);
         if (!partners.empty()) {
-            co_await exchange_with(self, partners[self->random() % partners.size()]);
+            auto knowledge = encode_own_crashes(*self, {});
+            answered = co_await exchange_with(self, partners[self->random() % partners.size()],
+                                              std::move(knowledge));
         }
         co_await loop::pause_for(self->io, exchange_interval);
     }
@@ -174,12 +199,12 @@
     }
 }
 
-void merge_crashes_of(host& self, std::string_view text, std::string_view from) {
+std::set<std::uint64_t> merge_crashes_of(host& self, std::string_view text, std::string_view from) {
     const auto received = decode_crashes(text);
     if (!received) {
         log_event(self, object_unreadable,
                   {{"kind", "crashes"}, {"problem", received.error().detail}});
-        return;
+        return {};
     }
     auto& watch = self.crashes;
     const auto is_refused = [&](const decide::shared_crash_record& record) {
@@ -192,27 +217,27 @@
             admitted.push_back(record.digest);
         }
     }
-    const bool changed =
-        decide::merge_crashes(watch.ledger, watch.rules, received.value(), self.now());
+    decide::merge_crashes(watch.ledger, watch.rules, received.value(), self.now());
     for (const auto digest : admitted) {
         if (find_quarantine(self, digest)) {
             report_quarantine(self, digest, from);
         }
     }
-    if (changed) {
-        record_crash_change(self);
-    }
+    std::set<std::uint64_t> told;
+    std::ranges::transform(received.value().records, std::inserter(told, told.end()),
+                           &decide::shared_crash_record::digest);
+    return told;
 }
 
 loop::task<void> serve_crashes(std::shared_ptr<host> self, loop::served_request& request) {
     const auto from = transport::find_query(request.message.query, sender_field).value_or("");
-    merge_crashes_of(*self, request.message.body, from);
-    transport::http_response answer{200, {}, encode_own_crashes(*self)};
+    const auto told = merge_crashes_of(*self, request.message.body, from);
+    transport::http_response answer{200, {}, encode_own_crashes(*self, told)};
     co_await request.answer(std::move(answer));
 }
 
 void start_crash_exchange(const std::shared_ptr<host>& self) {
-    loop::asio::co_spawn(self->io, tell_changes(self), loop::asio::detached);
+    loop::asio::co_spawn(self->io, tell_news(self), loop::asio::detached);
     loop::asio::co_spawn(self->io, exchange_periodically(self), loop::asio::detached);
 }
 
--- a/src/front/crash_exchange.hpp
+++ b/src/front/crash_exchange.hpp
@@ -13,9 +13,11 @@
 ///
 /// A caller sends such a request to any host of any zone. If each host had to find it out by
 /// itself, the number of crashed targets would grow with the number of hosts. A host with news
-/// tells a few hosts of each zone at once. Besides, each host regularly exchanges all it knows with
-/// one of these, so a host that has just started or was cut off catches up, and a message that was
-/// lost does no harm. All knowledge is soft state: it expires, and nothing is stored.
+/// tells a few hosts of each zone at once, and these regularly exchange what they know with each
+/// other and with the hosts of their zone. So a host that has just started or was cut off catches
+/// up, and a message that was lost does no harm. What is regularly exchanged is little: a crash of
+/// many targets leaves hundreds of suspects, but hardly one of them crashes a second target. All
+/// knowledge is soft state: it expires, and nothing is stored.
 
 /// URL path under which a host takes what another one knows, and answers with what it knows.
 inline constexpr std::string_view crashes_path = "/crashes";
@@ -23,8 +25,9 @@
 [[nodiscard]] std::string encode_crashes(const decide::shared_crashes& crashes);
 [[nodiscard]] kernel::result<decide::shared_crashes> decode_crashes(std::string_view text);
 
-/// Merges what the host `from` knows; anything invalid is logged and ignored.
-void merge_crashes_of(host& self, std::string_view text, std::string_view from);
+/// Merges what the host `from` knows and returns the digests that it told of. Anything invalid is
+/// logged and ignored.
+std::set<std::uint64_t> merge_crashes_of(host& self, std::string_view text, std::string_view from);
 
 /// Handles a request of a peer.
 loop::task<void> serve_crashes(std::shared_ptr<host> self, loop::served_request& request);
--- a/src/front/crash_watch.cpp
+++ b/src/front/crash_watch.cpp
@@ -22,38 +22,44 @@
 /// Until hosts that name different requests for one crash know of each other.
 constexpr milliseconds confirmation_delay{500};
 
+/// All runs of one request at a target.
+struct active_request {
+    kernel::duration longest_run{};
+    run_source source = run_source::batch; ///< `caller` if any run is.
+};
+
 /// A target whose connection broke, and what ran there.
 struct broken_target {
     std::string id;
     transport::endpoint address;
     std::uint64_t hash = 0; ///< Differs after each start of the target.
     kernel::time_point broke_at{};
-    std::map<std::uint64_t, kernel::duration> in_flight; ///< Run times by digest.
+    std::map<std::uint64_t, active_request> in_flight; ///< By digest.
 };
 
 std::uint64_t hash_of(const target_entry& target) {
     return kernel::hash64(target.id, static_cast<std::uint64_t>(target.started_unix_ms));
 }
 
-/// The requests in flight at the target, each digest once with its longest run.
-std::map<std::uint64_t, kernel::duration> requests_at(const host& self,
-                                                      std::string_view target_id) {
-    std::map<std::uint64_t, kernel::duration> longest;
+std::map<std::uint64_t, active_request> requests_at(const host& self, std::string_view target_id) {
+    std::map<std::uint64_t, active_request> out;
     for (const auto& [number, run] : self.crashes.runs) {
         if (run.target == target_id) {
-            auto& known = longest[run.digest];
-            known = std::max(known, self.now() - run.sent);
+            auto& request = out[run.digest];
+            request.longest_run = std::max(request.longest_run, self.now() - run.sent);
+            request.source = std::min(request.source, run.source);
         }
     }
-    return longest;
+    return out;
 }
 
 std::vector<decide::crash_suspect> suspects_among(const host& self, const broken_target& target) {
     std::vector<decide::crash_suspect> out;
-    for (const auto& [digest, run_time] : target.in_flight) {
-        const bool unproven = is_crash_suspect(self, digest) &&
-                              run_time <= decide::proof_time(self.crashes.ledger, digest);
-        out.push_back({digest, run_time, unproven});
+    for (const auto& [digest, request] : target.in_flight) {
+        const bool unproven =
+            is_crash_suspect(self, digest) &&
+            request.longest_run <= decide::proof_time(self.crashes.ledger, digest);
+        out.push_back({digest, request.longest_run, unproven});
     }
     return out;
 }
@@ -67,6 +73,21 @@
     return out;
 }
 
+/// Other hosts are told of a request once it has crashed targets repeatedly, or at once if its
+/// caller may send it to them.
+void add_news(host& self, const broken_target& target) {
+    auto& watch = self.crashes;
+    for (const auto& [digest, request] : target.in_flight) {
+        const auto found = watch.ledger.digests.find(digest);
+        if (found != watch.ledger.digests.end() &&
+            (request.source == run_source::caller ||
+             decide::is_repeated(found->second, self.now()))) {
+            watch.news.insert(digest);
+        }
+    }
+    watch.changed.open();
+}
+
 void record_target_crash(host& self, const broken_target& target) {
     auto& watch = self.crashes;
     const auto culprit = decide::attribute_crash(watch.ledger, watch.rules, target.hash,
@@ -75,7 +96,17 @@
     if (culprit != 0) {
         report_quarantine(self, culprit, self.settings.host);
     }
-    record_crash_change(self);
+    add_news(self, target);
+}
+
+void clear_request(host& self, std::uint64_t digest) {
+    auto& watch = self.crashes;
+    const bool known_elsewhere = decide::is_repeated(watch.ledger.digests.at(digest), self.now());
+    decide::clear_suspicion(watch.ledger, digest, self.now());
+    if (known_elsewhere) {
+        watch.news.insert(digest);
+        watch.changed.open();
+    }
 }
 
 /// Asks the target for a new connection and attributes the crash if there is none.
@@ -151,9 +182,11 @@
     return rules;
 }
 
-run_number begin_run(host& self, std::uint64_t digest, std::string_view target_id) {
+run_number begin_run(host& self, std::uint64_t digest, std::string_view target_id,
+                     run_source source) {
     const auto number = self.crashes.next_run++;
-    self.crashes.runs.emplace(number, active_run{digest, std::string(target_id), self.now()});
+    self.crashes.runs.emplace(number,
+                              active_run{digest, std::string(target_id), source, self.now()});
     return number;
 }
 
@@ -169,8 +202,7 @@
     }
     watch.runs.erase(run);
     if (end == run_end::survived && is_crash_suspect(*self, ended.digest)) {
-        decide::clear_suspicion(watch.ledger, ended.digest, self->now());
-        record_crash_change(*self);
+        clear_request(*self, ended.digest);
     }
 }
 
@@ -219,9 +251,4 @@
                {"from", by_host}});
 }
 
-void record_crash_change(host& self) {
-    ++self.crashes.changes;
-    self.crashes.changed.open();
-}
-
 } // namespace cornelloom::front
--- a/src/front/crash_watch.hpp
+++ b/src/front/crash_watch.hpp
@@ -59,10 +59,17 @@
     unknown,  ///< Not run, given up, or no valid answer.
 };
 
+/// Who may send the same request again.
+enum class run_source {
+    caller, ///< A caller, to any host.
+    batch,  ///< The host that runs its batch.
+};
+
 /// A request of this host in flight at a target.
 struct active_run {
     std::uint64_t digest = 0;
     std::string target;
+    run_source source = run_source::caller;
     kernel::time_point sent{};
 };
 
@@ -75,15 +82,16 @@
     std::set<std::string, std::less<>> checking{}; ///< Targets that are being asked.
     decide::crash_ledger ledger{};
     decide::quarantine_policy rules{};
-    std::uint64_t changes = 0; ///< How often the ledger got something to tell other hosts.
-    loop::gate changed;        ///< Opened after each of these changes.
+    std::set<std::uint64_t> news{}; ///< Digests that other hosts are to be told of at once.
+    loop::gate changed;             ///< Opened when there are more of them.
 };
 
 /// The rules of a host: three targets, since an attempt of a caller may reach two at once.
 [[nodiscard]] decide::quarantine_policy default_quarantine_rules();
 
 /// Registers a run that is being sent to the target.
-[[nodiscard]] run_number begin_run(host& self, std::uint64_t digest, std::string_view target_id);
+[[nodiscard]] run_number begin_run(host& self, std::uint64_t digest, std::string_view target_id,
+                                   run_source source);
 
 /// Removes the run. After a broken connection, checks in the background whether the target has
 /// crashed.
@@ -115,9 +123,6 @@
 /// Logs that the request was quarantined, because of what `by_host` has told.
 void report_quarantine(host& self, std::uint64_t digest, std::string_view by_host);
 
-/// Records that the ledger got something to tell other hosts.
-void record_crash_change(host& self);
-
 /// Reason of a refusal of a quarantined request.
 inline constexpr std::string_view quarantined_reason = "quarantined";
 
--- a/src/front/feeder_choice.cpp
+++ b/src/front/feeder_choice.cpp
@@ -6,10 +6,6 @@
 
 namespace {
 
-bool ranks_before(const host_entry& a, const host_entry& b) {
-    return a.cpu_share != b.cpu_share ? a.cpu_share > b.cpu_share : a.name < b.name;
-}
-
 bool is_avoided(const avoided_feeders& avoided, std::string_view name, time_point now) {
     const auto found = avoided.find(name);
     return found != avoided.end() && found->second > now;
@@ -17,6 +13,10 @@
 
 } // namespace
 
+bool ranks_before(const host_entry& a, const host_entry& b) {
+    return a.cpu_share != b.cpu_share ? a.cpu_share > b.cpu_share : a.name < b.name;
+}
+
 std::optional<host_entry> first_zone_host(const host_entry& own, const host_entries& peers,
                                           const avoided_feeders& avoided, time_point now) {
     const host_entry* first = nullptr;
--- a/src/front/feeder_choice.hpp
+++ b/src/front/feeder_choice.hpp
@@ -30,6 +30,9 @@
 /// How long a feeder is avoided after it failed to serve a request.
 inline constexpr milliseconds feeder_avoidance_time{4000};
 
+/// Whether `a` comes before `b` in the common order of a zone's hosts.
+[[nodiscard]] bool ranks_before(const host_entry& a, const host_entry& b);
+
 /// The first host of the zone, in the common order, that is not avoided; `nullopt` if that is this
 /// host itself.
 [[nodiscard]] std::optional<host_entry> first_zone_host(const host_entry& own,
--- a/src/front/item_run.cpp
+++ b/src/front/item_run.cpp
@@ -339,7 +339,8 @@
     run.sent = run.last_event = self->now();
     batch->runs.insert_or_assign(index, run);
     batch->state.items[index].last_target = target_id;
-    const auto watched = begin_run(*self, digest_of_item(*batch, index), target_id);
+    const auto watched =
+        begin_run(*self, digest_of_item(*batch, index), target_id, run_source::batch);
     const auto result = co_await send_item(batch, index, item_route);
     end_run(self, watched, result.end_of_run);
     run.exchange->abort();
@@ -395,6 +396,7 @@
         call.objective = scoring_route->objective;
         call.deadline = self->now() + scoring_timeout;
         call.digest = digest_of_scoring(*scoring);
+        call.source = run_source::batch;
         const bool near_deadline = self->now() + near_deadline_window >= deadline_of(*batch);
         call.hedge_factor = near_deadline ? short_hedge_factor : default_hedge_factor;
         call.build_request = [self, scoring](const forward_options& terms) {
--- a/src/front/plain_call.cpp
+++ b/src/front/plain_call.cpp
@@ -202,7 +202,7 @@
     if (state->decided) {
         exchange->abort(); // the call was decided before this attempt started
     }
-    const auto run = begin_run(self, state->call.digest, plan.target_id);
+    const auto run = begin_run(self, state->call.digest, plan.target_id, state->call.source);
     auto result = co_await exchange_once(state, exchange, plan);
     end_run(state->self, run, result.end_of_run);
     std::erase(state->exchanges, exchange);
--- a/src/front/plain_call.hpp
+++ b/src/front/plain_call.hpp
@@ -31,6 +31,7 @@
     milliseconds objective{0}; ///< Latency objective of its route; 0: none.
     time_point deadline{};
     std::uint64_t digest = 0; ///< Of its content; see `digest_of`.
+    run_source source = run_source::caller;
     /// Hedging delay as a multiple of the typical latency of the service.
     double hedge_factor = default_hedge_factor;
     /// Builds the request for one target, with the remaining time.
--- a/src/front/stream_call.cpp
+++ b/src/front/stream_call.cpp
@@ -169,7 +169,7 @@
     stream.exchange = std::make_shared<loop::exchange>(self.connections, target->entry.address);
     stream.request->on_gone([link = stream.exchange] { link->abort(); });
     stream.end_of_run = run_end::unknown;
-    const auto run = begin_run(self, stream.digest, id);
+    const auto run = begin_run(self, stream.digest, id, run_source::caller);
     const auto end = co_await run_attempt(stream, id);
     end_run(stream.self, run, stream.end_of_run);
     const auto found = self.targets.by_id.find(id);
--- a/tests/decide/quarantine_tests.cpp
+++ b/tests/decide/quarantine_tests.cpp
@@ -13,6 +13,11 @@
 
 const kernel::time_point start{1000s};
 constexpr std::size_t all_records = 100;
+
+bool everything(std::uint64_t /*digest*/, const crash_record& /*record*/) {
+    return true;
+}
+
 constexpr std::uint64_t culprit = 7;
 constexpr std::uint64_t neighbour = 8;
 
@@ -41,8 +46,8 @@
 
 /// Both hosts tell each other all they know.
 void exchange(crash_ledger& a, crash_ledger& b, kernel::time_point now) {
-    merge_crashes(b, rules, export_crashes(a, now, all_records), now);
-    merge_crashes(a, rules, export_crashes(b, now, all_records), now);
+    merge_crashes(b, rules, export_crashes(a, now, all_records, everything), now);
+    merge_crashes(a, rules, export_crashes(b, now, all_records, everything), now);
 }
 
 } // namespace
@@ -115,7 +120,7 @@
     }
     SECTION("also when another host saw the other targets end") {
         crash_ledger other;
-        merge_crashes(other, rules, export_crashes(ledger, start + 400ms, all_records),
+        merge_crashes(other, rules, export_crashes(ledger, start + 400ms, all_records, everything),
                       start + 400ms);
         CHECK(quarantined_count(other, start + 400ms) == 0);
     }
@@ -166,8 +171,8 @@
     clear_suspicion(a, neighbour, start);
     exchange(a, b, start + 100ms);
     const auto now = start + 200ms;
-    CHECK_FALSE(merge_crashes(b, rules, export_crashes(a, now, all_records), now));
-    CHECK_FALSE(merge_crashes(a, rules, export_crashes(b, now, all_records), now));
+    CHECK_FALSE(merge_crashes(b, rules, export_crashes(a, now, all_records, everything), now));
+    CHECK_FALSE(merge_crashes(a, rules, export_crashes(b, now, all_records, everything), now));
 }
 
 TEST_CASE("a disputed identification does not come back through a third host",
