front: a trial run of a held item counts once it is sent, and ages of peers are bounded

Found by reading: the trial of a quarantined item was used up in a round without a free target, and an absurd age from a peer would have overflowed.

--- a/src/front/batch_drive.cpp
+++ b/src/front/batch_drive.cpp
@@ -75,12 +75,15 @@
         state.trial_pause = first_trial_pause;
         state.next_trial = now + state.trial_pause;
     }
-    if (now < state.next_trial) {
-        return true;
+    return now < state.next_trial;
+}
+
+/// Plans the trial after this one if the item is quarantined.
+void record_trial(item_state& state, time_point now) {
+    if (state.next_trial != time_point{}) {
+        state.trial_pause *= 2;
+        state.next_trial = now + state.trial_pause;
     }
-    state.trial_pause *= 2;
-    state.next_trial = now + state.trial_pause;
-    return false;
 }
 
 /// Starts waiting items on targets, the most urgent first.
@@ -117,6 +120,7 @@
             continue;
         }
         state.deferred_since = {};
+        record_trial(state, round.now);
         state.phase = item_phase::running;
         // Counted here rather than in run_item(), so that the next item of this burst sees it.
         ++target->running;
--- a/src/front/crash_exchange.cpp
+++ b/src/front/crash_exchange.cpp
@@ -36,9 +36,10 @@
     return std::chrono::duration_cast<milliseconds>(time).count();
 }
 
-/// A time of another host: never negative, so that nothing happens in the future.
+/// Reads an age. It is never negative, so that nothing happens in the future.
 kernel::duration read_ms(const json& value) {
-    return milliseconds(std::max<std::int64_t>(value.get<std::int64_t>(), 0));
+    constexpr milliseconds longest = std::chrono::hours(24); // nothing is remembered for so long
+    return milliseconds(std::clamp<std::int64_t>(value.get<std::int64_t>(), 0, longest.count()));
 }
 
 json encode_record(const decide::shared_crash_record& record) {
--- a/src/front/crash_watch.hpp
+++ b/src/front/crash_watch.hpp
@@ -7,7 +7,6 @@
 #include "loop/task.hpp"
 
 #include <cstdint>
-#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
