--- a/src/front/item_run.cpp
+++ b/src/front/item_run.cpp
@@ -293,6 +293,26 @@
         {{}, scoring.host, "POST", target.substr(0, mark), target.substr(mark), scoring.body});
 }
 
+plain_call make_scoring_call(const live_batch& batch, const scoring_call& scoring,
+                             const route& scoring_route) {
+    auto self = batch.local_host;
+    plain_call call;
+    call.id = scoring.id;
+    call.service = choose_service(scoring_route, scoring.id);
+    call.idempotent = true;
+    call.max_runs = scoring_route.attempts;
+    call.objective = scoring_route.objective;
+    call.deadline = self->now() + scoring_timeout;
+    call.digest = digest_of_scoring(scoring);
+    call.source = run_source::batch;
+    const bool near_deadline = self->now() + near_deadline_window >= deadline_of(batch);
+    call.hedge_factor = near_deadline ? short_hedge_factor : default_hedge_factor;
+    call.build_request = [self, scoring](const forward_options& terms) {
+        return self->platform_adapter.scoring(scoring, terms);
+    };
+    return call;
+}
+
 } // namespace
 
 std::uint64_t digest_of_item(live_batch& batch, std::size_t index) {
@@ -388,20 +408,7 @@
             co_await loop::pause_for(self->io, scoring_retry_delay);
             continue;
         }
-        plain_call call;
-        call.id = scoring->id;
-        call.service = choose_service(*scoring_route, scoring->id);
-        call.idempotent = true;
-        call.max_runs = scoring_route->attempts;
-        call.objective = scoring_route->objective;
-        call.deadline = self->now() + scoring_timeout;
-        call.digest = digest_of_scoring(*scoring);
-        call.source = run_source::batch;
-        const bool near_deadline = self->now() + near_deadline_window >= deadline_of(*batch);
-        call.hedge_factor = near_deadline ? short_hedge_factor : default_hedge_factor;
-        call.build_request = [self, scoring](const forward_options& terms) {
-            return self->platform_adapter.scoring(*scoring, terms);
-        };
+        auto call = make_scoring_call(*batch, *scoring, *scoring_route);
         const auto* batch_route = route_of(*batch);
         const int max_failures =
             std::max(scoring_route->attempts, batch_route != nullptr ? batch_route->attempts : 1);
--- a/tests/decide/quarantine_tests.cpp
+++ b/tests/decide/quarantine_tests.cpp
@@ -4,6 +4,7 @@
 #include <rapidcheck/catch.h>
 
 #include <algorithm>
+#include <iterator>
 
 using namespace cornelloom;
 using namespace cornelloom::decide;
@@ -34,9 +35,9 @@
 std::uint64_t crash(crash_ledger& ledger, std::uint64_t target,
                     const std::vector<std::uint64_t>& digests, kernel::time_point now) {
     std::vector<crash_suspect> in_flight;
-    for (const auto digest : digests) {
-        in_flight.push_back({digest, 50ms, is_suspect(ledger, rules, digest, now)});
-    }
+    std::ranges::transform(digests, std::back_inserter(in_flight), [&](std::uint64_t digest) {
+        return crash_suspect{digest, 50ms, is_suspect(ledger, rules, digest, now)};
+    });
     return attribute_crash(ledger, rules, target, in_flight, now);
 }
 
@@ -212,12 +213,12 @@
         constexpr std::size_t hosts = 4;
         std::vector<crash_ledger> ledgers(hosts);
         auto now = start;
-        const auto crashes = *rc::gen::inRange(1, 12);
-        for (int each = 0; each < crashes; ++each) {
+        const auto crashes = *rc::gen::inRange<std::uint64_t>(1, 12);
+        for (std::uint64_t each = 0; each < crashes; ++each) {
             now += 700ms;
             const auto host = *rc::gen::inRange<std::size_t>(0, hosts);
             const auto digest = *rc::gen::inRange<std::uint64_t>(1, 4);
-            crash(ledgers[host], static_cast<std::uint64_t>(100 + each), {digest}, now);
+            crash(ledgers[host], 100 + each, {digest}, now);
             exchange(ledgers[*rc::gen::inRange<std::size_t>(0, hosts)], ledgers[host], now);
         }
         now += 5s;
--- a/tests/soak/crash_rig.cpp
+++ b/tests/soak/crash_rig.cpp
@@ -11,9 +11,7 @@
 
 namespace {
 
-using std::chrono_literals::operator""s;
-
-constexpr auto patience = 40s; // a test that waits so long has failed
+constexpr std::chrono::seconds patience{40}; // a test that waits so long has failed
 /// How long a crashed target is away.
 constexpr milliseconds restart_time{700};
 /// Until the hosts know routes, targets and each other.
--- a/tests/soak/crash_tests.cpp
+++ b/tests/soak/crash_tests.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <array>
+#include <memory>
 
 using namespace cornelloom;
 using namespace cornelloom::soak;
@@ -82,20 +83,20 @@
 
 /// Sends requests of one path until the time is over, all the same or each with a body of its own.
 loop::task<void> send_pages(crash_rig& rig, std::size_t host, std::string path, milliseconds length,
-                            bool same, int& running) {
-    ++running;
+                            bool same, std::shared_ptr<int> running) {
+    ++*running;
     const auto until = loop::after(length);
     for (int count = 0; loop::steady_clock::now() < until; ++count) {
         std::string body = same ? "page" : std::to_string(count);
         co_await ask(rig, host, path, std::move(body));
     }
-    --running;
+    --*running;
 }
 
 /// As many senders at each host, side by side.
 loop::task<void> send_everywhere(crash_rig& rig, std::string path, milliseconds length, int senders,
                                  bool same) {
-    int running = 0;
+    const auto running = std::make_shared<int>(0);
     for (std::size_t host = 0; host < rig.hosts.size(); ++host) {
         for (int each = 0; each < senders; ++each) {
             loop::asio::co_spawn(rig.io, send_pages(rig, host, path, length, same, running),
@@ -104,7 +105,7 @@
     }
     do {
         co_await loop::pause_for(rig.io, 20ms);
-    } while (running > 0);
+    } while (*running > 0);
 }
 
 void slow_down(crash_rig& rig, milliseconds work) {
