front: a suspect is not sent on while a target that ran it is being checked

After the crash that names a request, its second attempt left at once, before the check of the first target had ended, and ended one target more at each host.

--- a/src/front/batch_drive.cpp
+++ b/src/front/batch_drive.cpp
@@ -61,13 +61,19 @@
     return requirements;
 }
 
-/// Whether the item is quarantined and its next trial run is not due.
-bool waits_for_trial(live_batch& batch, std::size_t index, time_point now) {
+/// Whether the item is held back because it may crash its targets: it is being checked, or it is
+/// quarantined and its next trial run is not due.
+bool is_held_back(live_batch& batch, std::size_t index, time_point now) {
     auto& self = *batch.local_host;
     auto& state = batch.state.items[index];
-    const bool quarantined = !self.crashes.ledger.digests.empty() &&
-                             find_quarantine(self, digest_of_item(batch, index)).has_value();
-    if (!quarantined) {
+    if (self.crashes.ledger.digests.empty()) {
+        return false;
+    }
+    const auto digest = digest_of_item(batch, index);
+    if (is_being_checked(self, digest)) {
+        return true;
+    }
+    if (!find_quarantine(self, digest)) {
         state.next_trial = {};
         return false;
     }
@@ -104,7 +110,7 @@
             }
             continue;
         }
-        if (waits_for_trial(*batch, index, round.now)) {
+        if (is_held_back(*batch, index, round.now)) {
             continue;
         }
         auto requirements = requirements_of(*batch, item, state, *item_route);
--- a/src/front/crash_watch.cpp
+++ b/src/front/crash_watch.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <array>
+#include <iterator>
 #include <ranges>
 #include <sstream>
 #include <vector>
@@ -123,6 +124,7 @@
     } else {
         log_event(*self, target_alive, {{"target", target.id}});
     }
+    self->crashes.check_ended.open();
 }
 
 /// The targets that run another suspect of this host; none if the digest is no suspect itself.
@@ -141,13 +143,16 @@
 
 void check_broken_target(const std::shared_ptr<host>& self, const std::string& target_id) {
     const auto found = self->targets.by_id.find(target_id);
-    if (found == self->targets.by_id.end() || !self->crashes.checking.insert(target_id).second) {
+    if (found == self->targets.by_id.end() || self->crashes.checking.contains(target_id)) {
         return;
     }
     const auto& entry = found->second.entry;
+    auto in_flight = requests_at(*self, entry.id);
+    auto& digests = self->crashes.checking[entry.id];
+    std::ranges::copy(in_flight | std::views::keys, std::inserter(digests, digests.end()));
     loop::asio::co_spawn(self->io,
                          check_target(self, {entry.id, entry.address, hash_of(entry), self->now(),
-                                             requests_at(*self, entry.id)}),
+                                             std::move(in_flight)}),
                          loop::asio::detached);
 }
 
@@ -224,6 +229,20 @@
     return decide::is_suspect(self.crashes.ledger, self.crashes.rules, digest, self.now());
 }
 
+bool is_being_checked(const host& self, std::uint64_t digest) {
+    const auto& checking = self.crashes.checking;
+    return !checking.empty() && is_crash_suspect(self, digest) &&
+           std::ranges::any_of(
+               checking, [digest](const auto& target) { return target.second.contains(digest); });
+}
+
+loop::task<void> wait_for_checks(std::shared_ptr<host> self, std::uint64_t digest,
+                                 kernel::time_point deadline) {
+    while (is_being_checked(*self, digest) && self->now() < deadline) {
+        co_await self->crashes.check_ended.wait(to_deadline(*self, deadline));
+    }
+}
+
 target_state* choose_target_apart(host& self, std::string_view service, std::uint64_t digest,
                                   const std::set<std::string, std::less<>>& tried) {
     auto excluded = targets_with_suspects(self, digest);
--- a/src/front/crash_watch.hpp
+++ b/src/front/crash_watch.hpp
@@ -74,11 +74,13 @@
 
 /// The runs of this host, and what it knows of crashes.
 struct crash_watch {
-    explicit crash_watch(loop::io_context& loop) : changed(loop) {}
+    explicit crash_watch(loop::io_context& loop) : check_ended(loop), changed(loop) {}
 
     std::map<run_number, active_run> runs{};
     run_number next_run = 1;
-    std::set<std::string, std::less<>> checking{}; ///< Targets that are being asked.
+    /// Targets that are being asked, and the digests of what ran there.
+    std::map<std::string, std::set<std::uint64_t>, std::less<>> checking{};
+    loop::gate check_ended; ///< Opened when a target has been asked.
     decide::crash_ledger ledger{};
     decide::quarantine_policy rules{};
     std::set<std::uint64_t> news{}; ///< Digests that other hosts are to be told of at once.
@@ -110,6 +112,14 @@
 /// Whether the request was on a target that crashed, and may be the cause.
 [[nodiscard]] bool is_crash_suspect(const host& self, std::uint64_t digest);
 
+/// Whether a target that ran the suspect is being asked whether it has crashed. Until that is
+/// known, the request must not be sent to another one: it may be the crash that names it.
+[[nodiscard]] bool is_being_checked(const host& self, std::uint64_t digest);
+
+/// Waits until the request is not being checked, or until `deadline`.
+loop::task<void> wait_for_checks(std::shared_ptr<host> self, std::uint64_t digest,
+                                 kernel::time_point deadline);
+
 /// Chooses a target like `choose_target`. A suspect goes, if it can, to a target without another
 /// suspect of this host: if a target with two of them crashed, they could not be told apart.
 [[nodiscard]] target_state* choose_target_apart(host& self, std::string_view service,
--- a/src/front/plain_call.cpp
+++ b/src/front/plain_call.cpp
@@ -297,6 +297,10 @@
     auto hedge_at = self->now() + delay;
     while (!state->decided && self->now() < state->call.deadline) {
         const bool none_running = state->running_attempts == 0;
+        if (none_running && is_being_checked(*self, state->call.digest)) {
+            co_await wait_for_checks(self, state->call.digest, state->call.deadline);
+            continue;
+        }
         const bool hedge_due = !none_running && state->call.idempotent && self->now() >= hedge_at;
         if ((none_running || hedge_due) && may_start_attempt(*state) && start_attempt(state)) {
             hedge_at = self->now() + delay;
--- a/src/front/stream_call.cpp
+++ b/src/front/stream_call.cpp
@@ -150,6 +150,7 @@
 
 loop::task<stream_end> run_next_attempt(stream_state& stream, std::string_view service) {
     auto& self = *stream.self;
+    co_await wait_for_checks(stream.self, stream.digest, stream.deadline);
     stream.quarantine = find_quarantine(self, stream.digest);
     if (stream.quarantine) {
         stream.refusals = max_refusals;
