decide: crashes carry their times, and targets that end together count once

Cause: a crash counted if its run was sent after the crash counted before. A popular request that is retried on the next target of the group met three of them in 10 ms, before an answer of any other target could clear it. The ledger kept a count beside the set of targets, and merged counts as numbers, so hosts that each saw one crash knew of one after their exchange, and crashes from before an answer elsewhere stayed. Change: each crash is kept and told with its time and run time; the count follows from that. An answer forgets the crashes before it on every host.

--- a/src/decide/quarantine.cpp
+++ b/src/decide/quarantine.cpp
@@ -17,28 +17,54 @@
 // Crashed targets that are kept for one digest: as many as may crash before it is identified.
 constexpr std::size_t max_known_targets = 64;
 
-bool contains(const std::vector<std::uint64_t>& targets, std::uint64_t target) {
-    return std::ranges::find(targets, target) != targets.end();
+bool contains(const std::vector<crashed_target>& crashes, std::uint64_t target) {
+    return std::ranges::find(crashes, target, &crashed_target::target) != crashes.end();
 }
 
-void record_crash(crash_record& record, std::uint64_t target, kernel::duration run_time,
-                  kernel::time_point now) {
-    if (record.targets.size() < max_known_targets && !contains(record.targets, target)) {
-        record.targets.push_back(target);
+// Adds the crash, in order of time; returns whether it was new.
+bool add_crash(crash_record& record, const crashed_target& crash) {
+    auto& crashes = record.crashes;
+    if (contains(crashes, crash.target)) {
+        return false;
     }
-    record.last_crash = std::max(record.last_crash, now);
-    record.longest_run = std::max(record.longest_run, run_time);
-    if (record.counted == 0 || now - run_time > record.last_counted) {
-        ++record.counted;
-        record.last_counted = now;
+    if (crashes.size() == max_known_targets) {
+        crashes.pop_back(); // the first ones count
+    }
+    crashes.insert(
+        std::ranges::upper_bound(crashes, crash.crashed_at, {}, &crashed_target::crashed_at),
+        crash);
+    record.last_crash = std::max(record.last_crash, crash.crashed_at);
+    record.longest_run = std::max(record.longest_run, crash.run_time);
+    return true;
+}
+
+// Crashes of runs that were sent after the crash counted before. Targets that end together count
+// once, however many of them ran the request.
+std::uint32_t count_crashes(const crash_record& record, const quarantine_policy& rules) {
+    std::uint32_t counted = 0;
+    kernel::time_point last{};
+    for (const auto& crash : record.crashes) {
+        const bool sent_later = crash.crashed_at - crash.run_time > last;
+        if (counted == 0 || (sent_later && crash.crashed_at >= last + rules.min_crash_gap)) {
+            ++counted;
+            last = crash.crashed_at;
+        }
     }
+    return counted;
+}
+
+// Forgets the crashes up to that time.
+void forget_crashes(crash_record& record, kernel::time_point until) {
+    std::erase_if(record.crashes,
+                  [until](const crashed_target& crash) { return crash.crashed_at <= until; });
 }
 
 // Undoes an identification: the crash that led to it no longer counts.
 void undo_identification(crash_record& record, kernel::time_point now) {
     record.disputed_at = now;
-    std::erase(record.targets, record.identified_by);
-    record.counted -= std::min(record.counted, 1U);
+    std::erase_if(record.crashes, [&record](const crashed_target& crash) {
+        return crash.target == record.identified_by;
+    });
     record.quarantined_until = {};
     record.identified_by = 0;
 }
@@ -75,32 +101,32 @@
     const auto without =
         std::ranges::count_if(ledger.recent_crashes, [&](const observed_crash& crash) {
             return crash.when + rules.coincidence_window > now &&
-                   !contains(record.targets, crash.target);
+                   !contains(record.crashes, crash.target);
         });
-    return static_cast<std::size_t>(without) < record.targets.size();
+    return static_cast<std::size_t>(without) < record.crashes.size();
 }
 
 // Whether another suspect was on every target that the request has crashed, so that either may be
 // the cause.
 bool has_companion(const crash_ledger& ledger, const quarantine_policy& rules, std::uint64_t digest,
                    kernel::time_point now) {
-    const auto& crashed = ledger.digests.at(digest).targets;
+    const auto& crashes = ledger.digests.at(digest).crashes;
     return std::ranges::any_of(ledger.digests, [&](const auto& entry) {
         return entry.first != digest && is_suspect(ledger, rules, entry.first, now) &&
-               std::ranges::all_of(crashed, [&](std::uint64_t target) {
-                   return contains(entry.second.targets, target);
+               std::ranges::all_of(crashes, [&](const crashed_target& crash) {
+                   return contains(entry.second.crashes, crash.target);
                });
     });
 }
 
 // The other requests on the targets that the culprit crashed are no suspects any more.
 void exonerate_others(crash_ledger& ledger, std::uint64_t culprit) {
-    const auto& crashed = ledger.digests[culprit].targets;
+    const auto& explained = ledger.digests[culprit].crashes;
     for (auto& [digest, record] : ledger.digests) {
         if (digest != culprit) {
-            const auto erased = std::erase_if(
-                record.targets, [&](std::uint64_t target) { return contains(crashed, target); });
-            record.counted -= std::min(record.counted, static_cast<std::uint32_t>(erased));
+            std::erase_if(record.crashes, [&](const crashed_target& crash) {
+                return contains(explained, crash.target);
+            });
         }
     }
 }
@@ -113,7 +139,8 @@
         record.quarantined_until = now + rules.lifetime;
         return false;
     }
-    if (record.counted < rules.crash_threshold || !explains_crashes(ledger, rules, record, now) ||
+    if (count_crashes(record, rules) < rules.crash_threshold ||
+        !explains_crashes(ledger, rules, record, now) ||
         has_companion(ledger, rules, digest, now)) {
         return false;
     }
@@ -137,9 +164,8 @@
                       const std::vector<crash_suspect>& in_flight, kernel::time_point now) {
     for (const auto& each : in_flight) {
         auto& record = record_of(ledger, rules, each.digest);
-        record.targets.clear();
-        record.counted = 0;
-        record_crash(record, target, each.run_time, now);
+        record.crashes.clear();
+        add_crash(record, {target, now, each.run_time});
     }
 }
 
@@ -150,9 +176,8 @@
         return false;
     }
     const auto cleared_at = now - *received.cleared_age;
-    if (record.last_crash <= cleared_at) {
-        record.targets.clear();
-        record.counted = 0;
+    forget_crashes(record, cleared_at);
+    if (record.crashes.empty()) {
         record.longest_run = {};
     }
     if (record.identified_at <= cleared_at) {
@@ -166,23 +191,16 @@
 // Adds the crashes that another host knows; returns whether any was new.
 bool merge_targets(crash_record& record, const quarantine_policy& rules,
                    const shared_crash_record& received, kernel::time_point now) {
-    const auto last_crash = now - received.last_crash_age;
-    if (last_crash <= record.cleared_at || received.last_crash_age >= rules.suspicion_lifetime) {
-        return false;
-    }
-    const auto known = record.targets.size();
-    for (const auto target : received.targets) {
-        if (record.targets.size() < max_known_targets && !contains(record.targets, target)) {
-            record.targets.push_back(target);
+    bool added = false;
+    const bool quarantined = received.quarantine_left > kernel::duration{};
+    for (const auto& crash : received.crashes) {
+        const auto crashed_at = now - crash.age;
+        const bool expired = crash.age >= rules.suspicion_lifetime && !quarantined;
+        if (crashed_at > record.cleared_at && !expired) {
+            added = add_crash(record, {crash.target, crashed_at, crash.run_time}) || added;
         }
     }
-    record.last_crash = std::max(record.last_crash, last_crash);
-    record.longest_run = std::max(record.longest_run, received.longest_run);
-    if (received.counted > record.counted) {
-        record.counted = received.counted;
-        record.last_counted = now - received.last_counted_age;
-    }
-    return record.targets.size() > known;
+    return added;
 }
 
 // Adds clearance and crashes of one digest; returns whether there was anything new.
@@ -233,7 +251,7 @@
     }
     const auto may_be_cause = [&](const crash_suspect& each) { return alone || each.unproven; };
     for (const auto& each : in_flight | std::views::filter(may_be_cause)) {
-        record_crash(record_of(ledger, rules, each.digest), target, each.run_time, now);
+        add_crash(record_of(ledger, rules, each.digest), {target, now, each.run_time});
     }
     const auto culprit = std::ranges::find_if(in_flight, [&](const crash_suspect& each) {
         return may_be_cause(each) && quarantine_if_due(ledger, rules, each.digest, target, now);
@@ -253,7 +271,7 @@
 bool is_suspect(const crash_ledger& ledger, const quarantine_policy& rules, std::uint64_t digest,
                 kernel::time_point now) {
     const auto it = ledger.digests.find(digest);
-    return it != ledger.digests.end() && !it->second.targets.empty() &&
+    return it != ledger.digests.end() && !it->second.crashes.empty() &&
            now < it->second.last_crash + rules.suspicion_lifetime;
 }
 
@@ -319,7 +337,7 @@
 }
 
 bool is_repeated(const crash_record& record, kernel::time_point now) {
-    return record.quarantined_until > now || record.counted > 1;
+    return record.quarantined_until > now || record.crashes.size() > 1;
 }
 
 shared_crashes export_crashes(const crash_ledger& ledger, kernel::time_point now,
@@ -331,10 +349,11 @@
         }
         shared_crash_record shared;
         shared.digest = digest;
-        shared.targets = record.targets;
+        std::ranges::transform(
+            record.crashes, std::back_inserter(shared.crashes), [now](const crashed_target& crash) {
+                return shared_crashed_target{crash.target, now - crash.crashed_at, crash.run_time};
+            });
         shared.last_crash_age = now - record.last_crash;
-        shared.counted = record.counted;
-        shared.last_counted_age = now - record.last_counted;
         shared.longest_run = record.longest_run;
         if (record.quarantined_until > now) {
             shared.quarantine_left = record.quarantined_until - now;
--- a/src/decide/quarantine.hpp
+++ b/src/decide/quarantine.hpp
@@ -9,15 +9,17 @@
 
 namespace cornelloom::decide {
 
+/// A target that a request may have crashed.
+struct crashed_target {
+    std::uint64_t target = 0; ///< Hash of the target's id.
+    kernel::time_point crashed_at{};
+    kernel::duration run_time{}; ///< Time that the request had run there.
+};
+
 /// Crash history of one digest.
 struct crash_record {
-    /// Hashes of the distinct targets that it may have crashed.
-    std::vector<std::uint64_t> targets;
+    std::vector<crashed_target> crashes; ///< Of distinct targets, since it was last answered.
     kernel::time_point last_crash{};
-    /// Crashes of runs that were sent after the crash counted before. Targets that end together
-    /// count once, however many of them ran the request.
-    std::uint32_t counted = 0;
-    kernel::time_point last_counted{};
     kernel::time_point quarantined_until{};
     kernel::time_point identified_at{}; ///< When it was identified as the cause of a crash.
     std::uint64_t identified_by = 0; ///< The target whose crash identified it; 0: not identified.
@@ -42,8 +44,8 @@
 /// counts, unless it was alone on the target.
 ///
 /// A rack, a zone or a release can end many targets at once, and a request that is retried may be
-/// on several of them. Nothing is quarantined while at least as many other targets crash without
-/// it.
+/// on several of them. So targets that end together count once, and nothing is quarantined while at
+/// least as many other targets crash without it.
 struct crash_ledger {
     std::unordered_map<std::uint64_t, crash_record> digests;
     std::vector<observed_crash> recent_crashes; ///< Of distinct targets, the oldest first.
@@ -75,13 +77,18 @@
 [[nodiscard]] bool is_confirmed(const crash_ledger& ledger, const quarantine_policy& rules,
                                 std::uint64_t digest, kernel::time_point now);
 
-/// What a host knows of one digest, as told to another host. Ages, since clocks differ.
+/// A target that a request may have crashed, as told to another host. Ages, since clocks differ.
+struct shared_crashed_target {
+    std::uint64_t target = 0;
+    kernel::duration age{};
+    kernel::duration run_time{};
+};
+
+/// What a host knows of one digest, as told to another host.
 struct shared_crash_record {
     std::uint64_t digest = 0;
-    std::vector<std::uint64_t> targets;
+    std::vector<shared_crashed_target> crashes;
     kernel::duration last_crash_age{};
-    std::uint32_t counted = 0;
-    kernel::duration last_counted_age{};
     kernel::duration longest_run{};
     kernel::duration quarantine_left{}; ///< Zero: not quarantined.
     kernel::duration identified_age{};
@@ -103,8 +110,8 @@
 /// Selects the records that another host is told of.
 using record_filter = std::function<bool(std::uint64_t digest, const crash_record& record)>;
 
-/// Whether every host should know the record: it is quarantined, or has crashed again after its
-/// first crash. Most suspects are cleared before that.
+/// Whether every host should know the record: it is quarantined, or may have crashed several
+/// targets. Most suspects are cleared before that.
 [[nodiscard]] bool is_repeated(const crash_record& record, kernel::time_point now);
 
 /// What this host knows, for another host: the newest `max_records` records that `is_wanted`, and
--- a/src/front/crash_exchange.cpp
+++ b/src/front/crash_exchange.cpp
@@ -43,11 +43,15 @@
 }
 
 json encode_record(const decide::shared_crash_record& record) {
+    json crashes = json::array();
+    for (const auto& crash : record.crashes) {
+        crashes.push_back({{"target", crash.target},
+                           {"age_ms", to_ms(crash.age)},
+                           {"run_ms", to_ms(crash.run_time)}});
+    }
     json out = {{"digest", record.digest},
-                {"targets", record.targets},
+                {"crashes", std::move(crashes)},
                 {"age_ms", to_ms(record.last_crash_age)},
-                {"counted", record.counted},
-                {"counted_age_ms", to_ms(record.last_counted_age)},
                 {"run_ms", to_ms(record.longest_run)}};
     if (record.quarantine_left > kernel::duration{}) {
         out["quarantine_ms"] = to_ms(record.quarantine_left);
@@ -63,11 +67,11 @@
 decide::shared_crash_record decode_record(const json& value) {
     decide::shared_crash_record out;
     out.digest = value.at("digest").get<std::uint64_t>();
-    out.targets = value.at("targets").get<std::vector<std::uint64_t>>();
-    out.targets.resize(std::min(out.targets.size(), max_targets_read));
+    for (const auto& crash : value.at("crashes") | std::views::take(max_targets_read)) {
+        out.crashes.push_back({crash.at("target").get<std::uint64_t>(), read_ms(crash.at("age_ms")),
+                               read_ms(crash.at("run_ms"))});
+    }
     out.last_crash_age = read_ms(value.at("age_ms"));
-    out.counted = value.at("counted").get<std::uint32_t>();
-    out.last_counted_age = read_ms(value.at("counted_age_ms"));
     out.longest_run = read_ms(value.at("run_ms"));
     if (value.contains("quarantine_ms")) {
         out.quarantine_left = read_ms(value.at("quarantine_ms"));
--- a/src/front/crash_watch.cpp
+++ b/src/front/crash_watch.cpp
@@ -222,7 +222,7 @@
     const bool confirmed = decide::is_confirmed(watch.ledger, watch.rules, digest, now);
     const auto delay =
         confirmed ? left : record.identified_at + watch.rules.confirmation_delay - now;
-    return quarantine_verdict{std::chrono::ceil<milliseconds>(delay), record.targets.size()};
+    return quarantine_verdict{std::chrono::ceil<milliseconds>(delay), record.crashes.size()};
 }
 
 bool is_crash_suspect(const host& self, std::uint64_t digest) {
@@ -266,7 +266,7 @@
     const auto& record = self.crashes.ledger.digests.at(digest);
     log_event(self, request_quarantined,
               {{"digest", digest_text(digest)},
-               {"targets", static_cast<std::uint64_t>(record.targets.size())},
+               {"targets", static_cast<std::uint64_t>(record.crashes.size())},
                {"from", by_host}});
 }
 
--- a/tests/front/crash_exchange_tests.cpp
+++ b/tests/front/crash_exchange_tests.cpp
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <string>
 
 using namespace cornelloom;
@@ -13,10 +14,8 @@
 decide::shared_crashes one_quarantine() {
     decide::shared_crash_record record;
     record.digest = 0xfedcba9876543210;
-    record.targets = {1, 2, 3};
+    record.crashes = {{1, 900ms, 70ms}, {2, 500ms, 120ms}, {3, 40ms, 30ms}};
     record.last_crash_age = 40ms;
-    record.counted = 3;
-    record.last_counted_age = 50ms;
     record.longest_run = 120ms;
     record.quarantine_left = 600s;
     record.identified_age = 30ms;
@@ -35,10 +34,10 @@
     const auto& record = read.value().records.front();
     const auto& original = sent.records.front();
     CHECK(record.digest == original.digest);
-    CHECK(record.targets == original.targets);
+    CHECK(std::ranges::equal(record.crashes, original.crashes, [](const auto& a, const auto& b) {
+        return a.target == b.target && a.age == b.age && a.run_time == b.run_time;
+    }));
     CHECK(record.last_crash_age == original.last_crash_age);
-    CHECK(record.counted == original.counted);
-    CHECK(record.last_counted_age == original.last_counted_age);
     CHECK(record.longest_run == original.longest_run);
     CHECK(record.quarantine_left == original.quarantine_left);
     CHECK(record.identified_age == original.identified_age);
--- a/tests/soak/crash_tests.cpp
+++ b/tests/soak/crash_tests.cpp
@@ -151,14 +151,15 @@
     auto& host = *rig.hosts.front()->self;
     decide::shared_crash_record record;
     record.digest = 7;
-    record.targets = {1, 2, 3};
-    record.counted = 3;
+    record.crashes = {{1, 61s, 1ms}, {2, 60s, 1ms}, {3, 59s, 1ms}};
     record.last_crash_age = 1min;
     record.quarantine_left = 5min;
     record.identified_age = 20h;
     record.identified_by = 3;
     front::merge_crashes_of(host, front::encode_crashes({{record}, {}}), "peer");
-    CHECK(front::find_quarantine(host, record.digest));
+    const auto verdict = front::find_quarantine(host, record.digest);
+    REQUIRE(verdict);
+    CHECK(verdict->crashed_targets == 3);
 }
 
 namespace {
