front: the store keeps quarantined requests when all hosts lose power at once

Cause: quarantines were kept in memory only, and no host was left that could tell the others. Change: the host that identifies a request adds it to one object in the platform's store, written under a condition, once it can no longer be disputed; a host that clears it writes it out. Each host that watches the store reads the object once after its start, and tells the others by the exchange of crashes. In the soak the caller of such a request goes on after the kill of all.

--- a/soak/internal/day.cpp
+++ b/soak/internal/day.cpp
@@ -211,8 +211,8 @@
     co_await play_troubles(self);
     co_await wait_for_calm(self);
     co_await do_planned_work(self);
-    crashes_over = true;
     co_await kill_and_recover(self);
+    crashes_over = true;
     self.over = true;
     while (self.busy > 0) {
         co_await loop::pause_for(self.io, tend_every);
--- a/src/front/crash_exchange.cpp
+++ b/src/front/crash_exchange.cpp
@@ -204,30 +204,34 @@
     }
 }
 
-std::set<std::uint64_t> merge_crashes_of(host& self, std::string_view text, std::string_view from) {
-    const auto received = decode_crashes(text);
-    if (!received) {
-        log_event(self, object_unreadable,
-                  {{"kind", "crashes"}, {"problem", received.error().detail}});
-        return {};
-    }
+void merge_crashes_of(host& self, const decide::shared_crashes& received, std::string_view from) {
     auto& watch = self.crashes;
     const auto is_refused = [&](const decide::shared_crash_record& record) {
         return decide::quarantined_for(watch.ledger, record.digest, self.now()) >
                kernel::duration{};
     };
     std::vector<std::uint64_t> admitted;
-    for (const auto& record : received.value().records) {
+    for (const auto& record : received.records) {
         if (!is_refused(record)) {
             admitted.push_back(record.digest);
         }
     }
-    decide::merge_crashes(watch.ledger, watch.rules, received.value(), self.now());
+    decide::merge_crashes(watch.ledger, watch.rules, received, self.now());
     for (const auto digest : admitted) {
         if (find_quarantine(self, digest)) {
             report_quarantine(self, digest, from);
         }
     }
+}
+
+std::set<std::uint64_t> merge_crashes_of(host& self, std::string_view text, std::string_view from) {
+    const auto received = decode_crashes(text);
+    if (!received) {
+        log_event(self, object_unreadable,
+                  {{"kind", "crashes"}, {"problem", received.error().detail}});
+        return {};
+    }
+    merge_crashes_of(self, received.value(), from);
     std::set<std::uint64_t> told;
     std::ranges::transform(received.value().records, std::inserter(told, told.end()),
                            &decide::shared_crash_record::digest);
--- a/src/front/crash_exchange.hpp
+++ b/src/front/crash_exchange.hpp
@@ -25,6 +25,9 @@
 [[nodiscard]] std::string encode_crashes(const decide::shared_crashes& crashes);
 [[nodiscard]] kernel::result<decide::shared_crashes> decode_crashes(std::string_view text);
 
+/// Merges what `from`, another host or the store, knows, and logs new quarantines.
+void merge_crashes_of(host& self, const decide::shared_crashes& received, std::string_view from);
+
 /// Merges what the host `from` knows and returns the digests that it told of. Anything invalid is
 /// logged and ignored.
 std::set<std::uint64_t> merge_crashes_of(host& self, std::string_view text, std::string_view from);
--- a/src/front/crash_watch.cpp
+++ b/src/front/crash_watch.cpp
@@ -96,6 +96,7 @@
     log_event(self, target_crashed, {{"target", target.id}, {"digests", digest_list(target)}});
     if (culprit != 0) {
         report_quarantine(self, culprit, self.settings.host);
+        watch.store_at = self.now() + watch.rules.confirmation_delay;
     }
     add_news(self, target);
 }
@@ -103,6 +104,9 @@
 void clear_request(host& self, std::uint64_t digest) {
     auto& watch = self.crashes;
     const bool known_elsewhere = decide::is_repeated(watch.ledger.digests.at(digest), self.now());
+    if (find_quarantine(self, digest)) {
+        watch.store_at = self.now();
+    }
     decide::clear_suspicion(watch.ledger, digest, self.now());
     if (known_elsewhere) {
         watch.news.insert(digest);
--- a/src/front/crash_watch.hpp
+++ b/src/front/crash_watch.hpp
@@ -85,6 +85,8 @@
     decide::quarantine_policy rules{};
     std::set<std::uint64_t> news{}; ///< Digests that other hosts are to be told of at once.
     loop::gate changed;             ///< Opened when there are more of them.
+    /// When the quarantined requests are to be stored anew; unset: they are stored.
+    std::optional<kernel::time_point> store_at{};
 };
 
 /// The rules of a host: three targets, since an attempt of a caller may reach two at once.
--- a/src/front/process.cpp
+++ b/src/front/process.cpp
@@ -8,6 +8,7 @@
 #include "front/follower.hpp"
 #include "front/gateway.hpp"
 #include "front/order_giver.hpp"
+#include "front/quarantine_store.hpp"
 #include "front/target_supplier.hpp"
 #include "front/usage_reporter.hpp"
 
@@ -202,6 +203,7 @@
     start_load_scheduler(self);
     start_gathering(self);
     start_crash_exchange(self);
+    start_quarantine_store(self);
     start_usage_reports(self);
     start_target_supply(self);
     loop::asio::co_spawn(self->io, run_housekeeping(registry), loop::asio::detached);
--- /dev/null
+++ b/src/front/quarantine_store.hpp
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "front/host.hpp"
+
+#include <memory>
+#include <string>
+
+namespace cornelloom::front {
+
+/// Keeps the quarantined requests in the platform's store.
+///
+/// Hosts know them in memory and tell each other. When all hosts lose power at once, that is lost,
+/// and the request would crash as many targets again. The host that identifies a request adds it to
+/// one object, and each host that watches the store reads that object once after its start. The
+/// others learn of it by the exchange of crashes.
+
+/// The quarantined requests of this host, as stored at `now`.
+[[nodiscard]] std::string encode_quarantines(const host& self, kernel::wall_time now);
+
+/// Merges stored quarantines, which have become older since; anything invalid is logged and
+/// ignored.
+void merge_quarantines(host& self, const nlohmann::json& stored, kernel::wall_time now);
+
+/// Reads and stores quarantines until the event loop ends.
+void start_quarantine_store(const std::shared_ptr<host>& self);
+
+} // namespace cornelloom::front
--- a/src/front/store_request.cpp
+++ b/src/front/store_request.cpp
@@ -24,6 +24,8 @@
         return "order_lease";
     case object_kind::usage_reports:
         return "usage_reports";
+    case object_kind::quarantines:
+        return "quarantines";
     }
     return "other";
 }
--- a/src/front/store_request.hpp
+++ b/src/front/store_request.hpp
@@ -18,6 +18,7 @@
     batch_log,     ///< Log entries with the progress of a batch.
     order_lease,   ///< Lease of the host that gives orders to targets for all.
     usage_reports, ///< Reported usage by client account.
+    quarantines,   ///< Requests that crash targets.
 };
 
 [[nodiscard]] std::string_view to_string(object_kind kind);
--- a/tests/soak/crash_tests.cpp
+++ b/tests/soak/crash_tests.cpp
@@ -2,6 +2,7 @@
 
 #include "front/adapter.hpp"
 #include "front/crash_exchange.hpp"
+#include "front/quarantine_store.hpp"
 
 #include <catch2/catch.hpp>
 
@@ -162,6 +163,39 @@
     CHECK(verdict->crashed_targets == 3);
 }
 
+TEST_CASE("a stored quarantine ends when its time is over", "[soak][crash]") {
+    crash_rig rig(30);
+    start_targets(rig, 1, 0);
+    start_hosts(rig, 2);
+    auto& before = *rig.hosts[0]->self;
+    auto& after = *rig.hosts[1]->self;
+    decide::shared_crash_record record;
+    record.digest = 7;
+    record.crashes = {{1, 3s, 1ms}, {2, 2s, 1ms}, {3, 1s, 1ms}};
+    record.last_crash_age = 1s;
+    record.quarantine_left = 5min;
+    record.identified_age = 1s;
+    record.identified_by = 3;
+    front::merge_crashes_of(before, front::encode_crashes({{record}, {}}), "peer");
+    const auto now = before.clock.wall_now();
+    const auto stored = nlohmann::json::parse(front::encode_quarantines(before, now));
+    const auto later = GENERATE(4min, 6min);
+    front::merge_quarantines(after, stored, {now.unix_ms + milliseconds(later).count()});
+    CHECK(front::find_quarantine(after, record.digest).has_value() == (later < 5min));
+}
+
+TEST_CASE("stored quarantines that can't be read are ignored", "[soak][crash]") {
+    crash_rig rig(31);
+    start_targets(rig, 1, 0);
+    start_hosts(rig, 1);
+    auto& host = *rig.hosts[0]->self;
+    const auto* text =
+        GENERATE("null", "[]", "{}", R"({"stored_unix_ms":"x","crashes":"{}"})",
+                 R"({"stored_unix_ms":1,"crashes":{}})", R"({"stored_unix_ms":1,"crashes":"{"})");
+    front::merge_quarantines(host, nlohmann::json::parse(text), host.clock.wall_now());
+    CHECK(host.crashes.ledger.digests.empty());
+}
+
 namespace {
 
 constexpr std::string_view stored_kind = "cornelloom-quarantines";
