--- a/src/decide/policy.hpp
+++ b/src/decide/policy.hpp
@@ -98,7 +98,7 @@
     kernel::duration lifetime = 600s;
     /// Targets that end within less time than this end together: time enough for the news of one to
     /// come from another region, and for a request that is retried to be answered elsewhere.
-    kernel::duration min_crash_gap = 250ms;
+    kernel::duration min_crash_gap = 100ms;
     /// Crashes of other targets within this time speak for a common cause outside the request.
     kernel::duration coincidence_window = 2s;
     std::size_t max_entries =
--- a/tests/decide/quarantine_tests.cpp
+++ b/tests/decide/quarantine_tests.cpp
@@ -76,12 +76,12 @@
     std::vector<crash_ledger> hosts(4);
     crash(hosts[0], 1, {culprit}, start);
     exchange(hosts[0], hosts[1], start + 50ms);
-    crash(hosts[1], 2, {culprit}, start + 300ms);
-    CHECK_FALSE(is_quarantined(hosts[1], culprit, start + 300ms));
-    exchange(hosts[1], hosts[2], start + 350ms);
-    CHECK(crash(hosts[2], 3, {culprit}, start + 600ms) == culprit);
-    exchange(hosts[2], hosts[3], start + 650ms);
-    CHECK(is_quarantined(hosts[3], culprit, start + 650ms));
+    crash(hosts[1], 2, {culprit}, start + 200ms);
+    CHECK_FALSE(is_quarantined(hosts[1], culprit, start + 200ms));
+    exchange(hosts[1], hosts[2], start + 250ms);
+    CHECK(crash(hosts[2], 3, {culprit}, start + 400ms) == culprit);
+    exchange(hosts[2], hosts[3], start + 450ms);
+    CHECK(is_quarantined(hosts[3], culprit, start + 450ms));
 }
 
 TEST_CASE("crashes that several hosts see at the same time add up", "[decide][quarantine]") {
@@ -142,8 +142,7 @@
         CHECK(crash(ledger, target, {culprit}, start + 200ms + target * 60ms) == 0);
     }
     SECTION("but a request that goes on crashing targets is") {
-        CHECK(crash(ledger, 4, {culprit}, start + 3s) == 0);
-        CHECK(crash(ledger, 5, {culprit}, start + 3s + rules.min_crash_gap) == culprit);
+        CHECK(crash(ledger, 4, {culprit}, start + 3s) == culprit);
     }
     SECTION("also when another host saw the other targets end") {
         crash_ledger other;
@@ -184,8 +183,7 @@
     CHECK(crash(ledger, 2, {culprit}, start + 60ms) == 0);
     CHECK(crash(ledger, 3, {culprit}, start + 120ms) == 0);
     SECTION("but it is if it goes on to crash targets") {
-        CHECK(crash(ledger, 4, {culprit}, start + 1s) == 0);
-        CHECK(crash(ledger, 5, {culprit}, start + 2s) == culprit);
+        CHECK(crash(ledger, 4, {culprit}, start + 1s) == culprit);
     }
 }
 
@@ -207,7 +205,7 @@
     crash_ledger a;
     crash_ledger b;
     for (std::uint64_t target = 1; target <= 3; ++target) {
-        crash(a, target, {culprit}, start - 1s + target * 300ms);
+        crash(a, target, {culprit}, start - 1s + target * 100ms);
     }
     REQUIRE(is_quarantined(a, culprit, start));
     clear_suspicion(a, neighbour, start);
@@ -221,7 +219,7 @@
           "[decide][quarantine]") {
     crash_ledger ledger;
     for (std::uint64_t target = 1; target <= 3; ++target) {
-        crash(ledger, target, {culprit}, start - 900ms + target * 300ms);
+        crash(ledger, target, {culprit}, start - 300ms + target * 100ms);
     }
     REQUIRE(is_quarantined(ledger, culprit, start));
     const quarantine_notice notice{neighbour, 600s, 3, 100ms};
@@ -238,7 +236,7 @@
     crash_ledger ledger;
     for (std::uint64_t target = 1; target <= 3; ++target) {
         (void)attribute_crash(ledger, small, target, {{culprit, 50ms, target > 1}},
-                              start - 1s + target * 300ms);
+                              start - 1s + target * 100ms);
     }
     for (std::uint64_t each = 100; each < 1000; ++each) {
         (void)attribute_crash(ledger, small, each, {{each, 50ms, false}}, start + 1s);
