front: hosts that read the stored quarantines tell the others at once

Callers would see: after a loss of power of all hosts, hosts that don't watch the store send the request to targets for up to three seconds more. Cause: they learned of it only by the exchange that each host begins every 1.5 s, with any of its partners.

--- a/src/front/quarantine_store.cpp
+++ b/src/front/quarantine_store.cpp
@@ -28,6 +28,13 @@
 void merge_object(host& self, quarantine_object& known, const stored_object& object) {
     known.revision = object.revision;
     merge_quarantines(self, object.specification, self.clock.wall_now());
+    // The other hosts may have started at the same moment, and know as little.
+    for (const auto& [digest, record] : self.crashes.ledger.digests) {
+        if (record.quarantined_until > self.now()) {
+            self.crashes.news.insert(digest);
+        }
+    }
+    self.crashes.changed.open();
 }
 
 /// Reads the object; false if the read failed.
