--- a/src/front/crash_exchange.hpp
+++ b/src/front/crash_exchange.hpp
@@ -17,7 +17,7 @@
 /// other and with the hosts of their zone. So a host that has just started or was cut off catches
 /// up, and a message that was lost does no harm. What is regularly exchanged is little: a crash of
 /// many targets leaves hundreds of suspects, but hardly one of them crashes a second target. All
-/// knowledge is soft state: it expires, and nothing is stored.
+/// knowledge expires; `quarantine_store.hpp` keeps what must outlast all hosts.
 
 /// URL path under which a host takes what another one knows, and answers with what it knows.
 inline constexpr std::string_view crashes_path = "/crashes";
