--- a/tests/soak/crash_tests.cpp
+++ b/tests/soak/crash_tests.cpp
@@ -200,6 +200,76 @@
 
 constexpr std::string_view stored_kind = "cornelloom-quarantines";
 
+/// Merges that many quarantines into what the host knows; a higher digest is newer.
+void merge_many(front::host& host, std::uint64_t count) {
+    decide::shared_crashes many;
+    for (std::uint64_t digest = 1; digest <= count; ++digest) {
+        const auto target = digest * 10;
+        const auto age = 1s + std::chrono::seconds(count - digest);
+        decide::shared_crash_record record;
+        record.digest = digest;
+        record.crashes = {
+            {target, age + 2s, 1ms}, {target + 1, age + 1s, 1ms}, {target + 2, age, 1ms}};
+        record.last_crash_age = age;
+        record.quarantine_left = 5min;
+        record.identified_age = age;
+        record.identified_by = target + 2;
+        many.records.push_back(std::move(record));
+    }
+    front::merge_crashes_of(host, front::encode_crashes(many), "peer");
+}
+
+/// Waits until the store has rejected a write of quarantines.
+loop::task<void> wait_for_rejection(crash_rig& rig, const std::uint64_t& rejected) {
+    const auto until = loop::after(10s);
+    while (rejected == 0 && loop::steady_clock::now() < until) {
+        co_await loop::pause_for(rig.io, 50ms);
+    }
+}
+
+} // namespace
+
+TEST_CASE("stored quarantines fit into an object that the store accepts", "[soak][crash]") {
+    // Failure: a store of small objects rejected the whole list, and none was kept.
+    crash_rig rig(32);
+    start_targets(rig, 1, 0);
+    start_hosts(rig, 2);
+    auto& before = *rig.hosts[0]->self;
+    auto& after = *rig.hosts[1]->self;
+    before.settings.max_value_bytes = 4096;
+    constexpr std::uint64_t count = 64;
+    merge_many(before, count);
+    REQUIRE(front::find_quarantine(before, count));
+    const auto now = before.clock.wall_now();
+    const auto text = front::encode_quarantines(before, now);
+    const auto write =
+        before.platform_adapter.replace(front::object_kind::quarantines, "requests", text, 1000000);
+    CHECK(write.message.body.size() <= before.settings.max_value_bytes);
+    front::merge_quarantines(after, nlohmann::json::parse(text), now);
+    CHECK(front::find_quarantine(after, count));
+}
+
+TEST_CASE("a quarantine that the store rejects is not written again and again", "[soak][crash]") {
+    // Failure: the host repeated the same write every second for as long as it ran.
+    crash_rig rig(33);
+    start_targets(rig, 8, 0);
+    start_hosts(rig, 1);
+    rig.platform->troubles.largest_write = 64;
+    const auto& rejected = rig.platform->writes_too_large[std::string(stored_kind)];
+    const auto path = "/look/" + std::string(crashes_targets);
+    std::uint64_t first = 0;
+    play(rig, [&]() -> loop::task<void> {
+        co_await repeat(rig, path, 3s);
+        co_await wait_for_rejection(rig, rejected);
+        first = rejected;
+        co_await loop::pause_for(rig.io, 4s);
+    });
+    CHECK(first > 0);
+    CHECK(rejected == first);
+}
+
+namespace {
+
 /// Lets a request crash targets until it is quarantined and stored; returns the stored objects.
 std::map<std::string, standins::store::object> store_quarantine(std::string path) {
     crash_rig rig(28);
