daemon: a platform runner that was stopped passes no answer on

Operators would see: cornelloomd ends by SIGSEGV or an abort when it is stopped during a call to the platform. Cause: stop() returned while its threads still passed the answer of a call under way to its continuation, and the owner went on to destroy what that uses. The destructor joined the threads, but it comes last: the leases are gone by then. In a play of the [lease] tests that failed, the record that was encoded for the next write held bytes that are no UTF-8, after the last check had passed. Change: stop() joins the threads. Ruled out: the order in which the test destroys its parts is that of the daemon, so the test stays as it is.

--- a/src/daemon/platform_runner.cpp
+++ b/src/daemon/platform_runner.cpp
@@ -27,9 +27,6 @@
 
 platform_runner::~platform_runner() {
     stop();
-    for (auto& thread : threads_) {
-        thread.join();
-    }
 }
 
 void platform_runner::start(coord::platform_call call, platform_continuation done) {
@@ -67,6 +64,10 @@
     for (const auto& one : rest) {
         one.done({one.call.token, coord::call_outage{}});
     }
+    for (auto& thread : threads_) {
+        thread.join();
+    }
+    threads_.clear();
 }
 
 void platform_runner::work_loop(bool watches) {
--- a/src/daemon/platform_runner.hpp
+++ b/src/daemon/platform_runner.hpp
@@ -37,7 +37,9 @@
     [[nodiscard]] coord::platform_outcome call(coord::call_kind kind,
                                                coord::platform_operation operation);
 
-    /// No call is made from now on; those that wait are answered as outages.
+    /// No call is made from now on; those that wait are answered as outages. Returns when the last
+    /// call under way was answered and its continuation has ended, so it must not be called from
+    /// one. The owner calls it before it destroys what continuations use.
     void stop();
 
 private:
