front: quarantines that the store rejects are not written again and again, and fit into its objects

Operators would see: a store that takes small objects only rejects the list of quarantined requests, a host repeats the same write about three times a second for as long as a quarantine lasts, each a call that is paid for, and no log line says so. After a loss of all hosts the quarantines are forgotten. Cause: up to 64 quarantines were written whatever the size, and a write that the store rejects as invalid was repeated like one that it did not execute. Change: the list holds the newest quarantines that fit into platform.value-bytes; a rejected write is logged (9028 quarantines_rejected) and not repeated until the list changes.

--- a/src/front/events.hpp
+++ b/src/front/events.hpp
@@ -56,6 +56,9 @@
                                     "a connection broke, but its target accepts new ones"};
 inline constexpr event request_quarantined{9027, "request_quarantined", event_level::warning,
                                            "a request that crashes its targets is refused"};
+inline constexpr event quarantines_rejected{
+    9028, "quarantines_rejected", event_level::warning,
+    "the platform's store rejects the list of quarantined requests"};
 inline constexpr event batch_accepted{9030, "batch_accepted", event_level::info,
                                       "a batch was stored and accepted"};
 inline constexpr event batch_refused{9031, "batch_refused", event_level::warning,
--- a/src/front/quarantine_store.cpp
+++ b/src/front/quarantine_store.cpp
@@ -16,8 +16,12 @@
 /// How often a host checks whether anything is to be read or stored.
 constexpr loop::milliseconds check_interval{300};
 constexpr loop::milliseconds max_store_delay{1200};
-/// Quarantines in the store; the object stays far below the size that the store accepts.
+/// Quarantines in the store, as far as they fit into one object.
 constexpr std::size_t max_stored = 64;
+/// What the name and the revision add to an object.
+constexpr std::size_t object_overhead_bytes = 512;
+/// Bytes of a rejection that are logged.
+constexpr std::size_t max_logged_bytes = 200;
 
 /// What this host knows of the object in the store.
 struct quarantine_object {
@@ -60,8 +64,8 @@
                          : self.platform_adapter.replace(kind, object_name, text, revision);
 }
 
-/// Writes the object; false if the write is not known to have succeeded. Another host may have
-/// written in between; what it knows is merged, and the next write follows on it.
+/// Writes the object; false if the write is to be repeated. Another host may have written in
+/// between; what it knows is merged, and the next write follows on it.
 loop::task<bool> write_quarantines(std::shared_ptr<host> self, quarantine_object& known) {
     const auto answer = co_await call_store(self->store, write_request(*self, known.revision));
     const auto object = self->platform_adapter.object(answer.body);
@@ -72,6 +76,11 @@
     } else if (answer.fault == store_outcome::none && object) {
         known.revision = object.value().revision;
         co_return true;
+    } else if (answer.fault == store_outcome::invalid) {
+        // It would be rejected again.
+        log_event(*self, quarantines_rejected,
+                  {{"response", answer.body.substr(0, max_logged_bytes)}});
+        co_return true;
     }
     co_return false;
 }
@@ -82,8 +91,8 @@
         co_return;
     }
     store_at.reset(); // set again by whatever changes during the write
-    const bool written = co_await write_quarantines(self, known);
-    if (!written && !store_at) {
+    const bool done = co_await write_quarantines(self, known);
+    if (!done && !store_at) {
         store_at = self->now() + store_retry_delay(*self, max_store_delay);
     }
 }
@@ -116,11 +125,10 @@
     return record;
 }
 
-} // namespace
-
-std::string encode_quarantines(const host& self, kernel::wall_time now) {
+/// The newest quarantines, as stored.
+std::string encode_newest(const host& self, std::size_t max_records, kernel::wall_time now) {
     auto quarantines = decide::export_crashes(
-        self.crashes.ledger, self.now(), max_stored,
+        self.crashes.ledger, self.now(), max_records,
         [&self](std::uint64_t /*digest*/, const decide::crash_record& record) {
             return record.quarantined_until > self.now();
         });
@@ -129,6 +137,19 @@
     return out.dump();
 }
 
+} // namespace
+
+std::string encode_quarantines(const host& self, kernel::wall_time now) {
+    const auto max_bytes = self.settings.max_value_bytes - object_overhead_bytes;
+    auto count = max_stored;
+    auto text = encode_newest(self, count, now);
+    while (text.size() > max_bytes && count > 0) {
+        count /= 2;
+        text = encode_newest(self, count, now);
+    }
+    return text;
+}
+
 void merge_quarantines(host& self, const json& stored, kernel::wall_time now) {
     if (!stored.contains("stored_unix_ms") || !stored["stored_unix_ms"].is_number_integer() ||
         !stored.contains("crashes") || !stored["crashes"].is_string()) {
--- a/src/front/quarantine_store.hpp
+++ b/src/front/quarantine_store.hpp
@@ -14,7 +14,8 @@
 /// one object, and each host that watches the store reads that object once after its start. The
 /// others learn of it by the exchange of crashes.
 
-/// The quarantined requests of this host, as stored at `now`.
+/// The quarantined requests of this host, as stored at `now`: the newest, as many as fit into an
+/// object that the store accepts.
 [[nodiscard]] std::string encode_quarantines(const host& self, kernel::wall_time now);
 
 /// Merges stored quarantines, which have become older since; anything invalid is logged and
