daemon: the end waits for a configuration that is asked of another host

Operators would see: cornelloomd crashes at its end when it has just asked another host for a configuration; the answer or its time limit of two seconds comes after the parts that it is passed to were destroyed. Cause: the question ran on a thread that nobody waited for, the same fault as in the platform runner. Found by looking for threads that outlive their owner; the others of src/ are joined or counted by their owner. Change: it runs among the daemon's background tasks, which the end waits for. Evidence: "A host that asks another one for a configuration waits for it at its end" fails with the thread as it was and passes now.

--- a/src/daemon/configuration_runner.cpp
+++ b/src/daemon/configuration_runner.cpp
@@ -7,7 +7,6 @@
 #include <algorithm>
 #include <condition_variable>
 #include <deque>
-#include <thread>
 
 namespace cornelloom::daemon {
 
@@ -44,8 +43,10 @@
 } // namespace
 
 configuration_runner::configuration_runner(context& shared, platform_runner& platform,
-                                           peer_fetcher fetch, std::function<void()> changed)
-    : shared_(shared), platform_(platform), fetch_(std::move(fetch)), changed_(std::move(changed)),
+                                           tasks& background, peer_fetcher fetch,
+                                           std::function<void()> changed)
+    : shared_(shared), platform_(platform), background_(background), fetch_(std::move(fetch)),
+      changed_(std::move(changed)),
       state_(coord::make_follow(
           {.self = shared.settings.host, .peers_expected = !shared.settings.seeds.empty()},
           shared.clock.now())) {}
@@ -97,9 +98,9 @@
     }
     for (const auto& wanted : effects.fetches) {
         // A fetch waits for another host; the thread that brought the hint must not.
-        std::thread([this, wanted] {
+        background_.run([this, wanted] {
             step(coord::peer_answer{wanted.token, fetch_(wanted.peer, wanted.digest)});
-        }).detach();
+        });
     }
 }
 
--- a/src/daemon/configuration_runner.hpp
+++ b/src/daemon/configuration_runner.hpp
@@ -3,6 +3,7 @@
 #include "coord/configuration_apply.hpp"
 #include "coord/configuration_follow.hpp"
 #include "daemon/platform_runner.hpp"
+#include "daemon/tasks.hpp"
 
 #include <functional>
 #include <map>
@@ -24,9 +25,10 @@
 /// Follows the configuration at this host and puts operators' sets in force. Thread-safe.
 class configuration_runner {
 public:
-    /// `changed` is called after another generation came into force, without locks.
-    configuration_runner(context& shared, platform_runner& platform, peer_fetcher fetch,
-                         std::function<void()> changed);
+    /// Asks other hosts in `background`. `changed` is called after another generation came into
+    /// force, without locks.
+    configuration_runner(context& shared, platform_runner& platform, tasks& background,
+                         peer_fetcher fetch, std::function<void()> changed);
 
     void on_hint(const coord::hint_heard& hint);
     void set_watch_duty(bool watch);
@@ -48,6 +50,7 @@
 
     context& shared_;
     platform_runner& platform_;
+    tasks& background_;
     peer_fetcher fetch_;
     std::function<void()> changed_;
     mutable std::mutex mutex_;
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -128,7 +128,7 @@
              }),
       requests(shared, std::random_device{}()), leases(shared, platform),
       configuration(
-          shared, platform,
+          shared, platform, background,
           [this](const auto& peer, const auto& digest) { return fetch_from(peer, digest); },
           [this] { on_configuration(); }),
       versions(shared, members, platform, background,
