front: log events that tell why a crashing request is sent again

The logs could not tell whether a host sent a request although it knew of three crashed targets, whether a quarantine had ended before, or whether a target that accepted a connection was a later start of one that had ended. New: suspect_sent (9029), quarantine_ended (9061), target_replaced (9062), and the field why of request_quarantined.

--- a/src/front/crash_exchange.cpp
+++ b/src/front/crash_exchange.cpp
@@ -219,7 +219,7 @@
     decide::merge_crashes(watch.ledger, watch.rules, received, self.now());
     for (const auto digest : admitted) {
         if (find_quarantine(self, digest)) {
-            report_quarantine(self, digest, from);
+            report_quarantine(self, digest, from, quarantine_basis::told);
         }
     }
 }
--- a/src/front/crash_watch.cpp
+++ b/src/front/crash_watch.cpp
@@ -8,6 +8,7 @@
 #include <iterator>
 #include <ranges>
 #include <sstream>
+#include <utility>
 #include <vector>
 
 namespace cornelloom::front {
@@ -17,6 +18,10 @@
 /// Time in which a target that is alive accepts a connection: a round trip between regions takes
 /// 40 ms.
 constexpr loop::milliseconds check_timeout{250};
+/// How long a target that accepts a connection is watched for a later start. A crashed target is
+/// back in the list some seconds after its end.
+constexpr milliseconds replacement_time{10000};
+constexpr milliseconds replacement_check_interval{250};
 constexpr std::uint32_t crash_threshold = 3;
 /// Digests in one log line; more than a few requests on a target tell little.
 constexpr std::size_t max_listed = 8;
@@ -95,7 +100,7 @@
                                                  suspects_among(self, target), target.broke_at);
     log_event(self, target_crashed, {{"target", target.id}, {"digests", digest_list(target)}});
     if (culprit != 0) {
-        report_quarantine(self, culprit, self.settings.host);
+        report_quarantine(self, culprit, self.settings.host, quarantine_basis::own_crash);
         watch.store_at = self.now() + watch.rules.confirmation_delay;
     }
     add_news(self, target);
@@ -114,6 +119,30 @@
     }
 }
 
+/// Whether the list names a later start of the target, or another target at its address.
+bool is_replaced(const host& self, const broken_target& target) {
+    return std::ranges::any_of(self.targets.by_id, [&](const auto& listed) {
+        const auto& entry = listed.second.entry;
+        return hash_of(entry) != target.hash &&
+               (entry.id == target.id || entry.address == target.address);
+    });
+}
+
+/// Watches the list for a later start of a target that accepted a connection.
+loop::task<void> watch_for_replacement(std::shared_ptr<host> self, broken_target target) {
+    const auto until = self->now() + replacement_time;
+    while (!is_replaced(*self, target)) {
+        if (self->now() >= until) {
+            co_return;
+        }
+        co_await loop::pause_for(self->io, replacement_check_interval);
+    }
+    log_event(*self, target_replaced,
+              {{"target", target.id},
+               {"digests", digest_list(target)},
+               {"ms", ms_between(target.broke_at, self->now())}});
+}
+
 /// Asks the target for a new connection and attributes the crash if there is none.
 loop::task<void> check_target(std::shared_ptr<host> self, broken_target target) {
     loop::exchange probe(self->connections, target.address);
@@ -127,6 +156,8 @@
         record_target_crash(*self, target);
     } else {
         log_event(*self, target_alive, {{"target", target.id}});
+        loop::asio::co_spawn(self->io, watch_for_replacement(self, std::move(target)),
+                             loop::asio::detached);
     }
     self->crashes.check_ended.open();
 }
@@ -193,6 +224,13 @@
 
 run_number begin_run(host& self, std::uint64_t digest, std::string_view target_id,
                      run_source source) {
+    const auto known = self.crashes.ledger.digests.find(digest);
+    if (known != self.crashes.ledger.digests.end() && !known->second.crashes.empty()) {
+        log_event(self, suspect_sent,
+                  {{"digest", digest_text(digest)},
+                   {"target", target_id},
+                   {"targets", static_cast<std::uint64_t>(known->second.crashes.size())}});
+    }
     const auto number = self.crashes.next_run++;
     self.crashes.runs.emplace(number,
                               active_run{digest, std::string(target_id), source, self.now()});
@@ -261,17 +299,27 @@
 
 void expire_crashes(host& self) {
     auto& watch = self.crashes;
+    const auto last_expiry = std::exchange(watch.expired_at, self.now());
+    for (const auto& [digest, record] : watch.ledger.digests) {
+        if (record.quarantined_until > last_expiry && record.quarantined_until <= self.now()) {
+            log_event(self, quarantine_ended,
+                      {{"digest", digest_text(digest)},
+                       {"targets", static_cast<std::uint64_t>(record.crashes.size())}});
+        }
+    }
     decide::expire(watch.ledger, watch.rules, self.now());
     self.metrics.set("cornelloom_quarantined_requests",
                      static_cast<double>(decide::quarantined_count(watch.ledger, self.now())));
 }
 
-void report_quarantine(host& self, std::uint64_t digest, std::string_view by_host) {
+void report_quarantine(host& self, std::uint64_t digest, std::string_view by_host,
+                       std::string_view basis) {
     const auto& record = self.crashes.ledger.digests.at(digest);
     log_event(self, request_quarantined,
               {{"digest", digest_text(digest)},
                {"targets", static_cast<std::uint64_t>(record.crashes.size())},
-               {"from", by_host}});
+               {"from", by_host},
+               {"why", basis}});
 }
 
 } // namespace cornelloom::front
--- a/src/front/crash_watch.hpp
+++ b/src/front/crash_watch.hpp
@@ -83,8 +83,9 @@
     loop::gate check_ended; ///< Opened when a target has been asked.
     decide::crash_ledger ledger{};
     decide::quarantine_policy rules{};
-    std::set<std::uint64_t> news{}; ///< Digests that other hosts are to be told of at once.
-    loop::gate changed;             ///< Opened when there are more of them.
+    std::set<std::uint64_t> news{};  ///< Digests that other hosts are to be told of at once.
+    loop::gate changed;              ///< Opened when there are more of them.
+    kernel::time_point expired_at{}; ///< When `expire_crashes` last ran.
     /// When the quarantined requests are to be stored anew; unset: they are stored.
     std::optional<kernel::time_point> store_at{};
 };
@@ -131,8 +132,15 @@
 /// Drops what has expired, and updates the gauge of quarantined requests.
 void expire_crashes(host& self);
 
+/// What a request was quarantined by, for the log.
+namespace quarantine_basis {
+inline constexpr std::string_view own_crash = "crash"; ///< A crash that this host saw.
+inline constexpr std::string_view told = "told";       ///< Another host has quarantined it.
+} // namespace quarantine_basis
+
 /// Logs that the request was quarantined, because of what `by_host` has told.
-void report_quarantine(host& self, std::uint64_t digest, std::string_view by_host);
+void report_quarantine(host& self, std::uint64_t digest, std::string_view by_host,
+                       std::string_view basis);
 
 /// Reason of a refusal of a quarantined request.
 inline constexpr std::string_view quarantined_reason = "quarantined";
--- a/src/front/events.hpp
+++ b/src/front/events.hpp
@@ -59,6 +59,13 @@
 inline constexpr event quarantines_rejected{
     9028, "quarantines_rejected", event_level::warning,
     "the platform's store rejects the list of quarantined requests"};
+inline constexpr event suspect_sent{9029, "suspect_sent", event_level::info,
+                                    "a request that may have crashed targets is sent to another"};
+inline constexpr event quarantine_ended{9061, "quarantine_ended", event_level::info,
+                                        "the time of a quarantine is over"};
+inline constexpr event target_replaced{
+    9062, "target_replaced", event_level::warning,
+    "a target that accepted a connection was a later start: it had ended"};
 inline constexpr event batch_accepted{9030, "batch_accepted", event_level::info,
                                       "a batch was stored and accepted"};
 inline constexpr event batch_refused{9031, "batch_refused", event_level::warning,
