--- a/soak/internal/day.cpp
+++ b/soak/internal/day.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <csignal>
 
 namespace cornelloom::soak {
@@ -210,6 +211,7 @@
     self.book.calm_since = loop::steady_clock::now();
     co_await play_troubles(self);
     co_await wait_for_calm(self);
+    co_await loop::pause_for(self.io, milliseconds(std::llround(self.options.calm_s * 1000)));
     co_await do_planned_work(self);
     co_await kill_and_recover(self);
     crashes_over = true;
--- a/soak/internal/day.hpp
+++ b/soak/internal/day.hpp
@@ -22,7 +22,8 @@
     int callers = 4;
     int trainers = 2;
     double troubles_s = 12;
-    int network = 1; ///< Addresses 127.NETWORK.x.y, one for each soak that runs at a time.
+    double calm_s = 0; ///< Seconds without troubles before the planned work.
+    int network = 1;   ///< Addresses 127.NETWORK.x.y, one for each soak that runs at a time.
 };
 
 struct day_result {
--- a/soak/internal/promises.cpp
+++ b/soak/internal/promises.cpp
@@ -15,6 +15,12 @@
 /// Targets that a request which crashes them may still reach in calm.
 constexpr std::uint64_t crashes_most = 3;
 
+/// Targets that may run one request of a caller, as the routes say.
+const std::size_t attempts_most = static_cast<std::size_t>(standins::route_plan{}.attempts);
+
+/// What the time that a target is told may end later than the caller's own.
+constexpr milliseconds time_left_slack{500};
+
 bool passed(deadline since, milliseconds bound) {
     return loop::steady_clock::now() > since + bound + slack;
 }
@@ -58,6 +64,25 @@
     }
 }
 
+/// A caller's own request; items and scoring calls have bounds of their own.
+bool is_from_caller(const ledger& book, const std::string& id, const sent_request& sent) {
+    return !book.step_of_item.contains(id) && !sent.account.empty();
+}
+
+void judge_attempts(ledger& book, const standins::run_seen& seen, std::size_t runs) {
+    if (runs > attempts_most) {
+        note_broken(book, "attempts", seen.request + " has run " + std::to_string(runs) + " times");
+    }
+}
+
+void judge_time_left(ledger& book, const standins::run_seen& seen, const sent_request& sent) {
+    const auto due = sent.sent + caller_time_left + time_left_slack;
+    const bool in_time = seen.time_left && loop::steady_clock::now() + *seen.time_left <= due;
+    if (is_calm(book) && !in_time) {
+        note_broken(book, "time left", seen.request + " may run too long at " + seen.target);
+    }
+}
+
 void take_run(ledger& book, const standins::run_seen& seen) {
     auto& all = book.runs[seen.request];
     all.push_back({seen.target, seen.path, loop::steady_clock::now()});
@@ -71,6 +96,10 @@
     }
     judge_account(book, seen, sent->second);
     judge_crash(book, seen);
+    if (is_from_caller(book, seen.request, sent->second)) {
+        judge_attempts(book, seen, all.size());
+        judge_time_left(book, seen, sent->second);
+    }
     if (sent->second.rule == run_rule::once && all.size() > 1) {
         note_broken(book, "at most once",
                     seen.request + " runs at " + all.front().target + " and " + seen.target);
@@ -204,6 +233,7 @@
 }
 
 void note_sent(ledger& book, const std::string& id, sent_request what) {
+    what.sent = loop::steady_clock::now();
     book.sent.emplace(id, std::move(what));
 }
 
--- a/soak/internal/promises.hpp
+++ b/soak/internal/promises.hpp
@@ -32,11 +32,15 @@
 /// How often a request of a caller may run.
 enum class run_rule { any, once };
 
+/// How long a caller waits for its answer.
+inline constexpr milliseconds caller_time_left{3000};
+
 /// What a caller's request should run under.
 struct sent_request {
     run_rule rule = run_rule::any;
     std::string account{}; ///< Empty: none.
     bool revoked = false;  ///< Its key was taken away longer ago than the bound when it was sent.
+    deadline sent{};       ///< Set by `note_sent`.
 };
 
 /// What is known of one step of a trainer.
--- a/soak/internal/traffic.cpp
+++ b/soak/internal/traffic.cpp
@@ -11,7 +11,7 @@
 
 constexpr milliseconds caller_pause{60};
 constexpr milliseconds crashing_caller_pause{250};
-constexpr milliseconds time_left{3000};
+constexpr milliseconds time_left = caller_time_left;
 /// A caller waits this much longer than it allows.
 constexpr milliseconds allowance{1500};
 constexpr milliseconds connect_limit{1000};
--- a/soak/soak.cpp
+++ b/soak/soak.cpp
@@ -58,6 +58,8 @@
         ->check(CLI::Range(1, 50));
     app.add_option("--troubles-s", options.troubles_s, "Seconds with troubles in a day")
         ->check(CLI::Range(0.0, 3600.0));
+    app.add_option("--calm-s", options.calm_s, "Seconds of calm that follow them")
+        ->check(CLI::Range(0.0, 7200.0));
     app.add_option("--network", options.network,
                    "Second number of the loopback addresses; one for each soak at a time")
         ->check(CLI::Range(1, 250));
