decide: a flood of suspects does not hide a request that crashed several targets

Callers saw: a request that had crashed two targets crashed two more after a crash with many requests in flight. Cause: the ledger evicts the oldest suspect first, whatever it has done. Change: records of identified requests are evicted last, and those with several crashed targets before them. Measured: the test of that name fails before and passes now.

--- a/src/decide/quarantine.cpp
+++ b/src/decide/quarantine.cpp
@@ -70,11 +70,13 @@
 }
 
 // Callers decide how many distinct requests crash targets, but a quarantine must survive a flood of
-// suspects.
+// suspects, and so must a request that has crashed several targets.
 void evict_oldest(crash_ledger& ledger, const quarantine_policy& rules) {
     while (ledger.digests.size() >= std::max<std::size_t>(rules.max_entries, 1)) {
         const auto oldest = std::ranges::min_element(ledger.digests, {}, [](const auto& entry) {
-            return std::pair(entry.second.quarantined_until, entry.second.last_crash);
+            const auto& record = entry.second;
+            return std::tuple(record.identified_by != 0, record.crashes.size() > 1,
+                              record.quarantined_until, record.last_crash);
         });
         ledger.digests.erase(oldest);
     }
