decide: what hosts know together is judged when they learn it

Cause: evidence of other hosts was merged, but identified a request only at the next crash that the host saw itself. As evidence now counts without a crash of its own, it is kept apart better: a crash counts only if it came after the last answer, an answer has an identity and not just an age (so two answers within a second both count), crashes that an identified request explains don't come back through a host that did not know it yet, other targets that crashed count around the request's last crash, and crashes that are told after ten seconds name nobody.

--- a/src/decide/internal/faults.cpp
+++ b/src/decide/internal/faults.cpp
@@ -59,12 +59,17 @@
     load.has_crashed = true;
     const auto in_flight = suspects_on(state, failed.target, now);
     const auto target_hash = kernel::hash64(load.config.id.str());
-    const auto culprit =
+    const auto first =
         attribute_crash(state.crashes, state.rules.quarantine, target_hash, in_flight, now);
-    if (culprit != 0) {
+    if (first == 0) {
+        return;
+    }
+    auto culprits = identify_culprits(state.crashes, state.rules.quarantine, now);
+    culprits.push_back(first);
+    for (const auto culprit : culprits) {
         await_confirmation(state, culprit, now);
-        out.quarantines.push_back(
-            {culprit, quarantined_for(state.crashes, culprit, now), target_hash});
+        out.quarantines.push_back({culprit, quarantined_for(state.crashes, culprit, now),
+                                   state.crashes.digests.at(culprit).identified_by});
     }
 }
 
--- a/src/decide/policy.hpp
+++ b/src/decide/policy.hpp
@@ -101,6 +101,8 @@
     kernel::duration min_crash_gap = 100ms;
     /// Crashes of other targets within this time speak for a common cause outside the request.
     kernel::duration coincidence_window = 2s;
+    /// Crashes are remembered for this time, until all hosts have told each other what ran there.
+    kernel::duration crash_memory = 10s;
     std::size_t max_entries =
         4096; ///< The oldest entries are evicted first, quarantined ones last.
 };
--- a/src/decide/quarantine.cpp
+++ b/src/decide/quarantine.cpp
@@ -1,9 +1,14 @@
 #include "decide/quarantine.hpp"
 
+#include "kernel/hash.hpp"
+
 #include <algorithm>
 #include <iterator>
 #include <ranges>
+#include <span>
+#include <string>
 #include <tuple>
+#include <unordered_set>
 #include <utility>
 
 namespace cornelloom::decide {
@@ -21,10 +26,10 @@
     return std::ranges::find(crashes, target, &crashed_target::target) != crashes.end();
 }
 
-// Adds the crash, in order of time; returns whether it was new.
+// Adds the crash, in order of time; returns whether it was new and not from before an answer.
 bool add_crash(crash_record& record, const crashed_target& crash) {
     auto& crashes = record.crashes;
-    if (contains(crashes, crash.target)) {
+    if (contains(crashes, crash.target) || crash.crashed_at <= record.cleared_at) {
         return false;
     }
     if (crashes.size() == max_known_targets) {
@@ -87,23 +92,42 @@
                 kernel::time_point when, kernel::time_point now) {
     auto& recent = ledger.recent_crashes;
     std::erase_if(recent, [&](const observed_crash& crash) {
-        return crash.when + rules.coincidence_window <= now;
+        return crash.when + rules.crash_memory <= now;
     });
     const bool known = std::ranges::find(recent, target, &observed_crash::target) != recent.end();
-    if (known || when + rules.coincidence_window <= now || recent.size() >= rules.max_entries) {
+    if (known || when + rules.crash_memory <= now || recent.size() >= rules.max_entries) {
         return false;
     }
     recent.push_back({target, when});
     return true;
 }
 
-// Whether fewer targets have crashed lately without the request than with it.
+using target_set = std::unordered_set<std::uint64_t>;
+
+void insert_targets(target_set& targets, const crash_record& record) {
+    std::ranges::copy(record.crashes | std::views::transform(&crashed_target::target),
+                      std::inserter(targets, targets.end()));
+}
+
+// The targets that an identified request has crashed.
+target_set explained_targets(const crash_ledger& ledger) {
+    target_set out;
+    for (const auto& [digest, record] : ledger.digests) {
+        if (record.identified_by != 0) {
+            insert_targets(out, record);
+        }
+    }
+    return out;
+}
+
+// Whether fewer targets crashed without the request than with it, at the time of its last crash.
 bool explains_crashes(const crash_ledger& ledger, const quarantine_policy& rules,
-                      const crash_record& record, kernel::time_point now) {
+                      const crash_record& record, const target_set& explained) {
     const auto without =
         std::ranges::count_if(ledger.recent_crashes, [&](const observed_crash& crash) {
-            return crash.when + rules.coincidence_window > now &&
-                   !contains(record.crashes, crash.target);
+            const auto distance = crash.when - record.last_crash;
+            return std::chrono::abs(distance) < rules.coincidence_window &&
+                   !contains(record.crashes, crash.target) && !explained.contains(crash.target);
         });
     return static_cast<std::size_t>(without) < record.crashes.size();
 }
@@ -133,24 +157,72 @@
     }
 }
 
-// Quarantines the digest if it has crashed enough targets; returns whether it was not before.
-bool quarantine_if_due(crash_ledger& ledger, const quarantine_policy& rules, std::uint64_t digest,
-                       std::uint64_t target, kernel::time_point now) {
-    auto& record = ledger.digests[digest];
-    if (record.quarantined_until > now) {
-        record.quarantined_until = now + rules.lifetime;
-        return false;
-    }
-    if (count_crashes(record, rules) < rules.crash_threshold ||
-        !explains_crashes(ledger, rules, record, now) ||
-        has_companion(ledger, rules, digest, now)) {
-        return false;
+void extend_quarantine(crash_record& record, const quarantine_policy& rules,
+                       kernel::time_point now) {
+    record.quarantined_until = std::max(record.quarantined_until, now + rules.lifetime);
+}
+
+// Whether the digest has crashed enough targets, and nothing else on them may be the cause.
+bool is_candidate(const crash_ledger& ledger, const quarantine_policy& rules, std::uint64_t digest,
+                  kernel::time_point now) {
+    const auto& record = ledger.digests.at(digest);
+    return record.identified_by == 0 && now < record.last_crash + rules.crash_memory &&
+           count_crashes(record, rules) >= rules.crash_threshold &&
+           !has_companion(ledger, rules, digest, now);
+}
+
+// The candidates, those with the most crashed targets first.
+std::vector<std::uint64_t> find_candidates(const crash_ledger& ledger,
+                                           const quarantine_policy& rules, kernel::time_point now) {
+    std::vector<std::uint64_t> out;
+    std::ranges::copy_if(
+        ledger.digests | std::views::keys, std::back_inserter(out),
+        [&](std::uint64_t digest) { return is_candidate(ledger, rules, digest, now); });
+    std::ranges::sort(out, {}, [&](std::uint64_t digest) {
+        const auto crashes = ledger.digests.at(digest).crashes.size();
+        return std::tuple(max_known_targets - crashes, digest);
+    });
+    return out;
+}
+
+// Whether another candidate has crashed as many targets, and some of the same. Either may be the
+// cause then.
+bool is_tied(const crash_ledger& ledger, std::span<const std::uint64_t> candidates,
+             std::uint64_t digest) {
+    const auto& crashes = ledger.digests.at(digest).crashes;
+    return std::ranges::any_of(candidates, [&](std::uint64_t other) {
+        const auto& others = ledger.digests.at(other).crashes;
+        return other != digest && others.size() == crashes.size() &&
+               std::ranges::any_of(others, [&](const crashed_target& crash) {
+                   return contains(crashes, crash.target);
+               });
+    });
+}
+
+// The candidate with the most crashes that fewer other crashes speak against; 0: none.
+std::uint64_t find_culprit(const crash_ledger& ledger, const quarantine_policy& rules,
+                           kernel::time_point now) {
+    const auto candidates = find_candidates(ledger, rules, now);
+    const auto explained = explained_targets(ledger);
+    const auto found = std::ranges::find_if(candidates, [&](std::uint64_t digest) {
+        return !is_tied(ledger, candidates, digest) &&
+               explains_crashes(ledger, rules, ledger.digests.at(digest), explained);
+    });
+    return found == candidates.end() ? 0 : *found;
+}
+
+// Quarantines one digest that the known crashes identify as a cause; returns it, or 0.
+std::uint64_t identify_culprit(crash_ledger& ledger, const quarantine_policy& rules,
+                               kernel::time_point now) {
+    const auto digest = find_culprit(ledger, rules, now);
+    if (digest != 0) {
+        auto& record = ledger.digests.at(digest);
+        extend_quarantine(record, rules, now);
+        record.identified_at = now;
+        record.identified_by = record.crashes.back().target;
+        exonerate_others(ledger, digest);
     }
-    record.quarantined_until = now + rules.lifetime;
-    record.identified_at = now;
-    record.identified_by = target;
-    exonerate_others(ledger, digest);
-    return true;
+    return digest;
 }
 
 crash_record& record_of(crash_ledger& ledger, const quarantine_policy& rules,
@@ -166,18 +238,39 @@
                       const std::vector<crash_suspect>& in_flight, kernel::time_point now) {
     for (const auto& each : in_flight) {
         auto& record = record_of(ledger, rules, each.digest);
-        record.crashes.clear();
+        if (record.identified_by == 0) {
+            record.crashes.clear();
+        }
         add_crash(record, {target, now, each.run_time});
     }
 }
 
+// Adds the crash to the requests that may be the cause: all but those that have run longer than
+// before, and one that was alone on the target in any case.
+void add_to_suspects(crash_ledger& ledger, const quarantine_policy& rules, std::uint64_t target,
+                     const std::vector<crash_suspect>& in_flight, bool alone,
+                     kernel::time_point now) {
+    for (const auto& each : in_flight) {
+        const bool proven = !each.unproven && is_suspect(ledger, rules, each.digest, now);
+        if (alone || !proven) {
+            add_crash(record_of(ledger, rules, each.digest), {target, now, each.run_time});
+        }
+    }
+}
+
 // Takes over that the digest was answered on another host.
 bool merge_clearance(crash_record& record, const shared_crash_record& received,
                      kernel::time_point now) {
-    if (!received.cleared_age || now - *received.cleared_age <= record.cleared_at + age_error) {
+    if (!received.cleared_age) {
         return false;
     }
     const auto cleared_at = now - *received.cleared_age;
+    // Ages drift from host to host, so the same answer would count as newer each time.
+    const bool known = received.clearance == 0 ? cleared_at <= record.cleared_at + age_error
+                                               : received.clearance == record.clearance;
+    if (known || cleared_at <= record.cleared_at) {
+        return false;
+    }
     forget_crashes(record, cleared_at);
     if (record.crashes.empty()) {
         record.longest_run = {};
@@ -187,18 +280,21 @@
         record.identified_by = 0;
     }
     record.cleared_at = cleared_at;
+    record.clearance = received.clearance;
     return true;
 }
 
 // Adds the crashes that another host knows; returns whether any was new.
 bool merge_targets(crash_record& record, const quarantine_policy& rules,
-                   const shared_crash_record& received, kernel::time_point now) {
+                   const shared_crash_record& received, const target_set& explained,
+                   kernel::time_point now) {
     bool added = false;
     const bool quarantined = received.quarantine_left > kernel::duration{};
     for (const auto& crash : received.crashes) {
         const auto crashed_at = now - crash.age;
         const bool expired = crash.age >= rules.suspicion_lifetime && !quarantined;
-        if (crashed_at > record.cleared_at && !expired) {
+        const bool exonerated = record.identified_by == 0 && explained.contains(crash.target);
+        if (!expired && !exonerated) {
             added = add_crash(record, {crash.target, crashed_at, crash.run_time}) || added;
         }
     }
@@ -207,7 +303,8 @@
 
 // Adds clearance and crashes of one digest; returns whether there was anything new.
 bool merge_evidence(crash_ledger& ledger, const quarantine_policy& rules,
-                    const shared_crash_record& received, kernel::time_point now) {
+                    const shared_crash_record& received, const target_set& explained,
+                    kernel::time_point now) {
     const bool known = ledger.digests.contains(received.digest);
     const bool expired = received.last_crash_age >= rules.suspicion_lifetime &&
                          received.quarantine_left == kernel::duration{};
@@ -216,7 +313,7 @@
     }
     auto& record = record_of(ledger, rules, received.digest);
     const bool cleared = merge_clearance(record, received, now);
-    const bool new_targets = merge_targets(record, rules, received, now);
+    const bool new_targets = merge_targets(record, rules, received, explained, now);
     return cleared || new_targets;
 }
 
@@ -244,21 +341,31 @@
                               std::uint64_t target, const std::vector<crash_suspect>& in_flight,
                               kernel::time_point now) {
     note_crash(ledger, rules, target, now, now);
-    const auto unproven = std::ranges::count_if(in_flight, &crash_suspect::unproven);
+    const bool any_unproven = std::ranges::any_of(in_flight, &crash_suspect::unproven);
     const bool alone =
         in_flight.size() == 1 && is_suspect(ledger, rules, in_flight.front().digest, now);
-    if (unproven == 0 && !alone) {
+    if (any_unproven || alone) {
+        add_to_suspects(ledger, rules, target, in_flight, alone, now);
+    } else {
         mark_all_suspect(ledger, rules, target, in_flight, now);
-        return 0;
     }
-    const auto may_be_cause = [&](const crash_suspect& each) { return alone || each.unproven; };
-    for (const auto& each : in_flight | std::views::filter(may_be_cause)) {
-        add_crash(record_of(ledger, rules, each.digest), {target, now, each.run_time});
+    for (const auto& each : in_flight) {
+        const auto found = ledger.digests.find(each.digest);
+        if (found != ledger.digests.end() && found->second.identified_by != 0) {
+            extend_quarantine(found->second, rules, now);
+        }
     }
-    const auto culprit = std::ranges::find_if(in_flight, [&](const crash_suspect& each) {
-        return may_be_cause(each) && quarantine_if_due(ledger, rules, each.digest, target, now);
-    });
-    return culprit == in_flight.end() ? 0 : culprit->digest;
+    return identify_culprit(ledger, rules, now);
+}
+
+std::vector<std::uint64_t> identify_culprits(crash_ledger& ledger, const quarantine_policy& rules,
+                                             kernel::time_point now) {
+    std::vector<std::uint64_t> out;
+    // What one of them explains no longer speaks against the next.
+    while (const auto digest = identify_culprit(ledger, rules, now)) {
+        out.push_back(digest);
+    }
+    return out;
 }
 
 kernel::duration quarantined_for(const crash_ledger& ledger, std::uint64_t digest,
@@ -321,6 +428,8 @@
         found->second = {};
         found->second.last_crash = last_crash;
         found->second.cleared_at = now;
+        found->second.clearance =
+            kernel::hash64(std::to_string(now.time_since_epoch().count()), digest);
     }
 }
 
@@ -364,6 +473,7 @@
         }
         if (record.cleared_at != kernel::time_point{}) {
             shared.cleared_age = now - record.cleared_at;
+            shared.clearance = record.clearance;
         }
         out.records.push_back(std::move(shared));
     }
@@ -386,12 +496,22 @@
     for (const auto& crash : received.crashes) {
         changed = note_crash(ledger, rules, crash.target, now - crash.age, now) || changed;
     }
-    for (const auto& record : received.records) {
-        changed = merge_evidence(ledger, rules, record, now) || changed;
-    }
-    for (const auto& record : received.records) {
+    const auto is_quarantined = [](const shared_crash_record& record) {
+        return record.quarantine_left > kernel::duration{};
+    };
+    auto explained = explained_targets(ledger);
+    for (const auto& record : received.records | std::views::filter(is_quarantined)) {
+        changed = merge_evidence(ledger, rules, record, explained, now) || changed;
         changed = merge_quarantine(ledger, rules, record, now) || changed;
     }
+    // The other host may have been told of these crashes before it knew what explains them.
+    explained = explained_targets(ledger);
+    for (const auto& record : received.records | std::views::filter(std::not_fn(is_quarantined))) {
+        changed = merge_evidence(ledger, rules, record, explained, now) || changed;
+    }
+    if (changed) {
+        identify_culprits(ledger, rules, now);
+    }
     return changed;
 }
 
--- a/src/decide/quarantine.hpp
+++ b/src/decide/quarantine.hpp
@@ -25,6 +25,7 @@
     std::uint64_t identified_by = 0; ///< The target whose crash identified it; 0: not identified.
     kernel::duration longest_run{};  ///< Longest time that it had run when a target crashed.
     kernel::time_point cleared_at{}; ///< Crashes up to then don't count: it was answered.
+    std::uint64_t clearance = 0;     ///< Identifies that answer on all hosts; 0: unknown.
     /// Identifications up to then don't count: another digest was identified by the same crash.
     kernel::time_point disputed_at{};
 };
@@ -45,10 +46,11 @@
 ///
 /// A rack, a zone or a release can end many targets at once, and a request that is retried may be
 /// on several of them. So targets that end together count once, and nothing is quarantined while at
-/// least as many other targets crash without it.
+/// least as many other targets crash without it. Targets that another request explains don't speak
+/// against it, so that several causes at once are found.
 struct crash_ledger {
     std::unordered_map<std::uint64_t, crash_record> digests;
-    std::vector<observed_crash> recent_crashes; ///< Of distinct targets, the oldest first.
+    std::vector<observed_crash> recent_crashes; ///< Of distinct targets, within `crash_memory`.
 };
 
 /// A request that was in flight on a crashed target.
@@ -59,11 +61,17 @@
 };
 
 /// Attributes one crash, which happened at `now`; returns the digest that is now quarantined, or 0.
+/// There may be more of them: see `identify_culprits`.
 [[nodiscard]] std::uint64_t attribute_crash(crash_ledger& ledger, const quarantine_policy& rules,
                                             std::uint64_t target,
                                             const std::vector<crash_suspect>& in_flight,
                                             kernel::time_point now);
 
+/// Quarantines every digest that the known crashes identify as a cause; returns those that were not
+/// identified before. To be called after `attribute_crash` and `clear_suspicion`.
+std::vector<std::uint64_t> identify_culprits(crash_ledger& ledger, const quarantine_policy& rules,
+                                             kernel::time_point now);
+
 /// Remaining quarantine time of the digest; zero if it is not quarantined.
 [[nodiscard]] kernel::duration quarantined_for(const crash_ledger& ledger, std::uint64_t digest,
                                                kernel::time_point now);
@@ -94,6 +102,7 @@
     kernel::duration identified_age{};
     std::uint64_t identified_by = 0;
     std::optional<kernel::duration> cleared_age; ///< Unset: never answered.
+    std::uint64_t clearance = 0;
 };
 
 /// A crash of a target, as told to another host.
@@ -110,7 +119,7 @@
 /// Selects the records that another host is told of.
 using record_filter = std::function<bool(std::uint64_t digest, const crash_record& record)>;
 
-/// Whether every host should know the record: it is quarantined, or may have crashed several
+/// Whether every host should know the record: it is identified, or may have crashed several
 /// targets. Most suspects are cleared before that.
 [[nodiscard]] bool is_repeated(const crash_record& record, kernel::time_point now);
 
@@ -120,8 +129,8 @@
                                             std::size_t max_records,
                                             const record_filter& is_wanted);
 
-/// Adds what another host knows; returns whether any of it was new. Telling the same twice, or
-/// through a third host, changes nothing.
+/// Adds what another host knows and identifies culprits by it; returns whether any of it was new.
+/// Telling the same twice, or through a third host, changes nothing.
 bool merge_crashes(crash_ledger& ledger, const quarantine_policy& rules,
                    const shared_crashes& received, kernel::time_point now);
 
--- a/tests/decide/quarantine_tests.cpp
+++ b/tests/decide/quarantine_tests.cpp
@@ -311,3 +311,47 @@
         }
     });
 }
+
+TEST_CASE("crashes that are told late do not name a request", "[decide][quarantine]") {
+    // Failure: a host that had started later did not know that many targets ended in that moment.
+    crash_ledger a;
+    for (std::uint64_t target = 1; target <= 3; ++target) {
+        (void)crash(a, target + 100, {target + 1000}, start + target * 50ms);
+        (void)crash(a, target, {culprit}, start + 200ms + target * 150ms);
+    }
+    REQUIRE_FALSE(is_quarantined(a, culprit, start + 1s));
+    const auto later = start + rules.crash_memory + 5s;
+    auto told = export_crashes(a, later, all_records, everything);
+    told.crashes.clear();
+    crash_ledger b;
+    merge_crashes(b, rules, told, later);
+    CHECK(quarantined_count(b, later) == 0);
+}
+
+TEST_CASE("a crash from before an answer does not count when it is found out later",
+          "[decide][quarantine]") {
+    // Failure: a request was answered while its target was being asked, and became a suspect.
+    crash_ledger ledger;
+    (void)crash(ledger, 1, {culprit}, start);
+    clear_suspicion(ledger, culprit, start + 2s);
+    (void)crash(ledger, 2, {culprit}, start + 1s);
+    CHECK_FALSE(is_suspect(ledger, rules, culprit, start + 2s));
+}
+
+TEST_CASE("crashes that a culprit explains do not come back through another host",
+          "[decide][quarantine]") {
+    // Failure: a request beside the culprit was cleared on one host and named by the next exchange.
+    crash_ledger a;
+    crash_ledger b;
+    for (std::uint64_t target = 1; target <= 3; ++target) {
+        (void)crash(a, target, {culprit, neighbour}, start + target * 200ms);
+    }
+    exchange(a, b, start + 800ms);
+    REQUIRE(crash(a, 4, {culprit}, start + 1s) == culprit);
+    merge_crashes(a, rules, export_crashes(b, start + 1100ms, all_records, everything),
+                  start + 1100ms);
+    CHECK_FALSE(is_suspect(a, rules, neighbour, start + 1100ms));
+    exchange(a, b, start + 1200ms);
+    CHECK_FALSE(is_suspect(b, rules, neighbour, start + 1200ms));
+    CHECK(is_quarantined(b, culprit, start + 1200ms));
+}
