decide: requests that crash targets in turn don't speak for each other

Callers saw: of three requests that crashed targets in turn none was refused. Cause: a request is not identified while as many other targets crash without it, and the targets of the other culprits counted as such. Change: up to four candidates are judged together; what one of them explains doesn't speak against another. More than four in the same moments still look like a common cause. Candidates with the same number of crashes that share targets wait until they differ.

--- a/src/decide/policy.hpp
+++ b/src/decide/policy.hpp
@@ -103,6 +103,9 @@
     kernel::duration coincidence_window = 2s;
     /// Crashes are remembered for this time, until all hosts have told each other what ran there.
     kernel::duration crash_memory = 10s;
+    /// Requests that may be identified as causes of crashes in the same moments. More of them look
+    /// like a common cause outside all of them.
+    std::size_t max_joint_culprits = 4;
     std::size_t max_entries =
         4096; ///< The oldest entries are evicted first, quarantined ones last.
 };
--- a/src/decide/quarantine.cpp
+++ b/src/decide/quarantine.cpp
@@ -203,7 +203,12 @@
 std::uint64_t find_culprit(const crash_ledger& ledger, const quarantine_policy& rules,
                            kernel::time_point now) {
     const auto candidates = find_candidates(ledger, rules, now);
-    const auto explained = explained_targets(ledger);
+    auto explained = explained_targets(ledger);
+    if (candidates.size() <= rules.max_joint_culprits) {
+        std::ranges::for_each(candidates, [&](std::uint64_t digest) {
+            insert_targets(explained, ledger.digests.at(digest));
+        });
+    }
     const auto found = std::ranges::find_if(candidates, [&](std::uint64_t digest) {
         return !is_tied(ledger, candidates, digest) &&
                explains_crashes(ledger, rules, ledger.digests.at(digest), explained);
