front: targets that are back at once, leave the list first or fall silent are seen to crash

Callers saw: a request went on crashing targets without end where the targets were back at their address before they were asked, where their entry was gone before their connections closed, and where they fell silent. Cause: only a closed connection was followed by a check; a target that accepted a connection counted as alive, even as another start; a target that had left the list was not asked at all. Change: a run knows the start of the target that it was sent to. A target that accepts a connection is watched in the list for ten seconds: a later start, another target at its address, or its removal while it accepts none shows its end. Plain requests without an answer for a second, and items and streams that were given up for silence, have their targets asked, too. An answer that only the end of its connection delimits doesn't show that its target lives. A request that was answered while its target was asked is no suspect. Clearances are told wherever the crash was told.

--- a/src/front/batch_drive.cpp
+++ b/src/front/batch_drive.cpp
@@ -188,6 +188,7 @@
             break;
         case run_decision::move_silent:
             record_request_failure(target, self.now());
+            run.silent = true;
             move_run(batch, index, run, "silent", progress);
             break;
         case run_decision::move_slow:
--- a/src/front/crash_exchange.cpp
+++ b/src/front/crash_exchange.cpp
@@ -32,6 +32,16 @@
 /// Name of the sender, in the query.
 constexpr std::string_view sender_field = "from";
 
+std::set<std::uint64_t> quarantined_digests(const host& self) {
+    std::set<std::uint64_t> out;
+    for (const auto& [digest, record] : self.crashes.ledger.digests) {
+        if (record.quarantined_until > self.now()) {
+            out.insert(digest);
+        }
+    }
+    return out;
+}
+
 std::int64_t to_ms(kernel::duration time) {
     return std::chrono::duration_cast<milliseconds>(time).count();
 }
@@ -60,6 +70,7 @@
     }
     if (record.cleared_age) {
         out["cleared_age_ms"] = to_ms(*record.cleared_age);
+        out["clearance"] = record.clearance;
     }
     return out;
 }
@@ -80,6 +91,7 @@
     }
     if (value.contains("cleared_age_ms")) {
         out.cleared_age = read_ms(value.at("cleared_age_ms"));
+        out.clearance = value.value("clearance", std::uint64_t{0});
     }
     return out;
 }
@@ -206,22 +218,23 @@
 
 void merge_crashes_of(host& self, const decide::shared_crashes& received, std::string_view from) {
     auto& watch = self.crashes;
-    const auto is_refused = [&](const decide::shared_crash_record& record) {
-        return decide::quarantined_for(watch.ledger, record.digest, self.now()) >
-               kernel::duration{};
-    };
-    std::vector<std::uint64_t> admitted;
-    for (const auto& record : received.records) {
-        if (!is_refused(record)) {
-            admitted.push_back(record.digest);
-        }
-    }
+    const auto before = quarantined_digests(self);
     decide::merge_crashes(watch.ledger, watch.rules, received, self.now());
-    for (const auto digest : admitted) {
-        if (find_quarantine(self, digest)) {
+    for (const auto digest : quarantined_digests(self)) {
+        if (before.contains(digest)) {
+            continue;
+        }
+        const auto told =
+            std::ranges::find(received.records, digest, &decide::shared_crash_record::digest);
+        const bool is_told =
+            told != received.records.end() && told->quarantine_left > kernel::duration{};
+        if (is_told) {
             report_quarantine(self, digest, from, quarantine_basis::told);
+        } else {
+            announce_quarantine(self, digest, quarantine_basis::merged);
         }
     }
+    watch.evidence_changed.open();
 }
 
 std::set<std::uint64_t> merge_crashes_of(host& self, std::string_view text, std::string_view from) {
--- a/src/front/crash_watch.cpp
+++ b/src/front/crash_watch.cpp
@@ -22,35 +22,25 @@
 /// back in the list some seconds after its end.
 constexpr milliseconds replacement_time{10000};
 constexpr milliseconds replacement_check_interval{250};
+/// Plain requests take tens of milliseconds.
+constexpr milliseconds min_silence{1000};
+/// Targets that are asked or watched at a time; more broken connections tell little.
+constexpr std::size_t max_broken_targets = 256;
 constexpr std::uint32_t crash_threshold = 3;
 /// Digests in one log line; more than a few requests on a target tell little.
 constexpr std::size_t max_listed = 8;
 /// Until hosts that name different requests for one crash know of each other.
 constexpr milliseconds confirmation_delay{500};
 
-/// All runs of one request at a target.
-struct active_request {
-    kernel::duration longest_run{};
-    run_source source = run_source::batch; ///< `caller` if any run is.
-};
-
-/// A target whose connection broke, and what ran there.
-struct broken_target {
-    std::string id;
-    transport::endpoint address;
-    std::uint64_t hash = 0; ///< Differs after each start of the target.
-    kernel::time_point broke_at{};
-    std::map<std::uint64_t, active_request> in_flight; ///< By digest.
-};
-
-std::uint64_t hash_of(const target_entry& target) {
-    return kernel::hash64(target.id, static_cast<std::uint64_t>(target.started_unix_ms));
+target_start start_of(const target_entry& entry) {
+    return {entry.id, entry.address,
+            kernel::hash64(entry.id, static_cast<std::uint64_t>(entry.started_unix_ms))};
 }
 
-std::map<std::uint64_t, active_request> requests_at(const host& self, std::string_view target_id) {
+std::map<std::uint64_t, active_request> requests_at(const host& self, const target_start& target) {
     std::map<std::uint64_t, active_request> out;
     for (const auto& [number, run] : self.crashes.runs) {
-        if (run.target == target_id) {
+        if (run.target.hash == target.hash) {
             auto& request = out[run.digest];
             request.longest_run = std::max(request.longest_run, self.now() - run.sent);
             request.source = std::min(request.source, run.source);
@@ -94,72 +84,110 @@
     watch.changed.open();
 }
 
-void record_target_crash(host& self, const broken_target& target) {
+/// Announces the requests that are identified by what has changed.
+void announce_culprits(host& self, std::string_view basis) {
+    const auto& watch = self.crashes;
+    for (const auto digest :
+         decide::identify_culprits(self.crashes.ledger, watch.rules, self.now())) {
+        announce_quarantine(self, digest, basis);
+    }
+}
+
+void record_target_crash(host& self, const broken_target& target, std::string_view shown_by) {
     auto& watch = self.crashes;
-    const auto culprit = decide::attribute_crash(watch.ledger, watch.rules, target.hash,
+    const auto culprit = decide::attribute_crash(watch.ledger, watch.rules, target.target.hash,
                                                  suspects_among(self, target), target.broke_at);
-    log_event(self, target_crashed, {{"target", target.id}, {"digests", digest_list(target)}});
+    log_event(self, target_crashed,
+              {{"target", target.target.id},
+               {"digests", digest_list(target)},
+               {"why", shown_by},
+               {"ms", ms_between(target.broke_at, self.now())}});
     if (culprit != 0) {
-        report_quarantine(self, culprit, self.settings.host, quarantine_basis::own_crash);
-        watch.store_at = self.now() + watch.rules.confirmation_delay;
+        announce_quarantine(self, culprit, quarantine_basis::own_crash);
     }
+    announce_culprits(self, quarantine_basis::own_crash);
     add_news(self, target);
+    watch.evidence_changed.open();
 }
 
 void clear_request(host& self, std::uint64_t digest) {
     auto& watch = self.crashes;
-    const bool known_elsewhere = decide::is_repeated(watch.ledger.digests.at(digest), self.now());
-    if (find_quarantine(self, digest)) {
+    const auto& record = watch.ledger.digests.at(digest);
+    if (record.identified_by != 0) {
         watch.store_at = self.now();
     }
     decide::clear_suspicion(watch.ledger, digest, self.now());
-    if (known_elsewhere) {
-        watch.news.insert(digest);
-        watch.changed.open();
-    }
+    announce_culprits(self, quarantine_basis::other_answered);
+    // Other hosts may know of its crashes, and judge them together with others.
+    watch.news.insert(digest);
+    watch.changed.open();
+    watch.evidence_changed.open();
 }
 
 /// Whether the list names a later start of the target, or another target at its address.
-bool is_replaced(const host& self, const broken_target& target) {
-    return std::ranges::any_of(self.targets.by_id, [&](const auto& listed) {
-        const auto& entry = listed.second.entry;
-        return hash_of(entry) != target.hash &&
-               (entry.id == target.id || entry.address == target.address);
+bool is_replaced(const host& self, const target_start& target) {
+    const auto listed = self.targets.by_id.find(target.id);
+    if (listed != self.targets.by_id.end()) {
+        return start_of(listed->second.entry).hash != target.hash;
+    }
+    return std::ranges::any_of(self.targets.by_id, [&](const auto& other) {
+        return other.second.entry.address == target.address;
     });
 }
 
-/// Watches the list for a later start of a target that accepted a connection.
-loop::task<void> watch_for_replacement(std::shared_ptr<host> self, broken_target target) {
+loop::task<bool> accepts_connection(std::shared_ptr<host> self, transport::endpoint address) {
+    loop::exchange probe(self->connections, std::move(address));
+    const auto fault = co_await probe.open(loop::after(check_timeout), false);
+    probe.abort();
+    co_return fault == loop::exchange_fault::none;
+}
+
+/// Watches the list for the end of a target that accepted a connection: a later start, or the
+/// removal of a target that no longer accepts any.
+loop::task<bool> is_found_ended(std::shared_ptr<host> self, target_start target) {
     const auto until = self->now() + replacement_time;
-    while (!is_replaced(*self, target)) {
-        if (self->now() >= until) {
-            co_return;
+    while (self->now() < until) {
+        if (is_replaced(*self, target)) {
+            co_return true;
+        }
+        if (!self->targets.by_id.contains(target.id)) {
+            const bool accepts = co_await accepts_connection(self, target.address);
+            co_return !accepts;
         }
         co_await loop::pause_for(self->io, replacement_check_interval);
     }
-    log_event(*self, target_replaced,
-              {{"target", target.id},
-               {"digests", digest_list(target)},
-               {"ms", ms_between(target.broke_at, self->now())}});
+    co_return false;
 }
 
-/// Asks the target for a new connection and attributes the crash if there is none.
-loop::task<void> check_target(std::shared_ptr<host> self, broken_target target) {
-    loop::exchange probe(self->connections, target.address);
-    const auto fault = co_await probe.open(loop::after(check_timeout), false);
-    probe.abort();
-    self->crashes.checking.erase(target.id);
-    const bool crashed = fault != loop::exchange_fault::none;
-    const std::array labels{kernel::label{"outcome", crashed ? "crashed" : "alive"}};
-    self->metrics.count("cornelloom_broken_targets_total", labels);
+void count_check(host& self, std::string_view outcome) {
+    const std::array labels{kernel::label{"outcome", outcome}};
+    self.metrics.count("cornelloom_broken_targets_total", labels);
+}
+
+/// Asks the target for a new connection, and watches it if it accepts one.
+loop::task<void> check_target(std::shared_ptr<host> self, run_number number) {
+    auto& broken = self->crashes.broken;
+    const auto target = broken.at(number).target;
+    const bool accepts = co_await accepts_connection(self, target.address);
+    broken.at(number).being_asked = false;
+    const bool crashed = !accepts || is_replaced(*self, target);
+    count_check(*self, crashed ? "crashed" : "alive");
     if (crashed) {
-        record_target_crash(*self, target);
+        record_target_crash(*self, broken.at(number), accepts ? "replaced" : "no connection");
     } else {
         log_event(*self, target_alive, {{"target", target.id}});
-        loop::asio::co_spawn(self->io, watch_for_replacement(self, std::move(target)),
-                             loop::asio::detached);
+        self->crashes.evidence_changed.open();
+        const bool ended = co_await is_found_ended(self, target);
+        if (ended) {
+            count_check(*self, "replaced");
+            log_event(*self, target_replaced,
+                      {{"target", target.id},
+                       {"digests", digest_list(broken.at(number))},
+                       {"ms", ms_between(broken.at(number).broke_at, self->now())}});
+            record_target_crash(*self, broken.at(number), "replaced");
+        }
     }
-    self->crashes.check_ended.open();
+    broken.erase(number);
 }
 
 /// The targets that run another suspect of this host; none if the digest is no suspect itself.
@@ -170,25 +198,25 @@
     }
     for (const auto& [number, run] : self.crashes.runs) {
         if (run.digest != digest && is_crash_suspect(self, run.digest)) {
-            out.insert(run.target);
+            out.insert(run.target.id);
         }
     }
     return out;
 }
 
-void check_broken_target(const std::shared_ptr<host>& self, const std::string& target_id) {
-    const auto found = self->targets.by_id.find(target_id);
-    if (found == self->targets.by_id.end() || self->crashes.checking.contains(target_id)) {
+/// Checks the target of the run. A target that is being asked is not asked again.
+void check_target_of(const std::shared_ptr<host>& self, run_number number) {
+    auto& watch = self->crashes;
+    const auto target = watch.runs.at(number).target;
+    const bool being_asked = std::ranges::any_of(watch.broken, [&](const auto& entry) {
+        return entry.second.being_asked && entry.second.target.hash == target.hash;
+    });
+    const bool is_known = watch.broken.contains(number) || target.address.address.empty();
+    if (being_asked || is_known || watch.broken.size() >= max_broken_targets) {
         return;
     }
-    const auto& entry = found->second.entry;
-    auto in_flight = requests_at(*self, entry.id);
-    auto& digests = self->crashes.checking[entry.id];
-    std::ranges::copy(in_flight | std::views::keys, std::inserter(digests, digests.end()));
-    loop::asio::co_spawn(self->io,
-                         check_target(self, {entry.id, entry.address, hash_of(entry), self->now(),
-                                             std::move(in_flight)}),
-                         loop::asio::detached);
+    watch.broken.emplace(number, broken_target{target, self->now(), requests_at(*self, target)});
+    loop::asio::co_spawn(self->io, check_target(self, number), loop::asio::detached);
 }
 
 } // namespace
@@ -215,6 +243,22 @@
     return out.str();
 }
 
+run_end run_end_of(loop::exchange_fault fault) {
+    switch (fault) {
+    case loop::exchange_fault::broken:
+        return run_end::broken;
+    case loop::exchange_fault::timed_out:
+    case loop::exchange_fault::aborted: // by the deadline or the caller, while
+                                        // the target is silent
+        return run_end::silent;
+    case loop::exchange_fault::none:
+    case loop::exchange_fault::not_connected:
+    case loop::exchange_fault::garbled:
+        return run_end::unknown;
+    }
+    return run_end::unknown;
+}
+
 decide::quarantine_policy default_quarantine_rules() {
     decide::quarantine_policy rules;
     rules.crash_threshold = crash_threshold;
@@ -223,7 +267,7 @@
 }
 
 run_number begin_run(host& self, std::uint64_t digest, std::string_view target_id,
-                     run_source source) {
+                     run_source source, run_form form) {
     const auto known = self.crashes.ledger.digests.find(digest);
     if (known != self.crashes.ledger.digests.end() && !known->second.crashes.empty()) {
         log_event(self, suspect_sent,
@@ -232,8 +276,11 @@
                    {"targets", static_cast<std::uint64_t>(known->second.crashes.size())}});
     }
     const auto number = self.crashes.next_run++;
-    self.crashes.runs.emplace(number,
-                              active_run{digest, std::string(target_id), source, self.now()});
+    const auto listed = self.targets.by_id.find(target_id);
+    const auto target = listed == self.targets.by_id.end()
+                            ? target_start{std::string(target_id), {}, 0}
+                            : start_of(listed->second.entry);
+    self.crashes.runs.emplace(number, active_run{digest, target, source, self.now(), form});
     return number;
 }
 
@@ -244,11 +291,18 @@
         return;
     }
     const auto ended = found->second;
-    if (end == run_end::broken) {
-        check_broken_target(self, ended.target);
+    const bool silent = end == run_end::silent && self->now() - ended.sent >= min_silence;
+    if (end == run_end::broken || silent) {
+        check_target_of(self, run);
     }
     watch.runs.erase(run);
-    if (end == run_end::survived && is_crash_suspect(*self, ended.digest)) {
+    if (end != run_end::survived) {
+        return;
+    }
+    for (auto& [number, target] : watch.broken) {
+        target.in_flight.erase(ended.digest);
+    }
+    if (is_crash_suspect(*self, ended.digest)) {
         clear_request(*self, ended.digest);
     }
 }
@@ -272,16 +326,17 @@
 }
 
 bool is_being_checked(const host& self, std::uint64_t digest) {
-    const auto& checking = self.crashes.checking;
-    return !checking.empty() && is_crash_suspect(self, digest) &&
-           std::ranges::any_of(
-               checking, [digest](const auto& target) { return target.second.contains(digest); });
+    const auto& broken = self.crashes.broken;
+    return !broken.empty() && is_crash_suspect(self, digest) &&
+           std::ranges::any_of(broken | std::views::values, [digest](const broken_target& target) {
+               return target.being_asked && target.in_flight.contains(digest);
+           });
 }
 
 loop::task<void> wait_for_checks(std::shared_ptr<host> self, std::uint64_t digest,
                                  kernel::time_point deadline) {
     while (is_being_checked(*self, digest) && self->now() < deadline) {
-        co_await self->crashes.check_ended.wait(to_deadline(*self, deadline));
+        co_await self->crashes.evidence_changed.wait(to_deadline(*self, deadline));
     }
 }
 
@@ -297,6 +352,24 @@
     return target;
 }
 
+void check_silent_runs(const std::shared_ptr<host>& self) {
+    for (auto& [number, run] : self->crashes.runs) {
+        const bool silent = self->now() - run.sent >= min_silence;
+        if (silent && run.form == run_form::whole && !run.checked) {
+            run.checked = true;
+            check_target_of(self, number);
+        }
+    }
+}
+
+void announce_quarantine(host& self, std::uint64_t digest, std::string_view basis) {
+    auto& watch = self.crashes;
+    report_quarantine(self, digest, self.settings.host, basis);
+    watch.store_at = self.now() + watch.rules.confirmation_delay;
+    watch.news.insert(digest);
+    watch.changed.open();
+}
+
 void expire_crashes(host& self) {
     auto& watch = self.crashes;
     const auto last_expiry = std::exchange(watch.expired_at, self.now());
--- a/src/front/crash_watch.hpp
+++ b/src/front/crash_watch.hpp
@@ -21,9 +21,11 @@
 /// Designed for a caller that sends such a request again and again, each time under a new id and at
 /// any host. Each attempt would end one target more, and the retries of the host itself a second
 /// one. A broken connection alone does not show a crash: answers get lost, and links are reset. So
-/// the target is asked for a new connection first, and only a target that accepts none has crashed.
-/// Which of the requests that it ran is the cause is decided in `decide/quarantine.hpp`; hosts tell
-/// each other what they know (`crash_exchange.hpp`).
+/// the target is asked for a new connection first; one that accepts none has crashed. So has one
+/// that accepts it but turns out to be a later start. A target that doesn't answer in time is asked
+/// alike, since the end of a machine closes no connection. Which of the requests that it ran is the
+/// cause is decided in `decide/quarantine.hpp`; hosts tell each
+/// other what they know (`crash_exchange.hpp`).
 
 struct host;
 struct target_state;
@@ -54,33 +56,66 @@
 /// How a run ended, as far as it tells of a crash.
 enum class run_end {
     survived, ///< The target answered.
-    broken,   ///< The connection ended without an answer.
+    broken,   ///< The connection ended, and with it the answer, if any.
+    silent,   ///< No answer in time.
     unknown,  ///< Not run, given up, or no valid answer.
 };
 
+/// How a run ended whose exchange with the target failed.
+[[nodiscard]] run_end run_end_of(loop::exchange_fault fault);
+
 /// Who may send the same request again.
 enum class run_source {
     caller, ///< A caller, to any host.
     batch,  ///< The host that runs its batch.
 };
 
+/// How the answer to a run comes.
+enum class run_form {
+    whole,  ///< At once, as a rule within tens of milliseconds.
+    stream, ///< Event by event, with pauses.
+};
+
+/// One start of a target, as listed when a request was sent to it.
+struct target_start {
+    std::string id;
+    transport::endpoint address;
+    std::uint64_t hash = 0; ///< Of the id and the time of the start.
+};
+
 /// A request of this host in flight at a target.
 struct active_run {
     std::uint64_t digest = 0;
-    std::string target;
+    target_start target;
     run_source source = run_source::caller;
     kernel::time_point sent{};
+    run_form form = run_form::whole;
+    bool checked = false; ///< Its target has been asked because it is silent.
+};
+
+/// All runs of one request at a target.
+struct active_request {
+    kernel::duration longest_run{};
+    run_source source = run_source::batch; ///< `caller` if any run is.
+};
+
+/// A target that may have crashed, and what ran there.
+struct broken_target {
+    target_start target;
+    kernel::time_point broke_at{};
+    std::map<std::uint64_t, active_request> in_flight; ///< By digest; without what was answered.
+    bool being_asked = true; ///< The answer to the connection request is awaited.
 };
 
 /// The runs of this host, and what it knows of crashes.
 struct crash_watch {
-    explicit crash_watch(loop::io_context& loop) : check_ended(loop), changed(loop) {}
+    explicit crash_watch(loop::io_context& loop) : evidence_changed(loop), changed(loop) {}
 
     std::map<run_number, active_run> runs{};
     run_number next_run = 1;
-    /// Targets that are being asked, and the digests of what ran there.
-    std::map<std::string, std::set<std::uint64_t>, std::less<>> checking{};
-    loop::gate check_ended; ///< Opened when a target has been asked.
+    std::map<run_number, broken_target> broken{}; ///< By the run that showed it.
+    /// Opened when a target has been asked, or more is known of a request.
+    loop::gate evidence_changed;
     decide::crash_ledger ledger{};
     decide::quarantine_policy rules{};
     std::set<std::uint64_t> news{};  ///< Digests that other hosts are to be told of at once.
@@ -95,10 +130,10 @@
 
 /// Registers a run that is being sent to the target.
 [[nodiscard]] run_number begin_run(host& self, std::uint64_t digest, std::string_view target_id,
-                                   run_source source);
+                                   run_source source, run_form form);
 
-/// Removes the run. After a broken connection, checks in the background whether the target has
-/// crashed.
+/// Removes the run. After a broken connection, or none of the answer for long, checks in the
+/// background whether the target has crashed.
 void end_run(const std::shared_ptr<host>& self, run_number run, run_end end);
 
 /// Why a request must not be sent to a target.
@@ -107,8 +142,8 @@
     std::size_t crashed_targets = 0;
 };
 
-/// Unset if the request may be sent. Soon after the request was identified, the delay is short,
-/// because another host may still dispute it.
+/// Unset if the request is not quarantined. Soon after the request was identified, the delay is
+/// short, because another host may still dispute it.
 [[nodiscard]] std::optional<quarantine_verdict> find_quarantine(const host& self,
                                                                 std::uint64_t digest);
 
@@ -129,6 +164,9 @@
                                                 std::uint64_t digest,
                                                 const std::set<std::string, std::less<>>& tried);
 
+/// Asks the targets of plain requests that have been silent for long whether they have crashed.
+void check_silent_runs(const std::shared_ptr<host>& self);
+
 /// Drops what has expired, and updates the gauge of quarantined requests.
 void expire_crashes(host& self);
 
@@ -136,8 +174,16 @@
 namespace quarantine_basis {
 inline constexpr std::string_view own_crash = "crash"; ///< A crash that this host saw.
 inline constexpr std::string_view told = "told";       ///< Another host has quarantined it.
+/// What several hosts know together.
+inline constexpr std::string_view merged = "merged";
+/// An answer to another request that ran on the same targets.
+inline constexpr std::string_view other_answered = "other_answered";
 } // namespace quarantine_basis
 
+/// Announces that this host has identified the request: in the log, to other hosts and in the
+/// store.
+void announce_quarantine(host& self, std::uint64_t digest, std::string_view basis);
+
 /// Logs that the request was quarantined, because of what `by_host` has told.
 void report_quarantine(host& self, std::uint64_t digest, std::string_view by_host,
                        std::string_view basis);
--- a/src/front/item_run.cpp
+++ b/src/front/item_run.cpp
@@ -33,8 +33,9 @@
 };
 
 run_result failed_exchange(loop::exchange_fault fault) {
-    return {run_outcome::retry, std::string(to_string(fault)),
-            fault == loop::exchange_fault::broken ? run_end::broken : run_end::unknown};
+    // A run is also aborted when it is moved from a target that is merely slow.
+    const auto end = fault == loop::exchange_fault::aborted ? run_end::unknown : run_end_of(fault);
+    return {run_outcome::retry, std::string(to_string(fault)), end};
 }
 
 bool contains(const std::vector<int>& versions, int version) {
@@ -120,7 +121,8 @@
             record_event(*batch, run);
         }
     }
-    co_return buffer.empty() ? run_result{run_outcome::complete, {}, run_end::survived}
+    const auto end = exchange->ended_by_close() ? run_end::broken : run_end::survived;
+    co_return buffer.empty() ? run_result{run_outcome::complete, {}, end}
                              : run_result{run_outcome::retry, "stream ended inside an event"};
 }
 
@@ -189,7 +191,11 @@
         if (drain_fault == loop::exchange_fault::none) {
             exchange->finish();
         }
-        co_return handle_error_status(*batch, index, reply, status);
+        auto result = handle_error_status(*batch, index, reply, status);
+        if (drain_fault != loop::exchange_fault::none) {
+            result.end_of_run = run_end_of(drain_fault);
+        }
+        co_return result;
     }
     if (reply.version > 0 &&
         !may_continue_text(*batch, item_route, batch->state.items[index], reply.version)) {
@@ -359,10 +365,11 @@
     run.sent = run.last_event = self->now();
     batch->runs.insert_or_assign(index, run);
     batch->state.items[index].last_target = target_id;
-    const auto watched =
-        begin_run(*self, digest_of_item(*batch, index), target_id, run_source::batch);
+    const auto watched = begin_run(*self, digest_of_item(*batch, index), target_id,
+                                   run_source::batch, run_form::stream);
     const auto result = co_await send_item(batch, index, item_route);
-    end_run(self, watched, result.end_of_run);
+    const bool silent = batch->runs.at(index).silent && result.end_of_run == run_end::unknown;
+    end_run(self, watched, silent ? run_end::silent : result.end_of_run);
     run.exchange->abort();
     record_run_end(*batch, index, result);
     batch->runs.erase(index);
--- a/src/front/live_batch.hpp
+++ b/src/front/live_batch.hpp
@@ -20,6 +20,7 @@
     time_point first_event{}; ///< Zero before the first event.
     time_point last_event{};  ///< Arrival of the latest event; `sent` before the first.
     std::int64_t events = 0;  ///< Received in this run.
+    bool silent = false;      ///< It is being stopped because its target is silent.
     bool being_moved = false; ///< It is being stopped, to continue at another target.
 };
 
--- a/src/front/plain_call.cpp
+++ b/src/front/plain_call.cpp
@@ -117,14 +117,17 @@
     }
     if (fault != loop::exchange_fault::none) {
         result.reason = to_string(fault);
-        result.end_of_run =
-            fault == loop::exchange_fault::broken ? run_end::broken : run_end::unknown;
+        result.end_of_run = run_end_of(fault);
         co_return result;
     }
     answer.status = exchange->status();
     answer.headers = exchange->headers();
+    const bool ended_by_close = exchange->ended_by_close();
     exchange->finish();
     result = classify_answer(*state, std::move(answer));
+    if (ended_by_close && result.end_of_run == run_end::survived) {
+        result.end_of_run = run_end::broken;
+    }
     co_return result;
 }
 
@@ -202,9 +205,13 @@
     if (state->decided) {
         exchange->abort(); // the call was decided before this attempt started
     }
-    const auto run = begin_run(self, state->call.digest, plan.target_id, state->call.source);
+    const auto run =
+        begin_run(self, state->call.digest, plan.target_id, state->call.source, run_form::whole);
     auto result = co_await exchange_once(state, exchange, plan);
-    end_run(state->self, run, result.end_of_run);
+    // A request that another target has answered is no cause of a crash.
+    const bool answered = state->outcome.result == plain_outcome::state::answered;
+    const bool silent = result.end_of_run == run_end::silent;
+    end_run(state->self, run, silent && answered ? run_end::unknown : result.end_of_run);
     std::erase(state->exchanges, exchange);
     --state->running_attempts;
     if (result.end == attempt_end::not_run || result.end == attempt_end::not_sent) {
--- a/src/front/process.cpp
+++ b/src/front/process.cpp
@@ -149,6 +149,7 @@
         remove_expired_targets(self->targets, self->now());
         evict_unused(*registry);
         drop_old_counts(*self);
+        check_silent_runs(self);
         expire_crashes(*self);
         record_demand(*self, count_unfinished_items(*registry));
     }
--- a/src/front/stream_call.cpp
+++ b/src/front/stream_call.cpp
@@ -36,7 +36,7 @@
 /// Records why an exchange with a target failed.
 void record_fault(stream_state& stream, loop::exchange_fault fault) {
     stream.reason = to_string(fault);
-    stream.end_of_run = fault == loop::exchange_fault::broken ? run_end::broken : run_end::unknown;
+    stream.end_of_run = run_end_of(fault);
 }
 
 enum class stream_end { complete, error_forwarded, not_run, broken_off, caller_gone };
@@ -71,7 +71,7 @@
     if (!pending.empty()) {
         co_await stream.request->piece(pending);
     }
-    stream.end_of_run = run_end::survived;
+    stream.end_of_run = stream.exchange->ended_by_close() ? run_end::broken : run_end::survived;
     co_return stream_end::complete;
 }
 
@@ -80,6 +80,7 @@
     answer.status = status;
     const auto deadline = to_deadline(*stream.self, stream.deadline);
     const auto fault = co_await stream.exchange->read_rest(deadline, answer.body, 1U << 24U);
+    stream.end_of_run = fault == loop::exchange_fault::none ? run_end::survived : run_end_of(fault);
     if (fault != loop::exchange_fault::none || stream.head_sent) {
         stream.reason = "status " + std::to_string(status);
         co_return stream_end::broken_off;
@@ -123,7 +124,6 @@
         co_return stream_end::broken_off;
     }
     if (status < 200 || status >= 300) {
-        stream.end_of_run = run_end::survived;
         const auto end = co_await forward_error(stream, status);
         co_return end;
     }
@@ -170,7 +170,7 @@
     stream.exchange = std::make_shared<loop::exchange>(self.connections, target->entry.address);
     stream.request->on_gone([link = stream.exchange] { link->abort(); });
     stream.end_of_run = run_end::unknown;
-    const auto run = begin_run(self, stream.digest, id, run_source::caller);
+    const auto run = begin_run(self, stream.digest, id, run_source::caller, run_form::stream);
     const auto end = co_await run_attempt(stream, id);
     end_run(stream.self, run, stream.end_of_run);
     const auto found = self.targets.by_id.find(id);
--- a/src/loop/exchange.cpp
+++ b/src/loop/exchange.cpp
@@ -254,6 +254,10 @@
     return parser_ && parser_->is_done();
 }
 
+bool exchange::ended_by_close() const {
+    return parser_ && parser_->need_eof();
+}
+
 void exchange::abort() {
     aborted_ = true;
     if (stream_) {
--- a/src/loop/exchange.hpp
+++ b/src/loop/exchange.hpp
@@ -78,6 +78,10 @@
 
     [[nodiscard]] bool complete() const;
 
+    /// Whether only the end of the connection shows where the answer ends. A server that crashes
+    /// ends its answer alike.
+    [[nodiscard]] bool ended_by_close() const;
+
     /// Closes the connection: a server drops the request.
     void abort();
 
