--- a/src/front/crash_watch.cpp
+++ b/src/front/crash_watch.cpp
@@ -27,6 +27,8 @@
 /// Targets that are asked or watched at a time; more broken connections tell little.
 constexpr std::size_t max_broken_targets = 256;
 constexpr std::uint32_t crash_threshold = 3;
+/// What is known of crashes outlasts the pauses of callers and restarts of hosts.
+constexpr std::chrono::hours record_lifetime{24};
 /// Digests in one log line; more than a few requests on a target tell little.
 constexpr std::size_t max_listed = 8;
 /// Until hosts that name different requests for one crash know of each other.
@@ -263,6 +265,7 @@
     decide::quarantine_policy rules;
     rules.crash_threshold = crash_threshold;
     rules.confirmation_delay = confirmation_delay;
+    rules.suspicion_lifetime = record_lifetime;
     return rules;
 }
 
