front: a request that crashed three targets is sent in three trial runs in all

Callers saw: a request that had crashed three targets was sent on by each host that it reached at the same time, and again by every host when its quarantine was over: three more targets each time. Cause: each host decided for itself whether to send it, by checks of its own only, and the end of a quarantine forgot what was known. Class of fault: a limit that is meant for all hosts was kept by each. Change: decide::judge_send holds back a request that has crashed three targets and was not answered since, identified or not: it is sent only in trial runs, one at a time, three for as long as its record is kept. A host makes sure of a trial run by a conditional write of the object that keeps the quarantines, so each is granted once; the count is told and stored with the record. Requests wait up to two seconds for the result of another host's trial run. While the store is unavailable, a host grants trial runs of requests that are not identified itself, so that hosts that are cut off serve on. Suspects get no second target beside the first.

--- a/src/decide/quarantine.cpp
+++ b/src/decide/quarantine.cpp
@@ -157,9 +157,17 @@
     }
 }
 
+// Until the next trial run for callers; doubled after each one.
+kernel::duration pause_after(const crash_record& record, const quarantine_policy& rules,
+                             kernel::duration first_pause) {
+    return record.trials >= rules.max_trials ? std::max(rules.record_lifetime, rules.lifetime)
+                                             : first_pause * (1U << record.trials);
+}
+
 void extend_quarantine(crash_record& record, const quarantine_policy& rules,
                        kernel::time_point now) {
-    record.quarantined_until = std::max(record.quarantined_until, now + rules.lifetime);
+    record.quarantined_until =
+        std::max(record.quarantined_until, now + pause_after(record, rules, rules.lifetime));
 }
 
 // Whether the digest has crashed enough targets, and nothing else on them may be the cause.
@@ -284,11 +292,30 @@
         record.quarantined_until = {};
         record.identified_by = 0;
     }
+    if (record.last_trial <= cleared_at) {
+        record.trials = 0;
+    }
     record.cleared_at = cleared_at;
     record.clearance = received.clearance;
     return true;
 }
 
+// Takes over trial runs of other hosts. They are granted one after the other, so the higher number
+// is the newer one.
+bool merge_trials(crash_record& record, const quarantine_policy& rules,
+                  const shared_crash_record& received, kernel::time_point now) {
+    const auto started = now - received.trial_age;
+    if (received.trials <= record.trials || started <= record.cleared_at) {
+        return false;
+    }
+    record.trials = received.trials;
+    record.last_trial = started;
+    if (record.identified_by != 0) {
+        extend_quarantine(record, rules, started);
+    }
+    return true;
+}
+
 // Adds the crashes that another host knows; returns whether any was new.
 bool merge_targets(crash_record& record, const quarantine_policy& rules,
                    const shared_crash_record& received, const target_set& explained,
@@ -319,7 +346,8 @@
     auto& record = record_of(ledger, rules, received.digest);
     const bool cleared = merge_clearance(record, received, now);
     const bool new_targets = merge_targets(record, rules, received, explained, now);
-    return cleared || new_targets;
+    const bool new_trials = merge_trials(record, rules, received, now);
+    return cleared || new_targets || new_trials;
 }
 
 // Quarantines the digest if another host has.
@@ -373,6 +401,52 @@
     return out;
 }
 
+send_verdict judge_send(const crash_ledger& ledger, const quarantine_policy& rules,
+                        std::uint64_t digest, kernel::duration trial_pause,
+                        kernel::time_point now) {
+    const auto found = ledger.digests.find(digest);
+    if (found == ledger.digests.end()) {
+        return {};
+    }
+    const auto& record = found->second;
+    const bool identified = record.identified_by != 0;
+    if (!identified && record.crashes.size() < rules.crash_threshold) {
+        return {};
+    }
+    if (identified && now < record.identified_at + rules.confirmation_delay) {
+        return {send_permission::refused, record.identified_at + rules.confirmation_delay - now};
+    }
+    const auto since = std::max(record.identified_at, record.last_trial);
+    if (identified || record.trials >= rules.max_trials) {
+        const auto due = since + pause_after(record, rules, trial_pause);
+        if (now < due) {
+            return {send_permission::refused, due - now};
+        }
+    }
+    if (record.trials >= rules.max_trials) {
+        return {send_permission::refused, rules.lifetime};
+    }
+    // The result is to count as a crash of its own.
+    if (now < record.last_crash + rules.min_crash_gap) {
+        return {send_permission::pending, record.last_crash + rules.min_crash_gap - now};
+    }
+    const bool result_awaited = record.trials > 0 && record.last_crash <= record.last_trial;
+    if (result_awaited && now < record.last_trial + rules.trial_time) {
+        return {send_permission::pending, record.last_trial + rules.trial_time - now};
+    }
+    return {send_permission::trial, {}};
+}
+
+void begin_trial(crash_ledger& ledger, const quarantine_policy& rules, std::uint64_t digest,
+                 kernel::time_point now) {
+    auto& record = record_of(ledger, rules, digest);
+    ++record.trials;
+    record.last_trial = now;
+    if (record.identified_by != 0) {
+        extend_quarantine(record, rules, now);
+    }
+}
+
 kernel::duration quarantined_for(const crash_ledger& ledger, std::uint64_t digest,
                                  kernel::time_point now) {
     const auto it = ledger.digests.find(digest);
@@ -420,7 +494,8 @@
         record.disputed_at = now;
         return;
     }
-    record.quarantined_until = now + std::min(notice.remaining, rules.lifetime);
+    record.quarantined_until =
+        now + std::min(notice.remaining, std::max(rules.lifetime, rules.record_lifetime));
     record.identified_at = identified_at;
     record.identified_by = notice.crashed_target;
     exonerate_others(ledger, notice.digest);
@@ -447,13 +522,16 @@
 void expire(crash_ledger& ledger, const quarantine_policy& rules, kernel::time_point now) {
     std::erase_if(ledger.digests, [&](const auto& entry) {
         const auto& record = entry.second;
+        const auto lifetime =
+            record.identified_by != 0 ? rules.record_lifetime : kernel::duration{};
         return record.quarantined_until <= now &&
-               record.last_crash + rules.suspicion_lifetime <= now;
+               record.last_crash + rules.suspicion_lifetime <= now &&
+               std::max(record.last_crash, record.last_trial) + lifetime <= now;
     });
 }
 
 bool is_repeated(const crash_record& record, kernel::time_point now) {
-    return record.quarantined_until > now || record.crashes.size() > 1;
+    return record.quarantined_until > now || record.identified_by != 0 || record.crashes.size() > 1;
 }
 
 shared_crashes export_crashes(const crash_ledger& ledger, kernel::time_point now,
@@ -480,6 +558,10 @@
             shared.cleared_age = now - record.cleared_at;
             shared.clearance = record.clearance;
         }
+        if (record.trials > 0) {
+            shared.trials = record.trials;
+            shared.trial_age = now - record.last_trial;
+        }
         out.records.push_back(std::move(shared));
     }
     std::ranges::sort(out.records, {}, [](const shared_crash_record& record) {
--- a/src/decide/quarantine.hpp
+++ b/src/decide/quarantine.hpp
@@ -28,6 +28,8 @@
     std::uint64_t clearance = 0;     ///< Identifies that answer on all hosts; 0: unknown.
     /// Identifications up to then don't count: another digest was identified by the same crash.
     kernel::time_point disputed_at{};
+    std::uint32_t trials = 0;        ///< Trial runs since it crashed `crash_threshold` targets.
+    kernel::time_point last_trial{}; ///< Start of the last one.
 };
 
 /// A crash of a target, whatever ran there.
@@ -48,6 +50,11 @@
 /// on several of them. So targets that end together count once, and nothing is quarantined while at
 /// least as many other targets crash without it. Targets that another request explains don't speak
 /// against it, so that several causes at once are found.
+///
+/// A request that has crashed `crash_threshold` targets is sent only in trial runs, each granted to
+/// one host for all, whether or not it is identified as the cause. The number of trial runs is
+/// limited for as long as the record is kept, which a pause or the end of a quarantine doesn't
+/// shorten.
 struct crash_ledger {
     std::unordered_map<std::uint64_t, crash_record> digests;
     std::vector<observed_crash> recent_crashes; ///< Of distinct targets, within `crash_memory`.
@@ -72,6 +79,30 @@
 std::vector<std::uint64_t> identify_culprits(crash_ledger& ledger, const quarantine_policy& rules,
                                              kernel::time_point now);
 
+/// Whether a request may be sent to a target.
+enum class send_permission {
+    granted,
+    trial,   ///< Only as a trial run: see `begin_trial`.
+    pending, ///< Not before the result of the last trial run, or just after a crash.
+    refused,
+};
+
+struct send_verdict {
+    send_permission permission = send_permission::granted;
+    kernel::duration delay{}; ///< Until the verdict may change; zero: it may be sent.
+};
+
+/// Decides whether the digest may be sent now. `trial_pause` is the pause of this sender before the
+/// first trial run after an identification, doubled after each trial run.
+[[nodiscard]] send_verdict judge_send(const crash_ledger& ledger, const quarantine_policy& rules,
+                                      std::uint64_t digest, kernel::duration trial_pause,
+                                      kernel::time_point now);
+
+/// Records a trial run of the digest. Only for a host that has made sure that no other one starts
+/// the same trial run.
+void begin_trial(crash_ledger& ledger, const quarantine_policy& rules, std::uint64_t digest,
+                 kernel::time_point now);
+
 /// Remaining quarantine time of the digest; zero if it is not quarantined.
 [[nodiscard]] kernel::duration quarantined_for(const crash_ledger& ledger, std::uint64_t digest,
                                                kernel::time_point now);
@@ -103,6 +134,8 @@
     std::uint64_t identified_by = 0;
     std::optional<kernel::duration> cleared_age; ///< Unset: never answered.
     std::uint64_t clearance = 0;
+    std::uint32_t trials = 0;
+    kernel::duration trial_age{}; ///< Of the last trial run.
 };
 
 /// A crash of a target, as told to another host.
--- a/src/front/answers.cpp
+++ b/src/front/answers.cpp
@@ -39,8 +39,9 @@
     const nlohmann::json body = {
         {"state", "not_run"},
         {"reason", quarantined_reason},
-        {"detail", "this request has crashed " + std::to_string(verdict.crashed_targets) +
-                       " targets; it is not sent to any until the retry delay has passed"}};
+        {"detail", std::to_string(verdict.crashed_targets) +
+                       " targets crashed while they ran this request; it is not sent to any until "
+                       "the retry delay has passed"}};
     transport::http_response answer{status,
                                     {self.platform_adapter.retry_after(verdict.retry_delay),
                                      {"Content-Type", "application/json"}},
--- a/src/front/batch.hpp
+++ b/src/front/batch.hpp
@@ -32,10 +32,10 @@
     time_point not_before{};            ///< No new attempt is made earlier.
     std::string last_target;            ///< The target of the latest attempt.
     bool moved_for_deadline = false;    ///< Moved to another target, once, to meet the deadline.
-    time_point deferred_since{}; ///< Since when it waits for a faster target; zero: it does not.
-    std::uint64_t digest = 0;    ///< Of its content; 0: not computed yet.
-    time_point next_trial{};     ///< Of a quarantined item; zero: it is not quarantined.
-    milliseconds trial_pause{0}; ///< Between its last trial and the next.
+    time_point deferred_since{};  ///< Since when it waits for a faster target; zero: it does not.
+    std::uint64_t digest = 0;     ///< Of its content; 0: not computed yet.
+    bool asks_permission = false; ///< It may crash its targets; see `request_permission`.
+    bool permitted = false;       ///< See there; holds until it is sent.
 };
 
 /// One entry of a batch's log.
--- a/src/front/batch_drive.cpp
+++ b/src/front/batch_drive.cpp
@@ -3,6 +3,7 @@
 #include "front/batch_log.hpp"
 #include "front/item_run.hpp"
 #include "front/placement.hpp"
+#include "front/send_permission.hpp"
 
 #include <algorithm>
 
@@ -25,9 +26,10 @@
 /// makes a step late.
 constexpr double length_tail = 0.1;
 
-/// Pause before the first trial run of a quarantined item, doubled for each further one. An item
-/// may be given up only for answers of targets, so it is tried again, but rarely.
-constexpr milliseconds first_trial_pause{4000};
+/// How long an item waits for the permission to be sent before it asks again.
+constexpr milliseconds permission_timeout{2000};
+/// Until an item whose permission was refused may ask again.
+constexpr milliseconds max_permission_delay{1000};
 
 text_progress text_progress_of(const batch_item& item, const item_state& state) {
     return {expected_tokens(item), static_cast<double>(item.max_output_tokens),
@@ -61,35 +63,39 @@
     return requirements;
 }
 
-/// Whether the item is held back because it may crash its targets: it is being checked, or it is
-/// quarantined and its next trial run is not due.
-bool is_held_back(live_batch& batch, std::size_t index, time_point now) {
-    auto& self = *batch.local_host;
-    auto& state = batch.state.items[index];
-    if (self.crashes.ledger.digests.empty()) {
-        return false;
-    }
-    const auto digest = digest_of_item(batch, index);
-    if (is_being_checked(self, digest)) {
-        return true;
+loop::task<void> ask_permission(live_batch_ptr batch, std::size_t index) {
+    auto self = batch->local_host;
+    const auto decision = co_await request_permission(
+        self, digest_of_item(*batch, index), run_source::batch, self->now() + permission_timeout);
+    auto& state = batch->state.items[index];
+    state.asks_permission = false;
+    state.permitted = !decision.refusal;
+    if (decision.refusal) {
+        const auto delay = std::min(decision.refusal->retry_delay, max_permission_delay);
+        state.not_before = std::max(state.not_before, self->now() + delay);
     }
-    if (!find_quarantine(self, digest)) {
-        state.next_trial = {};
+    batch->changed.open();
+}
+
+/// Whether the item is held back because it may crash its targets: it is being checked, or the
+/// permission to send it is missing.
+bool is_held_back(const live_batch_ptr& batch, std::size_t index, time_point now) {
+    auto& self = *batch->local_host;
+    auto& state = batch->state.items[index];
+    if (self.crashes.ledger.digests.empty() || state.permitted) {
         return false;
     }
-    if (state.next_trial == time_point{}) {
-        state.trial_pause = first_trial_pause;
-        state.next_trial = now + state.trial_pause;
+    const auto digest = digest_of_item(*batch, index);
+    if (state.asks_permission || is_being_checked(self, digest)) {
+        return true;
     }
-    return now < state.next_trial;
-}
-
-/// Plans the trial after this one if the item is quarantined.
-void record_trial(item_state& state, time_point now) {
-    if (state.next_trial != time_point{}) {
-        state.trial_pause *= 2;
-        state.next_trial = now + state.trial_pause;
+    const auto verdict = decide::judge_send(self.crashes.ledger, self.crashes.rules, digest,
+                                            trial_pause_of(self, run_source::batch), now);
+    if (verdict.permission == decide::send_permission::trial) {
+        state.asks_permission = true;
+        loop::asio::co_spawn(self.io, ask_permission(batch, index), loop::asio::detached);
     }
+    return verdict.permission != decide::send_permission::granted;
 }
 
 /// Starts waiting items on targets, the most urgent first.
@@ -110,7 +116,7 @@
             }
             continue;
         }
-        if (is_held_back(*batch, index, round.now)) {
+        if (is_held_back(batch, index, round.now)) {
             continue;
         }
         auto requirements = requirements_of(*batch, item, state, *item_route);
@@ -126,7 +132,6 @@
             continue;
         }
         state.deferred_since = {};
-        record_trial(state, round.now);
         state.phase = item_phase::running;
         // Counted here rather than in run_item(), so that the next item of this burst sees it.
         ++target->running;
--- a/src/front/crash_exchange.cpp
+++ b/src/front/crash_exchange.cpp
@@ -72,6 +72,10 @@
         out["cleared_age_ms"] = to_ms(*record.cleared_age);
         out["clearance"] = record.clearance;
     }
+    if (record.trials > 0) {
+        out["trials"] = record.trials;
+        out["trial_age_ms"] = to_ms(record.trial_age);
+    }
     return out;
 }
 
@@ -93,6 +97,10 @@
         out.cleared_age = read_ms(value.at("cleared_age_ms"));
         out.clearance = value.value("clearance", std::uint64_t{0});
     }
+    if (value.contains("trials")) {
+        out.trials = value.at("trials").get<std::uint32_t>();
+        out.trial_age = read_ms(value.at("trial_age_ms"));
+    }
     return out;
 }
 
--- a/src/front/crash_watch.cpp
+++ b/src/front/crash_watch.cpp
@@ -33,6 +33,9 @@
 constexpr std::size_t max_listed = 8;
 /// Until hosts that name different requests for one crash know of each other.
 constexpr milliseconds confirmation_delay{500};
+/// First trial pause of an item. A step lasts seconds, and an item may be given up only for answers
+/// of targets.
+constexpr milliseconds batch_trial_pause{4000};
 
 target_start start_of(const target_entry& entry) {
     return {entry.id, entry.address,
@@ -115,7 +118,7 @@
 void clear_request(host& self, std::uint64_t digest) {
     auto& watch = self.crashes;
     const auto& record = watch.ledger.digests.at(digest);
-    if (record.identified_by != 0) {
+    if (record.identified_by != 0 || record.trials > 0) {
         watch.store_at = self.now();
     }
     decide::clear_suspicion(watch.ledger, digest, self.now());
@@ -266,9 +269,15 @@
     rules.crash_threshold = crash_threshold;
     rules.confirmation_delay = confirmation_delay;
     rules.suspicion_lifetime = record_lifetime;
+    rules.record_lifetime = record_lifetime;
     return rules;
 }
 
+kernel::duration trial_pause_of(const host& self, run_source source) {
+    return source == run_source::batch ? kernel::duration(batch_trial_pause)
+                                       : self.crashes.rules.lifetime;
+}
+
 run_number begin_run(host& self, std::uint64_t digest, std::string_view target_id,
                      run_source source, run_form form) {
     const auto known = self.crashes.ledger.digests.find(digest);
--- a/src/front/crash_watch.hpp
+++ b/src/front/crash_watch.hpp
@@ -24,7 +24,7 @@
 /// the target is asked for a new connection first; one that accepts none has crashed. So has one
 /// that accepts it but turns out to be a later start. A target that doesn't answer in time is asked
 /// alike, since the end of a machine closes no connection. Which of the requests that it ran is the
-/// cause is decided in `decide/quarantine.hpp`; hosts tell each
+/// cause, and whether a request may be sent, is decided in `decide/quarantine.hpp`; hosts tell each
 /// other what they know (`crash_exchange.hpp`).
 
 struct host;
@@ -70,6 +70,9 @@
     batch,  ///< The host that runs its batch.
 };
 
+/// Pause before the first trial run of an identified request, doubled for each further one.
+[[nodiscard]] kernel::duration trial_pause_of(const host& self, run_source source);
+
 /// How the answer to a run comes.
 enum class run_form {
     whole,  ///< At once, as a rule within tens of milliseconds.
@@ -107,9 +110,17 @@
     bool being_asked = true; ///< The answer to the connection request is awaited.
 };
 
+/// What this host knows of the quarantined requests in the store.
+struct stored_quarantines {
+    std::uint64_t revision = 0; ///< 0: unknown, or the store has none.
+    bool was_read = false;      ///< Since the start of this process.
+    bool being_written = false;
+};
+
 /// The runs of this host, and what it knows of crashes.
 struct crash_watch {
-    explicit crash_watch(loop::io_context& loop) : evidence_changed(loop), changed(loop) {}
+    explicit crash_watch(loop::io_context& loop)
+        : evidence_changed(loop), changed(loop), store_idle(loop) {}
 
     std::map<run_number, active_run> runs{};
     run_number next_run = 1;
@@ -121,6 +132,8 @@
     std::set<std::uint64_t> news{};  ///< Digests that other hosts are to be told of at once.
     loop::gate changed;              ///< Opened when there are more of them.
     kernel::time_point expired_at{}; ///< When `expire_crashes` last ran.
+    stored_quarantines stored{};
+    loop::gate store_idle; ///< Opened at the end of a write of `stored`.
     /// When the quarantined requests are to be stored anew; unset: they are stored.
     std::optional<kernel::time_point> store_at{};
 };
--- a/src/front/events.hpp
+++ b/src/front/events.hpp
@@ -63,6 +63,9 @@
                                     "a request that may have crashed targets is sent to another"};
 inline constexpr event quarantine_ended{9061, "quarantine_ended", event_level::info,
                                         "the time of a quarantine is over"};
+inline constexpr event trial_started{
+    9063, "trial_started", event_level::info,
+    "a request that has crashed targets is sent to one target, to find out whether it still does"};
 inline constexpr event target_replaced{
     9062, "target_replaced", event_level::warning,
     "a target that accepted a connection was a later start: it had ended"};
--- a/src/front/plain_call.cpp
+++ b/src/front/plain_call.cpp
@@ -1,5 +1,7 @@
 #include "front/plain_call.hpp"
 
+#include "front/send_permission.hpp"
+
 #include <algorithm>
 #include <map>
 #include <ranges>
@@ -27,6 +29,8 @@
     int running_attempts = 0;
     int may_have_run = 0; ///< Number of attempts that ran or may have run.
     int refusals = 0;
+    bool permitted = false; ///< See `request_permission`; holds until it is sent.
+    bool trial = false;     ///< It is sent in a trial run.
     bool decided = false;
 
     call_state(std::shared_ptr<host> owner, plain_call request)
@@ -177,6 +181,7 @@
     switch (result.end) {
     case attempt_end::answered:
     case attempt_end::target_error:
+        state.permitted = false;
         outcome.failures += result.answer.status == 500 ? 1 : 0;
         // The target's error is the answer unless another attempt succeeds.
         outcome.result = plain_outcome::state::answered;
@@ -190,6 +195,7 @@
         ++state.refusals;
         break;
     case attempt_end::no_valid_answer:
+        state.permitted = false;
         if (outcome.result == plain_outcome::state::not_run) {
             outcome.result = plain_outcome::state::unknown;
         }
@@ -224,11 +230,6 @@
 
 bool start_attempt(const call_state_ptr& state) {
     auto& self = *state->self;
-    state->outcome.quarantine = find_quarantine(self, state->call.digest);
-    if (state->outcome.quarantine) {
-        state->outcome.reason = quarantined_reason;
-        return false;
-    }
     auto* target =
         choose_target_apart(self, state->call.service, state->call.digest, state->tried_targets);
     if (target == nullptr) {
@@ -259,6 +260,24 @@
     return state.call.idempotent || state.may_have_run == 0;
 }
 
+/// A request that may crash its targets is sent to one at a time.
+bool may_be_hedged(const call_state& state) {
+    return state.call.idempotent && !state.trial &&
+           !is_crash_suspect(*state.self, state.call.digest);
+}
+
+loop::task<void> request_permission_to_send(call_state_ptr state) {
+    const auto& call = state->call;
+    const auto decision =
+        co_await request_permission(state->self, call.digest, call.source, call.deadline);
+    state->permitted = !decision.refusal;
+    state->trial = decision.trial;
+    state->outcome.quarantine = decision.refusal;
+    if (decision.refusal) {
+        state->outcome.reason = quarantined_reason;
+    }
+}
+
 void abort_attempts(call_state& state) {
     state.decided = true;
     const auto exchanges = state.exchanges;
@@ -304,18 +323,20 @@
     auto hedge_at = self->now() + delay;
     while (!state->decided && self->now() < state->call.deadline) {
         const bool none_running = state->running_attempts == 0;
-        if (none_running && is_being_checked(*self, state->call.digest)) {
-            co_await wait_for_checks(self, state->call.digest, state->call.deadline);
-            continue;
+        if (none_running && may_start_attempt(*state) && !state->permitted) {
+            co_await request_permission_to_send(state);
+            if (state->decided || state->outcome.quarantine) {
+                break;
+            }
         }
-        const bool hedge_due = !none_running && state->call.idempotent && self->now() >= hedge_at;
+        const bool hedge_due = !none_running && may_be_hedged(*state) && self->now() >= hedge_at;
         if ((none_running || hedge_due) && may_start_attempt(*state) && start_attempt(state)) {
             hedge_at = self->now() + delay;
         } else if (none_running) {
             break;
         }
         const auto wake_at =
-            state->call.idempotent && may_start_attempt(*state) && hedge_at > self->now()
+            may_be_hedged(*state) && may_start_attempt(*state) && hedge_at > self->now()
                 ? std::min(hedge_at, state->call.deadline)
                 : state->call.deadline;
         co_await state->changed.wait(to_deadline(*self, wake_at));
--- a/src/front/quarantine_store.cpp
+++ b/src/front/quarantine_store.cpp
@@ -4,6 +4,8 @@
 #include "front/feed.hpp"
 
 #include <algorithm>
+#include <array>
+#include <iterator>
 #include <utility>
 
 namespace cornelloom::front {
@@ -23,18 +25,22 @@
 /// Bytes of a rejection that are logged.
 constexpr std::size_t max_logged_bytes = 200;
 
-/// What this host knows of the object in the store.
-struct quarantine_object {
-    std::uint64_t revision = 0; ///< 0: unknown, or the store has none.
-    bool was_read = false;      ///< Since the start of this process.
-};
+/// Of one write for a trial run, for which a caller waits.
+constexpr loop::milliseconds claim_timeout{500};
+/// Writes of one trial run, each after a write of another host.
+constexpr int max_claim_attempts = 8;
 
-void merge_object(host& self, quarantine_object& known, const stored_object& object) {
-    known.revision = object.revision;
+/// Whether the record is kept in the store.
+bool is_stored(const decide::crash_record& record) {
+    return record.identified_by != 0 || record.trials > 0;
+}
+
+void merge_object(host& self, const stored_object& object) {
+    self.crashes.stored.revision = object.revision;
     merge_quarantines(self, object.specification, self.clock.wall_now());
     // The other hosts may have started at the same moment, and know as little.
     for (const auto& [digest, record] : self.crashes.ledger.digests) {
-        if (record.quarantined_until > self.now()) {
+        if (is_stored(record)) {
             self.crashes.news.insert(digest);
         }
     }
@@ -42,70 +48,87 @@
 }
 
 /// Reads the object; false if the read failed.
-loop::task<bool> read_quarantines(std::shared_ptr<host> self, quarantine_object& known) {
+loop::task<bool> read_quarantines(std::shared_ptr<host> self) {
     const auto answer = co_await call_store(
         self->store, self->platform_adapter.get(object_kind::quarantines, object_name, false));
     if (answer.fault == store_outcome::not_found) {
-        known.revision = 0;
+        self->crashes.stored.revision = 0;
         co_return true;
     }
     const auto object = self->platform_adapter.object(answer.body);
     if (answer.fault != store_outcome::none || !object) {
         co_return false;
     }
-    merge_object(*self, known, object.value());
+    merge_object(*self, object.value());
     co_return true;
 }
 
-store_request write_request(const host& self, std::uint64_t revision) {
+store_request write_request(const host& self, const std::string& text) {
     const auto kind = object_kind::quarantines;
-    const auto text = encode_quarantines(self, self.clock.wall_now());
+    const auto revision = self.crashes.stored.revision;
     return revision == 0 ? self.platform_adapter.create(kind, object_name, text)
                          : self.platform_adapter.replace(kind, object_name, text, revision);
 }
 
-/// Writes the object; false if the write is to be repeated. Another host may have written in
-/// between; what it knows is merged, and the next write follows on it.
-loop::task<bool> write_quarantines(std::shared_ptr<host> self, quarantine_object& known) {
-    const auto answer = co_await call_store(self->store, write_request(*self, known.revision));
+/// Writes the object. Another host may have written in between; what it knows is merged, and the
+/// next write follows on it.
+loop::task<store_outcome> write_object(std::shared_ptr<host> self, std::string text,
+                                       loop::milliseconds timeout) {
+    auto& stored = self->crashes.stored;
+    const auto answer = co_await call_store(self->store, write_request(*self, text), timeout);
     const auto object = self->platform_adapter.object(answer.body);
     if (answer.fault == store_outcome::not_found) {
-        known.revision = 0;
+        stored.revision = 0;
     } else if (answer.fault == store_outcome::conflict && object) {
-        merge_object(*self, known, object.value());
+        merge_object(*self, object.value());
     } else if (answer.fault == store_outcome::none && object) {
-        known.revision = object.value().revision;
-        co_return true;
+        stored.revision = object.value().revision;
     } else if (answer.fault == store_outcome::invalid) {
-        // It would be rejected again.
         log_event(*self, quarantines_rejected,
                   {{"response", answer.body.substr(0, max_logged_bytes)}});
-        co_return true;
     }
-    co_return false;
+    co_return answer.fault;
+}
+
+/// Waits until no other write of this host is in progress, and begins one.
+loop::task<void> begin_write(std::shared_ptr<host> self) {
+    while (self->crashes.stored.being_written) {
+        co_await self->crashes.store_idle.wait(loop::deadline::max());
+    }
+    self->crashes.stored.being_written = true;
+}
+
+void end_write(host& self) {
+    self.crashes.stored.being_written = false;
+    self.crashes.store_idle.open();
 }
 
-loop::task<void> store_if_due(std::shared_ptr<host> self, quarantine_object& known) {
+loop::task<void> store_if_due(std::shared_ptr<host> self) {
     auto& store_at = self->crashes.store_at;
     if (!store_at || self->now() < *store_at) {
         co_return;
     }
+    co_await begin_write(self);
     store_at.reset(); // set again by whatever changes during the write
-    const bool done = co_await write_quarantines(self, known);
+    const auto outcome = co_await write_object(
+        self, encode_quarantines(*self, self->clock.wall_now()), store_call_timeout);
+    end_write(*self);
+    // An invalid object would be rejected again.
+    const bool done = outcome == store_outcome::none || outcome == store_outcome::invalid;
     if (!done && !store_at) {
         store_at = self->now() + store_retry_delay(*self, max_store_delay);
     }
 }
 
 loop::task<void> maintain_quarantines(std::shared_ptr<host> self) {
-    quarantine_object known;
+    auto& stored = self->crashes.stored;
     for (;;) {
-        const bool read_due = !known.was_read && watches_store(*self);
+        const bool read_due = !stored.was_read && watches_store(*self);
         if (read_due) {
-            known.was_read = co_await read_quarantines(self, known);
+            stored.was_read = co_await read_quarantines(self);
         }
-        co_await store_if_due(self, known);
-        const bool failed = read_due && !known.was_read;
+        co_await store_if_due(self);
+        const bool failed = read_due && !stored.was_read;
         co_await loop::pause_for(self->io, failed ? store_retry_delay(*self, max_store_delay)
                                                   : check_interval);
     }
@@ -125,31 +148,100 @@
     return record;
 }
 
-/// The newest quarantines, as stored.
-std::string encode_newest(const host& self, std::size_t max_records, kernel::wall_time now) {
-    auto quarantines = decide::export_crashes(
-        self.crashes.ledger, self.now(), max_records,
-        [&self](std::uint64_t /*digest*/, const decide::crash_record& record) {
-            return record.quarantined_until > self.now();
-        });
-    quarantines.crashes.clear();
-    const json out = {{"stored_unix_ms", now.unix_ms}, {"crashes", encode_crashes(quarantines)}};
-    return out.dump();
+/// The newest of the records that are kept in the store, as stored; `first` comes before others.
+std::string encode_newest(const decide::crash_ledger& ledger, std::uint64_t first,
+                          std::size_t max_records, kernel::time_point now,
+                          kernel::wall_time wall_now) {
+    auto out = decide::export_crashes(
+        ledger, now, 1,
+        [first](std::uint64_t digest, const auto& /*record*/) { return digest == first; });
+    auto others =
+        decide::export_crashes(ledger, now, max_records - out.records.size(),
+                               [first](std::uint64_t digest, const decide::crash_record& record) {
+                                   return digest != first && is_stored(record);
+                               });
+    std::ranges::move(others.records, std::back_inserter(out.records));
+    out.crashes.clear();
+    return json{{"stored_unix_ms", wall_now.unix_ms}, {"crashes", encode_crashes(out)}}.dump();
 }
 
-} // namespace
-
-std::string encode_quarantines(const host& self, kernel::wall_time now) {
+std::string encode_ledger(const host& self, const decide::crash_ledger& ledger, std::uint64_t first,
+                          kernel::wall_time now) {
     const auto max_bytes = self.settings.max_value_bytes - object_overhead_bytes;
     auto count = max_stored;
-    auto text = encode_newest(self, count, now);
-    while (text.size() > max_bytes && count > 0) {
+    auto text = encode_newest(ledger, first, count, self.now(), now);
+    while (text.size() > max_bytes && count > 1) {
         count /= 2;
-        text = encode_newest(self, count, now);
+        text = encode_newest(ledger, first, count, self.now(), now);
     }
     return text;
 }
 
+/// Writes the object with one more trial run of the request.
+loop::task<store_outcome> write_trial(std::shared_ptr<host> self, std::uint64_t digest) {
+    auto after = self->crashes.ledger;
+    decide::begin_trial(after, self->crashes.rules, digest, self->now());
+    auto text = encode_ledger(*self, after, digest, self->clock.wall_now());
+    const auto outcome = co_await write_object(self, std::move(text), claim_timeout);
+    co_return outcome;
+}
+
+bool is_trial_due(const host& self, std::uint64_t digest, run_source source) {
+    const auto verdict = decide::judge_send(self.crashes.ledger, self.crashes.rules, digest,
+                                            trial_pause_of(self, source), self.now());
+    return verdict.permission == decide::send_permission::trial;
+}
+
+void count_claim(host& self, std::string_view outcome) {
+    const std::array labels{kernel::label{"outcome", outcome}};
+    self.metrics.count("cornelloom_trial_claims_total", labels);
+}
+
+} // namespace
+
+std::string encode_quarantines(const host& self, kernel::wall_time now) {
+    constexpr std::uint64_t none = 0;
+    return encode_ledger(self, self.crashes.ledger, none, now);
+}
+
+void start_trial(host& self, std::uint64_t digest) {
+    auto& watch = self.crashes;
+    decide::begin_trial(watch.ledger, watch.rules, digest, self.now());
+    const auto& record = watch.ledger.digests.at(digest);
+    log_event(self, trial_started,
+              {{"digest", digest_text(digest)},
+               {"trial", static_cast<std::uint64_t>(record.trials)},
+               {"targets", static_cast<std::uint64_t>(record.crashes.size())}});
+    watch.news.insert(digest);
+    watch.changed.open();
+}
+
+loop::task<trial_claim> claim_trial(std::shared_ptr<host> self, std::uint64_t digest,
+                                    run_source source) {
+    co_await begin_write(self);
+    auto claim = trial_claim::store_unavailable;
+    for (int attempt = 0; attempt < max_claim_attempts; ++attempt) {
+        if (!is_trial_due(*self, digest, source)) {
+            claim = trial_claim::not_due;
+            break;
+        }
+        const auto outcome = co_await write_trial(self, digest);
+        if (outcome == store_outcome::none) {
+            start_trial(*self, digest);
+            claim = trial_claim::granted;
+            break;
+        }
+        if (outcome != store_outcome::conflict && outcome != store_outcome::not_found) {
+            break;
+        }
+    }
+    end_write(*self);
+    count_claim(*self, claim == trial_claim::granted   ? "granted"
+                       : claim == trial_claim::not_due ? "not_due"
+                                                       : "store_unavailable");
+    co_return claim;
+}
+
 void merge_quarantines(host& self, const json& stored, kernel::wall_time now) {
     if (!stored.contains("stored_unix_ms") || !stored["stored_unix_ms"].is_number_integer() ||
         !stored.contains("crashes") || !stored["crashes"].is_string()) {
--- a/src/front/stream_call.cpp
+++ b/src/front/stream_call.cpp
@@ -2,6 +2,7 @@
 
 #include "front/answers.hpp"
 #include "front/plain_call.hpp"
+#include "front/send_permission.hpp"
 
 #include <algorithm>
 #include <set>
@@ -30,6 +31,7 @@
     std::string reason{};
     std::uint64_t digest = 0; ///< Of the request's content; see `digest_of`.
     std::optional<quarantine_verdict> quarantine{};
+    bool permitted = false;                ///< See `request_permission`; holds until it is sent.
     run_end end_of_run = run_end::unknown; ///< Of the current attempt.
 };
 
@@ -150,8 +152,11 @@
 
 loop::task<stream_end> run_next_attempt(stream_state& stream, std::string_view service) {
     auto& self = *stream.self;
-    co_await wait_for_checks(stream.self, stream.digest, stream.deadline);
-    stream.quarantine = find_quarantine(self, stream.digest);
+    if (!stream.permitted) {
+        const auto decision = co_await request_permission(stream.self, stream.digest,
+                                                          run_source::caller, stream.deadline);
+        stream.quarantine = decision.refusal;
+    }
     if (stream.quarantine) {
         stream.refusals = max_refusals;
         stream.reason = quarantined_reason;
@@ -180,6 +185,7 @@
             record_request_failure(found->second, self.now());
         }
     }
+    stream.permitted = end == stream_end::not_run;
     if (end == stream_end::not_run) {
         --stream.may_have_run;
         ++stream.refusals;
--- a/tests/decide/quarantine_tests.cpp
+++ b/tests/decide/quarantine_tests.cpp
@@ -312,6 +312,97 @@
     });
 }
 
+namespace {
+
+/// Crashes of several targets in one moment, which don't tell what the cause is.
+crash_ledger crashed_together(kernel::time_point now) {
+    crash_ledger ledger;
+    for (std::uint64_t target = 1; target <= 3; ++target) {
+        (void)crash(ledger, target, {culprit}, now);
+    }
+    return ledger;
+}
+
+quarantine_policy kept_for_a_day() {
+    auto out = rules;
+    out.suspicion_lifetime = 24h;
+    out.record_lifetime = 24h;
+    return out;
+}
+
+const quarantine_policy lasting_rules = kept_for_a_day();
+
+send_permission permission(const crash_ledger& ledger, kernel::time_point now) {
+    return judge_send(ledger, lasting_rules, culprit, lasting_rules.lifetime, now).permission;
+}
+
+} // namespace
+
+TEST_CASE("a request that crashed three targets in one moment is sent in single trial runs",
+          "[decide][quarantine]") {
+    // Failure: crashes of one moment count once, so each host sent the request again, all at once.
+    auto ledger = crashed_together(start);
+    CHECK(permission(ledger, start + 1s) == send_permission::trial);
+    begin_trial(ledger, lasting_rules, culprit, start + 1s);
+    CHECK(permission(ledger, start + 2s) == send_permission::pending);
+    SECTION("the next follows when the result is known") {
+        CHECK(crash(ledger, 4, {culprit}, start + 2s) == 0);
+        CHECK(permission(ledger, start + 2s) == send_permission::pending);
+        CHECK(permission(ledger, start + 2s + rules.min_crash_gap) == send_permission::trial);
+        begin_trial(ledger, lasting_rules, culprit, start + 2s + rules.min_crash_gap);
+        CHECK(crash(ledger, 5, {culprit}, start + 3s) == culprit);
+        CHECK(permission(ledger, start + 4s) == send_permission::refused);
+    }
+    SECTION("or when it did not come in time") {
+        CHECK(permission(ledger, start + 1s + rules.trial_time) == send_permission::trial);
+    }
+    SECTION("an answer ends them") {
+        clear_suspicion(ledger, culprit, start + 2s);
+        CHECK(permission(ledger, start + 2s) == send_permission::granted);
+    }
+}
+
+TEST_CASE("the trial runs of a request are limited for as long as its record is kept",
+          "[decide][quarantine]") {
+    // Failure: each quarantine ended with as many crashes as the one before.
+    crash_ledger ledger;
+    for (std::uint64_t target = 1; target <= 3; ++target) {
+        (void)crash(ledger, target, {culprit}, start + target * 200ms);
+    }
+    REQUIRE(is_quarantined(ledger, culprit, start + 1s));
+    std::uint64_t target = 3;
+    std::uint32_t trials = 0;
+    for (auto now = start + 1s; now < start + 24h; now += 1min) {
+        expire(ledger, lasting_rules, now);
+        if (permission(ledger, now) == send_permission::trial) {
+            begin_trial(ledger, lasting_rules, culprit, now);
+            const std::vector<crash_suspect> in_flight{{culprit, 50ms, true}};
+            (void)attribute_crash(ledger, lasting_rules, ++target, in_flight, now + 50ms);
+            ++trials;
+        }
+    }
+    CHECK(trials == lasting_rules.max_trials);
+}
+
+TEST_CASE("trial runs of all hosts count together", "[decide][quarantine]") {
+    // Failure: each host had trial runs of its own.
+    crash_ledger a = crashed_together(start);
+    crash_ledger b;
+    exchange(a, b, start + 50ms);
+    begin_trial(a, lasting_rules, culprit, start + 1s);
+    exchange(a, b, start + 1050ms);
+    CHECK(permission(b, start + 1100ms) == send_permission::pending);
+    CHECK(b.digests.at(culprit).trials == 1);
+    exchange(a, b, start + 1200ms);
+    CHECK(b.digests.at(culprit).trials == 1);
+    SECTION("until the request is answered on one of them") {
+        clear_suspicion(a, culprit, start + 3s);
+        exchange(a, b, start + 3050ms);
+        CHECK(permission(b, start + 3050ms) == send_permission::granted);
+        CHECK(b.digests.at(culprit).trials == 0);
+    }
+}
+
 TEST_CASE("crashes that are told late do not name a request", "[decide][quarantine]") {
     // Failure: a host that had started later did not know that many targets ended in that moment.
     crash_ledger a;
@@ -326,6 +417,7 @@
     crash_ledger b;
     merge_crashes(b, rules, told, later);
     CHECK(quarantined_count(b, later) == 0);
+    CHECK(permission(b, later) == send_permission::trial);
 }
 
 TEST_CASE("a crash from before an answer does not count when it is found out later",
--- a/tests/soak/crash_tests.cpp
+++ b/tests/soak/crash_tests.cpp
@@ -536,3 +536,29 @@
     CHECK_FALSE(is_late(rig, paths[1]));
     CHECK(other == 200);
 }
+
+TEST_CASE("requests are served while the store is unavailable after many targets have ended",
+          "[soak][crash]") {
+    // Failure: a request that ran on several of them waited for a store that did not answer.
+    crash_rig rig(39);
+    start_targets(rig, 6, 0);
+    start_hosts(rig, 2);
+    slow_down(rig, 60ms);
+    std::vector<transport::http_response> answers;
+    play(rig, [&]() -> loop::task<void> {
+        loop::asio::co_spawn(rig.io, send_everywhere(rig, "/look/page", 400ms, 6, true),
+                             loop::asio::detached);
+        co_await loop::pause_for(rig.io, 200ms);
+        rig.platform->troubles.silent = true;
+        for (std::size_t target = 0; target < rig.targets.size(); ++target) {
+            loop::asio::co_spawn(rig.io, take_down(rig, target, 500ms), loop::asio::detached);
+        }
+        co_await loop::pause_for(rig.io, 1500ms);
+        for (int count = 0; count < 8; ++count) {
+            auto answer = co_await ask(rig, count % 2, "/look/page", "page");
+            answers.push_back(std::move(answer));
+        }
+    });
+    CHECK(std::ranges::count(answers, 200, &transport::http_response::status) == 8);
+    CHECK(quarantine_refusals(rig) == 0);
+}
