front: failed attempts of an item are known to the next owner of its batch

Callers saw: nothing yet; found while looking at each bound named BUDGET. An item that fails at each run could reach a target again after three times its attempts when its batch changed hands often enough. Cause: the owner counted failed attempts in memory, and each new owner started at zero: the same class of fault as the crashing request, a limit for all hosts that each kept by itself. Change: entries of the batch's log carry the failed attempts that the log did not contain yet. Measured: 'a new owner knows how often an item has failed' fails before (0 == 2) and passes now. What fails between two entries and is lost with its owner is still counted anew.

--- a/src/front/batch.cpp
+++ b/src/front/batch.cpp
@@ -59,6 +59,26 @@
     }
 }
 
+void apply_failures(batch& batch, std::string_view id, int failures) {
+    const auto found = batch.index_by_id.find(id);
+    if (found == batch.index_by_id.end()) {
+        return;
+    }
+    auto& item = batch.items[found->second];
+    item.failures = std::max(item.failures, failures);
+    item.logged_failures = std::max(item.logged_failures, failures);
+}
+
+/// Adds the failed attempts that the log does not contain yet.
+void add_failures(log_entry& entry, const batch& batch) {
+    for (std::size_t index = 0; index < batch.items.size(); ++index) {
+        const auto& item = batch.items[index];
+        if (item.phase != item_phase::finished && item.failures > item.logged_failures) {
+            entry.failures.emplace(batch.spec.items[index].id, item.failures);
+        }
+    }
+}
+
 } // namespace
 
 batch make_batch(batch_header header, batch_spec spec, time_point submitted) {
@@ -94,6 +114,9 @@
     for (const auto& [id, partial] : entry.partials) {
         apply_partial(batch, id, partial);
     }
+    for (const auto& [id, failures] : entry.failures) {
+        apply_failures(batch, id, failures);
+    }
     batch.ended = batch.ended || entry.ends;
     if (!entry.new_owner.empty()) {
         batch.header.owner = entry.new_owner;
@@ -166,6 +189,7 @@
         out.results.push_back(result);
     }
     add_partials(out, batch, min_events_to_save, max_bytes);
+    add_failures(out, batch);
     return out;
 }
 
--- a/src/front/batch.hpp
+++ b/src/front/batch.hpp
@@ -29,6 +29,7 @@
     partial_text output;
     std::int64_t last_logged_event = 0; ///< The last event that the batch's log contains.
     int failures = 0;                   ///< Failed attempts, counted as the platform does.
+    int logged_failures = 0;            ///< Those that the batch's log contains.
     time_point not_before{};            ///< No new attempt is made earlier.
     std::string last_target;            ///< The target of the latest attempt.
     bool moved_for_deadline = false;    ///< Moved to another target, once, to meet the deadline.
@@ -49,8 +50,9 @@
     std::uint64_t nonce = 0; ///< Lets the writer recognize its own entry after a lost response.
     std::vector<item_result> results; ///< Appended to the batch's results in this order.
     std::map<std::string, partial_text, std::less<>> partials; ///< By item id.
-    bool ends = false;                                         ///< The caller ended the batch.
-    std::string new_owner; ///< Empty: the owner does not change.
+    std::map<std::string, int, std::less<>> failures; ///< Failed attempts so far, by item id.
+    bool ends = false;                                ///< The caller ended the batch.
+    std::string new_owner;                            ///< Empty: the owner does not change.
     transport::endpoint new_owner_at;
 };
 
--- a/src/front/records.cpp
+++ b/src/front/records.cpp
@@ -96,6 +96,9 @@
                                {"versions", partial.versions},
                                {"whole", partial.whole}};
     }
+    if (!entry.failures.empty()) {
+        out["failures"] = entry.failures;
+    }
     if (entry.ends) {
         out["ends"] = true;
     }
@@ -118,6 +121,7 @@
         for (const auto& [id, partial] : partials.items()) {
             out.partials.emplace(id, decode_partial(partial));
         }
+        out.failures = value.value("failures", json::object()).get<decltype(out.failures)>();
         out.ends = value.value("ends", false);
         out.new_owner = value.value("new_owner", "");
         if (!out.new_owner.empty()) {
--- a/tests/front/batch_tests.cpp
+++ b/tests/front/batch_tests.cpp
@@ -187,6 +187,24 @@
     CHECK(successor.items[1].output.versions == std::vector{3});
 }
 
+TEST_CASE("a new owner knows how often an item has failed", "[front][batch]") {
+    // Failure: each owner counted from zero, so an item that fails at each run was tried on by all.
+    auto owner = make_test_batch(1, 2);
+    auto successor = make_test_batch(1, 2);
+    owner.items[1].failures = 2;
+    const auto entry = make_next_entry(owner, max_bytes);
+    const auto stored = decode_entry(nlohmann::json::parse(encode_entry(entry)));
+    REQUIRE(stored);
+    apply_entry(successor, 0, stored.value());
+    CHECK(successor.items[0].failures == 0);
+    CHECK(successor.items[1].failures == 2);
+    SECTION("also when an older entry is applied to the newer count") {
+        owner.items[1].failures = 1;
+        apply_entry(successor, 1, make_next_entry(owner, max_bytes));
+        CHECK(successor.items[1].failures == 2);
+    }
+}
+
 TEST_CASE("an entry never exceeds the maximum object size of the store", "[front][batch][flush]") {
     // Guards against one entry with the results of 192 long items, which finish within a second
     // after the platform was slow. The store rejects such an entry each time, so no result is ever
