--- a/tests/soak/crash_tests.cpp
+++ b/tests/soak/crash_tests.cpp
@@ -422,6 +422,7 @@
 loop::task<std::vector<transport::http_response>> ask_all(crash_rig& rig, std::string path,
                                                           std::size_t hosts) {
     std::vector<loop::task<transport::http_response>> calls;
+    calls.reserve(hosts);
     for (std::size_t host = 0; host < hosts; ++host) {
         calls.push_back(ask(rig, host, path));
     }
