front: a stored trial run grows older in the store

After a restart of all hosts the pause after the last trial run of a request began anew. Cause: what is read from the store is aged by the time that it lay there, but for the new age of the last trial run. Measured: 'a stored trial run grows older in the store' failed before (1 s in place of 4 min).

--- a/src/decide/quarantine.cpp
+++ b/src/decide/quarantine.cpp
@@ -207,7 +207,7 @@
     });
 }
 
-// The candidate with the most crashes that fewer other crashes speak against; 0: none.
+// The candidate with the most crashes, if fewer targets crashed without it; 0: none.
 std::uint64_t find_culprit(const crash_ledger& ledger, const quarantine_policy& rules,
                            kernel::time_point now) {
     const auto candidates = find_candidates(ledger, rules, now);
@@ -394,7 +394,7 @@
 std::vector<std::uint64_t> identify_culprits(crash_ledger& ledger, const quarantine_policy& rules,
                                              kernel::time_point now) {
     std::vector<std::uint64_t> out;
-    // What one of them explains no longer speaks against the next.
+    // Crashes that one culprit explains are not counted against the next candidate.
     while (const auto digest = identify_culprit(ledger, rules, now)) {
         out.push_back(digest);
     }
--- a/src/front/quarantine_store.cpp
+++ b/src/front/quarantine_store.cpp
@@ -25,9 +25,9 @@
 /// Bytes of a rejection that are logged.
 constexpr std::size_t max_logged_bytes = 200;
 
-/// Of one write for a trial run, for which a caller waits.
+/// Of a write for a trial run. A caller waits for it.
 constexpr loop::milliseconds claim_timeout{500};
-/// Writes of one trial run, each after a write of another host.
+/// Writes for one trial run; each further one follows a write of another host.
 constexpr int max_claim_attempts = 8;
 
 /// Whether the record is kept in the store.
@@ -141,6 +141,7 @@
     }
     record.last_crash_age += time;
     record.identified_age += time;
+    record.trial_age += time;
     record.quarantine_left = std::max(record.quarantine_left - time, kernel::duration{});
     if (record.cleared_age) {
         *record.cleared_age += time;
--- a/tests/soak/crash_tests.cpp
+++ b/tests/soak/crash_tests.cpp
@@ -186,6 +186,28 @@
     CHECK(front::find_quarantine(after, record.digest).has_value() == (later < 5min));
 }
 
+TEST_CASE("a stored trial run grows older in the store", "[soak][crash]") {
+    // Failure: after a restart of all hosts the pause after the last trial run began anew.
+    crash_rig rig(40);
+    start_targets(rig, 1, 0);
+    start_hosts(rig, 2);
+    auto& before = *rig.hosts[0]->self;
+    auto& after = *rig.hosts[1]->self;
+    decide::shared_crash_record record;
+    record.digest = 7;
+    record.crashes = {{1, 4s, 1ms}, {2, 3s, 1ms}, {3, 2s, 1ms}};
+    record.last_crash_age = 2s;
+    record.trials = 1;
+    record.trial_age = 1s;
+    front::merge_crashes_of(before, front::encode_crashes({{record}, {}}), "peer");
+    const auto now = before.clock.wall_now();
+    const auto stored = nlohmann::json::parse(front::encode_quarantines(before, now));
+    front::merge_quarantines(after, stored, {now.unix_ms + milliseconds(4min).count()});
+    const auto age = after.now() - after.crashes.ledger.digests.at(record.digest).last_trial;
+    CHECK(age >= 4min);
+    CHECK(age < 4min + 3s);
+}
+
 TEST_CASE("stored quarantines that can't be read are ignored", "[soak][crash]") {
     crash_rig rig(31);
     start_targets(rig, 1, 0);
