--- a/soak/internal/promises.cpp
+++ b/soak/internal/promises.cpp
@@ -77,7 +77,7 @@
 
 void judge_time_left(ledger& book, const standins::run_seen& seen, const sent_request& sent) {
     const auto due = sent.sent + caller_time_left + time_left_slack;
-    const bool in_time = seen.time_left && loop::steady_clock::now() + *seen.time_left <= due;
+    const bool in_time = seen.time_left && seen.arrived + *seen.time_left <= due;
     if (is_calm(book) && !in_time) {
         note_broken(book, "time left", seen.request + " may run too long at " + seen.target);
     }
