--- a/tests/soak/promises_tests.cpp
+++ b/tests/soak/promises_tests.cpp
@@ -47,6 +47,21 @@
     return out;
 }
 
+/// A run of a request of a caller at that target, which is told a second.
+standins::run_seen make_run(std::string request, std::string target, std::string account,
+                            bool has_a_key = false) {
+    standins::run_seen out;
+    out.request = std::move(request);
+    out.target = std::move(target);
+    out.service = "plain";
+    out.path = "/look/";
+    out.account = std::move(account);
+    out.has_a_key = has_a_key;
+    out.time_left = 1s;
+    out.arrived = loop::steady_clock::now();
+    return out;
+}
+
 } // namespace
 
 TEST_CASE("the ledger notices a request that may run once and runs twice", "[soak]") {
@@ -65,19 +80,44 @@
     const auto seen = observe(book);
     note_sent(book, "look", {run_rule::any, "callers", false});
     note_sent(book, "late", {run_rule::any, "callers", true});
-    seen.ran({"look", "target-1", "plain", "/look/", "callers", false});
+    seen.ran(make_run("look", "target-1", "callers"));
     REQUIRE(book.broken.empty());
     SECTION("another account") {
-        seen.ran({"look", "target-1", "plain", "/look/", "trainers", false});
+        seen.ran(make_run("look", "target-1", "trainers"));
     }
     SECTION("no account") {
-        seen.ran({"look", "target-1", "plain", "/look/", "", false});
+        seen.ran(make_run("look", "target-1", ""));
     }
     SECTION("a key that was passed on") {
-        seen.ran({"look", "target-1", "plain", "/look/", "callers", true});
+        seen.ran(make_run("look", "target-1", "callers", true));
     }
     SECTION("a key that was taken away") {
-        seen.ran({"late", "target-1", "plain", "/look/", "callers", false});
+        seen.ran(make_run("late", "target-1", "callers"));
+    }
+    CHECK(book.broken.size() == 1);
+}
+
+TEST_CASE("the ledger notices a request that reaches too many targets, or with too much time",
+          "[soak]") {
+    ledger book;
+    const auto seen = observe(book);
+    note_sent(book, "look", {run_rule::any, "callers", false});
+    for (const auto* target : {"target-1", "target-2", "target-3"}) {
+        seen.ran(make_run("look", target, "callers"));
+    }
+    REQUIRE(book.broken.empty());
+    SECTION("a fourth target") {
+        seen.ran(make_run("look", "target-4", "callers"));
+    }
+    note_sent(book, "long", {run_rule::any, "callers", false});
+    auto run = make_run("long", "target-1", "callers");
+    SECTION("more time than its caller has") {
+        run.time_left = caller_time_left + 1s;
+        seen.ran(run);
+    }
+    SECTION("no limit") {
+        run.time_left.reset();
+        seen.ran(run);
     }
     CHECK(book.broken.size() == 1);
 }
