decide: trial runs that reach no target, or end without a crash, do not use up the three

Cause: a trial run counted when it was granted. Without a target to reach, or with targets that do not answer, three of them passed within 12 s. A claim that was overtaken by an answer starts no trial run. The three places that asked decide::judge_send are one function now. Measured: 'a request that ran on targets which ended is served when its service is back' failed before (503, 24 hours to wait) and passes now; all tests of decide, front and soak pass.

--- a/src/decide/policy.hpp
+++ b/src/decide/policy.hpp
@@ -106,11 +106,13 @@
     /// Requests that may be identified as causes of crashes in the same moments. More of them look
     /// like a common cause outside all of them.
     std::size_t max_joint_culprits = 4;
-    /// Trial runs of a request that has crashed `crash_threshold` targets, on all hosts together.
-    /// Then it is refused for as long as its record is kept.
+    /// Trial runs of a request that goes on to crash targets, on all hosts together. Then it is
+    /// refused for as long as its record is kept.
     std::uint32_t max_trials = 3;
     /// Time in which the result of a trial run is known on all hosts.
     kernel::duration trial_time = 4s;
+    /// Until the next trial run after one that reached no target.
+    kernel::duration unused_trial_pause = 1s;
     /// The record of an identified request is kept for this time after its last crash or trial run,
     /// at least until its quarantine is over.
     kernel::duration record_lifetime{};
--- a/src/decide/quarantine.cpp
+++ b/src/decide/quarantine.cpp
@@ -157,11 +157,31 @@
     }
 }
 
-// Until the next trial run for callers; doubled after each one.
+// Trial runs that reached a target.
+std::uint32_t used_trials(const crash_record& record) {
+    return record.trials - std::min(record.unused_trials, record.trials);
+}
+
+// The first pause, doubled after each trial run.
 kernel::duration pause_after(const crash_record& record, const quarantine_policy& rules,
                              kernel::duration first_pause) {
-    return record.trials >= rules.max_trials ? std::max(rules.record_lifetime, rules.lifetime)
-                                             : first_pause * (1U << record.trials);
+    const auto used = used_trials(record);
+    return used >= rules.max_trials ? std::max(rules.record_lifetime, rules.lifetime)
+                                    : first_pause * (1U << used);
+}
+
+// Until the result of the last trial run is known, or the next one is due if it stays unknown.
+kernel::duration result_time(const crash_record& record, const quarantine_policy& rules) {
+    auto time = rules.trial_time;
+    for (auto used = used_trials(record); used > 1 && time < rules.lifetime; --used) {
+        time *= 2;
+    }
+    return std::min(time, std::max(rules.lifetime, rules.trial_time));
+}
+
+// Whether trial runs were without a crash so far, and it is not identified either.
+bool is_harmless_so_far(const crash_record& record) {
+    return record.identified_by == 0 && record.last_crash <= record.first_trial;
 }
 
 void extend_quarantine(crash_record& record, const quarantine_policy& rules,
@@ -224,6 +244,17 @@
     return found == candidates.end() ? 0 : *found;
 }
 
+// When the next trial run may start as far as the last one and the last crash allow it. A crash
+// counts only if it is apart from the one before.
+kernel::time_point next_trial(const crash_record& record, const quarantine_policy& rules) {
+    const auto after_crash = record.last_crash + rules.min_crash_gap;
+    if (record.trials == 0 || record.last_crash > record.last_trial) {
+        return after_crash;
+    }
+    return record.last_unused >= record.last_trial ? record.last_unused + rules.unused_trial_pause
+                                                   : record.last_trial + result_time(record, rules);
+}
+
 // Quarantines one digest that the known crashes identify as a cause; returns it, or 0.
 std::uint64_t identify_culprit(crash_ledger& ledger, const quarantine_policy& rules,
                                kernel::time_point now) {
@@ -294,6 +325,7 @@
     }
     if (record.last_trial <= cleared_at) {
         record.trials = 0;
+        record.unused_trials = 0;
     }
     record.cleared_at = cleared_at;
     record.clearance = received.clearance;
@@ -305,9 +337,20 @@
 bool merge_trials(crash_record& record, const quarantine_policy& rules,
                   const shared_crash_record& received, kernel::time_point now) {
     const auto started = now - received.trial_age;
-    if (received.trials <= record.trials || started <= record.cleared_at) {
+    if (started <= record.cleared_at) {
         return false;
     }
+    const bool more_unused = received.unused_trials > record.unused_trials;
+    if (more_unused) {
+        record.unused_trials = received.unused_trials;
+        record.last_unused = now;
+    }
+    if (received.trials <= record.trials) {
+        return more_unused;
+    }
+    if (record.trials == 0) {
+        record.first_trial = now - received.first_trial_age;
+    }
     record.trials = received.trials;
     record.last_trial = started;
     if (record.identified_by != 0) {
@@ -416,23 +459,20 @@
     if (identified && now < record.identified_at + rules.confirmation_delay) {
         return {send_permission::refused, record.identified_at + rules.confirmation_delay - now};
     }
-    const auto since = std::max(record.identified_at, record.last_trial);
-    if (identified || record.trials >= rules.max_trials) {
+    const bool limited = used_trials(record) >= rules.max_trials && !is_harmless_so_far(record);
+    if (identified || limited) {
+        const auto since = std::max(record.identified_at, record.last_trial);
         const auto due = since + pause_after(record, rules, trial_pause);
         if (now < due) {
             return {send_permission::refused, due - now};
         }
     }
-    if (record.trials >= rules.max_trials) {
+    if (limited) {
         return {send_permission::refused, rules.lifetime};
     }
-    // The result is to count as a crash of its own.
-    if (now < record.last_crash + rules.min_crash_gap) {
-        return {send_permission::pending, record.last_crash + rules.min_crash_gap - now};
-    }
-    const bool result_awaited = record.trials > 0 && record.last_crash <= record.last_trial;
-    if (result_awaited && now < record.last_trial + rules.trial_time) {
-        return {send_permission::pending, record.last_trial + rules.trial_time - now};
+    const auto next = next_trial(record, rules);
+    if (now < next) {
+        return {send_permission::pending, next - now};
     }
     return {send_permission::trial, {}};
 }
@@ -440,6 +480,9 @@
 void begin_trial(crash_ledger& ledger, const quarantine_policy& rules, std::uint64_t digest,
                  kernel::time_point now) {
     auto& record = record_of(ledger, rules, digest);
+    if (record.trials == 0) {
+        record.first_trial = now;
+    }
     ++record.trials;
     record.last_trial = now;
     if (record.identified_by != 0) {
@@ -447,6 +490,14 @@
     }
 }
 
+void return_trial(crash_ledger& ledger, std::uint64_t digest, kernel::time_point now) {
+    const auto found = ledger.digests.find(digest);
+    if (found != ledger.digests.end() && used_trials(found->second) > 0) {
+        ++found->second.unused_trials;
+        found->second.last_unused = now;
+    }
+}
+
 kernel::duration quarantined_for(const crash_ledger& ledger, std::uint64_t digest,
                                  kernel::time_point now) {
     const auto it = ledger.digests.find(digest);
@@ -560,6 +611,8 @@
         }
         if (record.trials > 0) {
             shared.trials = record.trials;
+            shared.unused_trials = record.unused_trials;
+            shared.first_trial_age = now - record.first_trial;
             shared.trial_age = now - record.last_trial;
         }
         out.records.push_back(std::move(shared));
--- a/src/decide/quarantine.hpp
+++ b/src/decide/quarantine.hpp
@@ -29,7 +29,10 @@
     /// Identifications up to then don't count: another digest was identified by the same crash.
     kernel::time_point disputed_at{};
     std::uint32_t trials = 0;        ///< Trial runs since it crashed `crash_threshold` targets.
-    kernel::time_point last_trial{}; ///< Start of the last one.
+    std::uint32_t unused_trials = 0; ///< Those that reached no target.
+    kernel::time_point first_trial{};
+    kernel::time_point last_trial{};
+    kernel::time_point last_unused{}; ///< When it was known that a trial run reached no target.
 };
 
 /// A crash of a target, whatever ran there.
@@ -48,13 +51,14 @@
 ///
 /// A rack, a zone or a release can end many targets at once, and a request that is retried may be
 /// on several of them. So targets that end together count once, and nothing is quarantined while at
-/// least as many other targets crash without it. Targets that another request explains don't speak
-/// against it, so that several causes at once are found.
+/// least as many other targets crash without it. Targets that another identified request has
+/// crashed are not counted, so that several causes at once are found.
 ///
 /// A request that has crashed `crash_threshold` targets is sent only in trial runs, each granted to
-/// one host for all, whether or not it is identified as the cause. The number of trial runs is
-/// limited for as long as the record is kept, which a pause or the end of a quarantine doesn't
-/// shorten.
+/// one host for all, whether or not it is identified as the cause. If it crashes targets in them,
+/// their number is limited for as long as the record is kept, which a pause or the end of a
+/// quarantine doesn't shorten. If they end without an answer and without a crash, as in an outage,
+/// only the pauses between them grow.
 struct crash_ledger {
     std::unordered_map<std::uint64_t, crash_record> digests;
     std::vector<observed_crash> recent_crashes; ///< Of distinct targets, within `crash_memory`.
@@ -103,6 +107,9 @@
 void begin_trial(crash_ledger& ledger, const quarantine_policy& rules, std::uint64_t digest,
                  kernel::time_point now);
 
+/// Records that the last trial run of the digest, begun by this host, reached no target.
+void return_trial(crash_ledger& ledger, std::uint64_t digest, kernel::time_point now);
+
 /// Remaining quarantine time of the digest; zero if it is not quarantined.
 [[nodiscard]] kernel::duration quarantined_for(const crash_ledger& ledger, std::uint64_t digest,
                                                kernel::time_point now);
@@ -135,6 +142,8 @@
     std::optional<kernel::duration> cleared_age; ///< Unset: never answered.
     std::uint64_t clearance = 0;
     std::uint32_t trials = 0;
+    std::uint32_t unused_trials = 0;
+    kernel::duration first_trial_age{};
     kernel::duration trial_age{}; ///< Of the last trial run.
 };
 
--- a/src/front/batch.hpp
+++ b/src/front/batch.hpp
@@ -37,6 +37,7 @@
     std::uint64_t digest = 0;     ///< Of its content; 0: not computed yet.
     bool asks_permission = false; ///< It may crash its targets; see `request_permission`.
     bool permitted = false;       ///< See there; holds until it is sent.
+    bool trial = false;           ///< It is permitted for a trial run.
 };
 
 /// One entry of a batch's log.
--- a/src/front/batch_drive.cpp
+++ b/src/front/batch_drive.cpp
@@ -3,9 +3,11 @@
 #include "front/batch_log.hpp"
 #include "front/item_run.hpp"
 #include "front/placement.hpp"
+#include "front/quarantine_store.hpp"
 #include "front/send_permission.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace cornelloom::front {
 
@@ -70,6 +72,7 @@
     auto& state = batch->state.items[index];
     state.asks_permission = false;
     state.permitted = !decision.refusal;
+    state.trial = decision.trial;
     if (decision.refusal) {
         const auto delay = std::min(decision.refusal->retry_delay, max_permission_delay);
         state.not_before = std::max(state.not_before, self->now() + delay);
@@ -79,7 +82,7 @@
 
 /// Whether the item is held back because it may crash its targets: it is being checked, or the
 /// permission to send it is missing.
-bool is_held_back(const live_batch_ptr& batch, std::size_t index, time_point now) {
+bool is_held_back(const live_batch_ptr& batch, std::size_t index) {
     auto& self = *batch->local_host;
     auto& state = batch->state.items[index];
     if (self.crashes.ledger.digests.empty() || state.permitted) {
@@ -89,8 +92,7 @@
     if (state.asks_permission || is_being_checked(self, digest)) {
         return true;
     }
-    const auto verdict = decide::judge_send(self.crashes.ledger, self.crashes.rules, digest,
-                                            trial_pause_of(self, run_source::batch), now);
+    const auto verdict = judge_request(self, digest, run_source::batch);
     if (verdict.permission == decide::send_permission::trial) {
         state.asks_permission = true;
         loop::asio::co_spawn(self.io, ask_permission(batch, index), loop::asio::detached);
@@ -116,7 +118,7 @@
             }
             continue;
         }
-        if (is_held_back(batch, index, round.now)) {
+        if (is_held_back(batch, index)) {
             continue;
         }
         auto requirements = requirements_of(*batch, item, state, *item_route);
@@ -273,6 +275,15 @@
     return !held && !batch.handing_over;
 }
 
+/// Returns the trial runs of items that were not sent.
+void return_unused_trials(live_batch& batch) {
+    for (std::size_t index = 0; index < batch.state.items.size(); ++index) {
+        if (std::exchange(batch.state.items[index].trial, false)) {
+            return_trial(*batch.local_host, digest_of_item(batch, index));
+        }
+    }
+}
+
 loop::task<void> run_batch(live_batch_ptr batch) {
     auto self = batch->local_host;
     while (batch->owned && !is_over(batch->state)) {
@@ -296,6 +307,7 @@
         co_await batch->changed.wait(to_deadline(*self, wake_at));
     }
     stop_runs(*batch);
+    return_unused_trials(*batch);
     for (const auto& [index, control] : batch->scoring_calls) {
         control->cancel();
     }
--- a/src/front/crash_exchange.cpp
+++ b/src/front/crash_exchange.cpp
@@ -74,6 +74,8 @@
     }
     if (record.trials > 0) {
         out["trials"] = record.trials;
+        out["unused_trials"] = record.unused_trials;
+        out["first_trial_age_ms"] = to_ms(record.first_trial_age);
         out["trial_age_ms"] = to_ms(record.trial_age);
     }
     return out;
@@ -99,6 +101,8 @@
     }
     if (value.contains("trials")) {
         out.trials = value.at("trials").get<std::uint32_t>();
+        out.unused_trials = value.at("unused_trials").get<std::uint32_t>();
+        out.first_trial_age = read_ms(value.at("first_trial_age_ms"));
         out.trial_age = read_ms(value.at("trial_age_ms"));
     }
     return out;
--- a/src/front/crash_watch.cpp
+++ b/src/front/crash_watch.cpp
@@ -273,9 +273,11 @@
     return rules;
 }
 
-kernel::duration trial_pause_of(const host& self, run_source source) {
-    return source == run_source::batch ? kernel::duration(batch_trial_pause)
-                                       : self.crashes.rules.lifetime;
+decide::send_verdict judge_request(const host& self, std::uint64_t digest, run_source source) {
+    const auto& watch = self.crashes;
+    const auto trial_pause =
+        source == run_source::batch ? kernel::duration(batch_trial_pause) : watch.rules.lifetime;
+    return decide::judge_send(watch.ledger, watch.rules, digest, trial_pause, self.now());
 }
 
 run_number begin_run(host& self, std::uint64_t digest, std::string_view target_id,
--- a/src/front/crash_watch.hpp
+++ b/src/front/crash_watch.hpp
@@ -70,8 +70,9 @@
     batch,  ///< The host that runs its batch.
 };
 
-/// Pause before the first trial run of an identified request, doubled for each further one.
-[[nodiscard]] kernel::duration trial_pause_of(const host& self, run_source source);
+/// Whether the request may be sent now, as far as this host knows.
+[[nodiscard]] decide::send_verdict judge_request(const host& self, std::uint64_t digest,
+                                                 run_source source);
 
 /// How the answer to a run comes.
 enum class run_form {
--- a/src/front/item_run.cpp
+++ b/src/front/item_run.cpp
@@ -167,6 +167,7 @@
         co_return run_result{run_outcome::retry, std::string(to_string(fault))};
     }
     batch->state.items[index].permitted = false;
+    batch->state.items[index].trial = false;
     const auto time_left = std::chrono::duration_cast<milliseconds>(
         batch->state.submitted + item_route.retention - self->now());
     const forward_options terms{batch->runs.at(index).target, time_left,
--- a/src/front/plain_call.cpp
+++ b/src/front/plain_call.cpp
@@ -1,5 +1,6 @@
 #include "front/plain_call.hpp"
 
+#include "front/quarantine_store.hpp"
 #include "front/send_permission.hpp"
 
 #include <algorithm>
@@ -341,6 +342,9 @@
                 : state->call.deadline;
         co_await state->changed.wait(to_deadline(*self, wake_at));
     }
+    if (state->trial && state->permitted && state->may_have_run == 0) {
+        return_trial(*self, state->call.digest);
+    }
     const bool expired = !state->decided && state->running_attempts > 0;
     auto outcome = state->outcome;
     if (!state->arrivals.empty()) {
--- a/src/front/quarantine_store.cpp
+++ b/src/front/quarantine_store.cpp
@@ -141,6 +141,7 @@
     }
     record.last_crash_age += time;
     record.identified_age += time;
+    record.first_trial_age += time;
     record.trial_age += time;
     record.quarantine_left = std::max(record.quarantine_left - time, kernel::duration{});
     if (record.cleared_age) {
@@ -188,9 +189,7 @@
 }
 
 bool is_trial_due(const host& self, std::uint64_t digest, run_source source) {
-    const auto verdict = decide::judge_send(self.crashes.ledger, self.crashes.rules, digest,
-                                            trial_pause_of(self, source), self.now());
-    return verdict.permission == decide::send_permission::trial;
+    return judge_request(self, digest, source).permission == decide::send_permission::trial;
 }
 
 void count_claim(host& self, std::string_view outcome) {
@@ -217,6 +216,15 @@
     watch.changed.open();
 }
 
+void return_trial(host& self, std::uint64_t digest) {
+    auto& watch = self.crashes;
+    decide::return_trial(watch.ledger, digest, self.now());
+    count_claim(self, "unused");
+    watch.news.insert(digest);
+    watch.changed.open();
+    watch.evidence_changed.open();
+}
+
 loop::task<trial_claim> claim_trial(std::shared_ptr<host> self, std::uint64_t digest,
                                     run_source source) {
     co_await begin_write(self);
@@ -228,14 +236,18 @@
         }
         const auto outcome = co_await write_trial(self, digest);
         if (outcome == store_outcome::none) {
-            start_trial(*self, digest);
-            claim = trial_claim::granted;
+            // It may have been answered or identified during the write.
+            const bool still_due = is_trial_due(*self, digest, source);
+            claim = still_due ? trial_claim::granted : trial_claim::not_due;
             break;
         }
         if (outcome != store_outcome::conflict && outcome != store_outcome::not_found) {
             break;
         }
     }
+    if (claim == trial_claim::granted) {
+        start_trial(*self, digest);
+    }
     end_write(*self);
     count_claim(*self, claim == trial_claim::granted   ? "granted"
                        : claim == trial_claim::not_due ? "not_due"
--- a/src/front/quarantine_store.hpp
+++ b/src/front/quarantine_store.hpp
@@ -39,6 +39,9 @@
 /// Records that this host starts a trial run of the request, and tells other hosts.
 void start_trial(host& self, std::uint64_t digest);
 
+/// Records that the trial run that this host has started reached no target, and tells other hosts.
+void return_trial(host& self, std::uint64_t digest);
+
 /// Reads and stores quarantines until the event loop ends.
 void start_quarantine_store(const std::shared_ptr<host>& self);
 
--- a/src/front/send_permission.cpp
+++ b/src/front/send_permission.cpp
@@ -22,21 +22,10 @@
             false};
 }
 
-decide::send_verdict verdict_of(const host& self, std::uint64_t digest, run_source source) {
-    return decide::judge_send(self.crashes.ledger, self.crashes.rules, digest,
-                              trial_pause_of(self, source), self.now());
-}
-
-/// What becomes of a request whose trial run could not be claimed in the store.
-send_decision decide_without_store(host& self, std::uint64_t digest) {
+/// Whether this host may start a trial run without the store: not of an identified request.
+bool may_start_alone(const host& self, std::uint64_t digest) {
     const auto found = self.crashes.ledger.digests.find(digest);
-    const bool identified =
-        found != self.crashes.ledger.digests.end() && found->second.identified_by != 0;
-    if (identified) {
-        return refuse_for(self, digest, store_unavailable_delay);
-    }
-    start_trial(self, digest);
-    return {std::nullopt, true};
+    return found != self.crashes.ledger.digests.end() && found->second.identified_by == 0;
 }
 
 } // namespace
@@ -46,7 +35,7 @@
     const auto give_up_at = std::min(deadline, self->now() + max_result_wait);
     for (;;) {
         co_await wait_for_checks(self, digest, deadline);
-        const auto verdict = verdict_of(*self, digest, source);
+        const auto verdict = judge_request(*self, digest, source);
         if (verdict.permission == decide::send_permission::granted) {
             co_return send_decision{};
         }
@@ -63,9 +52,16 @@
         if (claim == trial_claim::granted) {
             co_return send_decision{std::nullopt, true};
         }
-        if (claim == trial_claim::store_unavailable) {
-            co_return decide_without_store(*self, digest);
+        const bool still_due =
+            judge_request(*self, digest, source).permission == decide::send_permission::trial;
+        if (claim == trial_claim::not_due || !still_due) {
+            continue;
+        }
+        if (!may_start_alone(*self, digest)) {
+            co_return refuse_for(*self, digest, store_unavailable_delay);
         }
+        start_trial(*self, digest);
+        co_return send_decision{std::nullopt, true};
     }
 }
 
--- a/src/front/stream_call.cpp
+++ b/src/front/stream_call.cpp
@@ -2,6 +2,7 @@
 
 #include "front/answers.hpp"
 #include "front/plain_call.hpp"
+#include "front/quarantine_store.hpp"
 #include "front/send_permission.hpp"
 
 #include <algorithm>
@@ -32,6 +33,7 @@
     std::uint64_t digest = 0; ///< Of the request's content; see `digest_of`.
     std::optional<quarantine_verdict> quarantine{};
     bool permitted = false;                ///< See `request_permission`; holds until it is sent.
+    bool trial = false;                    ///< It is permitted for a trial run.
     run_end end_of_run = run_end::unknown; ///< Of the current attempt.
 };
 
@@ -156,6 +158,8 @@
         const auto decision = co_await request_permission(stream.self, stream.digest,
                                                           run_source::caller, stream.deadline);
         stream.quarantine = decision.refusal;
+        stream.permitted = !decision.refusal;
+        stream.trial = decision.trial;
     }
     if (stream.quarantine) {
         stream.refusals = max_refusals;
@@ -239,6 +243,9 @@
         }
     }
     request.on_gone({});
+    if (stream.trial && stream.permitted) {
+        return_trial(*self, stream.digest);
+    }
     if (end == stream_end::complete) {
         co_await request.end();
         stream.exchange->finish();
--- a/tests/decide/quarantine_tests.cpp
+++ b/tests/decide/quarantine_tests.cpp
@@ -449,3 +449,56 @@
     CHECK_FALSE(is_suspect(b, rules, neighbour, start + 1200ms));
     CHECK(is_quarantined(b, culprit, start + 1200ms));
 }
+
+TEST_CASE("trial runs that reach no target do not count", "[decide][quarantine]") {
+    // Failure: a service was away, and a request that crashes nothing was refused for a day.
+    auto ledger = crashed_together(start);
+    crash_ledger other;
+    auto now = start + 1s;
+    for (int round = 0; round < 5; ++round) {
+        REQUIRE(permission(ledger, now) == send_permission::trial);
+        begin_trial(ledger, lasting_rules, culprit, now);
+        return_trial(ledger, culprit, now + 100ms);
+        CHECK(permission(ledger, now + 200ms) == send_permission::pending);
+        exchange(ledger, other, now + 200ms);
+        now += 2s;
+    }
+    CHECK(permission(ledger, now) == send_permission::trial);
+    CHECK(permission(other, now) == send_permission::trial);
+    SECTION("but those that do are still limited") {
+        for (std::uint64_t target = 10; target < 13; ++target) {
+            REQUIRE(permission(ledger, now) == send_permission::trial);
+            begin_trial(ledger, lasting_rules, culprit, now);
+            const std::vector<crash_suspect> in_flight{{culprit, 50ms, true}};
+            (void)attribute_crash(ledger, lasting_rules, target, in_flight, now + 60ms);
+            ledger.digests.at(culprit).identified_by = 0; // as if others had crashed beside it
+            now += 1s;
+        }
+        CHECK(permission(ledger, now) == send_permission::refused);
+        exchange(ledger, other, now);
+        CHECK(permission(other, now + 10s) == send_permission::refused);
+    }
+}
+
+TEST_CASE("trial runs without a crash go on with longer pauses", "[decide][quarantine]") {
+    // Failure: targets that accept requests and don't answer made three trial runs end in vain, and
+    // a request that crashes nothing was refused for a day.
+    auto ledger = crashed_together(start);
+    std::vector<kernel::time_point> trials;
+    for (auto now = start + 1s; now < start + 1h; now += 100ms) {
+        if (permission(ledger, now) == send_permission::trial) {
+            begin_trial(ledger, lasting_rules, culprit, now);
+            trials.push_back(now);
+        }
+    }
+    REQUIRE(trials.size() > 4);
+    CHECK(trials.size() < 20);
+    CHECK(trials[2] - trials[1] > trials[1] - trials[0]);
+    CHECK(trials.back() - trials[trials.size() - 2] <= lasting_rules.lifetime + 1s);
+    SECTION("and end with the first crash") {
+        const std::vector<crash_suspect> in_flight{{culprit, 50ms, true}};
+        (void)attribute_crash(ledger, lasting_rules, 4, in_flight, trials.back() + 1s);
+        CHECK(permission(ledger, trials.back() + 2s) == send_permission::refused);
+        CHECK(permission(ledger, trials.back() + 20min) == send_permission::refused);
+    }
+}
--- a/tests/front/crash_exchange_tests.cpp
+++ b/tests/front/crash_exchange_tests.cpp
@@ -21,6 +21,11 @@
     record.identified_age = 30ms;
     record.identified_by = 3;
     record.cleared_age = 90s;
+    record.clearance = 11;
+    record.trials = 3;
+    record.unused_trials = 1;
+    record.first_trial_age = 80s;
+    record.trial_age = 20s;
     return {{record}, {{3, 40ms}}};
 }
 
@@ -43,6 +48,11 @@
     CHECK(record.identified_age == original.identified_age);
     CHECK(record.identified_by == original.identified_by);
     CHECK(record.cleared_age == original.cleared_age);
+    CHECK(record.clearance == original.clearance);
+    CHECK(record.trials == original.trials);
+    CHECK(record.unused_trials == original.unused_trials);
+    CHECK(record.first_trial_age == original.first_trial_age);
+    CHECK(record.trial_age == original.trial_age);
     REQUIRE(read.value().crashes.size() == 1);
     CHECK(read.value().crashes.front().target == 3);
     CHECK(read.value().crashes.front().age == 40ms);
--- a/tests/soak/crash_tests.cpp
+++ b/tests/soak/crash_tests.cpp
@@ -198,6 +198,7 @@
     record.crashes = {{1, 4s, 1ms}, {2, 3s, 1ms}, {3, 2s, 1ms}};
     record.last_crash_age = 2s;
     record.trials = 1;
+    record.first_trial_age = 1s;
     record.trial_age = 1s;
     front::merge_crashes_of(before, front::encode_crashes({{record}, {}}), "peer");
     const auto now = before.clock.wall_now();
@@ -585,3 +586,29 @@
     CHECK(std::ranges::count(answers, 200, &transport::http_response::status) == 8);
     CHECK(quarantine_refusals(rig) == 0);
 }
+
+TEST_CASE("a request that ran on targets which ended is served when its service is back",
+          "[soak][crash]") {
+    // Failure: trial runs that no target received were counted, and after three of them a request
+    // that crashes nothing was refused for a day.
+    crash_rig rig(41);
+    start_targets(rig, 6, 0);
+    start_hosts(rig, 2);
+    slow_down(rig, 60ms);
+    for (const auto& host : rig.hosts) {
+        host->self->crashes.rules.trial_time = 300ms;
+    }
+    int status = 0;
+    play(rig, [&]() -> loop::task<void> {
+        loop::asio::co_spawn(rig.io, send_everywhere(rig, "/look/page", 5s, 6, true),
+                             loop::asio::detached);
+        co_await loop::pause_for(rig.io, 300ms);
+        for (std::size_t target = 0; target < rig.targets.size(); ++target) {
+            loop::asio::co_spawn(rig.io, take_down(rig, target, 4s), loop::asio::detached);
+        }
+        co_await loop::pause_for(rig.io, 7s);
+        const auto answer = co_await ask(rig, 0, "/look/page", "page");
+        status = answer.status;
+    });
+    CHECK(status == 200);
+}
