--- a/tests/soak/crash_rig.cpp
+++ b/tests/soak/crash_rig.cpp
@@ -64,6 +64,21 @@
     rig.targets.push_back({std::move(one), std::move(way)});
 }
 
+/// Retries that may still reach a target later than the stable window after the third crash.
+constexpr std::size_t max_late_retries = 3;
+
+/// Sends requests of one path until the time is over, all the same or each with a body of its own.
+loop::task<void> send_pages(crash_rig& rig, std::size_t host, std::string path, milliseconds length,
+                            bool same, std::shared_ptr<int> running) {
+    ++*running;
+    const auto until = loop::after(length);
+    for (int count = 0; loop::steady_clock::now() < until; ++count) {
+        std::string body = same ? "page" : std::to_string(count);
+        co_await ask(rig, host, path, std::move(body));
+    }
+    --*running;
+}
+
 } // namespace
 
 void start_targets(crash_rig& rig, int services, int engines) {
@@ -162,6 +177,53 @@
     return std::nullopt;
 }
 
+bool is_late(const crash_rig& rig, std::string_view mark) {
+    const auto third = third_run(rig, mark);
+    return third && count_runs(rig, mark, *third + rig_stable_window) > max_late_retries;
+}
+
+double quarantine_refusals(const crash_rig& rig) {
+    double out = 0;
+    for (const auto& host : rig.hosts) {
+        const std::array labels{kernel::label{"reason", "quarantined"},
+                                kernel::label{"state", "not_run"}};
+        out += host->self->metrics.value("cornelloom_refusals_total", labels);
+    }
+    return out;
+}
+
+loop::task<std::vector<transport::http_response>> repeat(crash_rig& rig, std::string path,
+                                                         milliseconds length) {
+    std::vector<transport::http_response> answers;
+    const auto until = loop::after(length);
+    while (loop::steady_clock::now() < until) {
+        auto answer = co_await ask(rig, answers.size() % rig.hosts.size(), path);
+        answers.push_back(std::move(answer));
+        co_await loop::pause_for(rig.io, milliseconds(50));
+    }
+    co_return answers;
+}
+
+loop::task<void> send_everywhere(crash_rig& rig, std::string path, milliseconds length, int senders,
+                                 bool same) {
+    const auto running = std::make_shared<int>(0);
+    for (std::size_t host = 0; host < rig.hosts.size(); ++host) {
+        for (int each = 0; each < senders; ++each) {
+            loop::asio::co_spawn(rig.io, send_pages(rig, host, path, length, same, running),
+                                 loop::asio::detached);
+        }
+    }
+    do {
+        co_await loop::pause_for(rig.io, milliseconds(20));
+    } while (*running > 0);
+}
+
+void slow_down(crash_rig& rig, milliseconds work) {
+    for (auto& each : rig.targets) {
+        each.target->work = work;
+    }
+}
+
 void play(crash_rig& rig, const std::function<loop::task<void>()>& body) {
     std::exception_ptr failure;
     const auto run = [&]() -> loop::task<void> {
--- a/tests/soak/crash_rig.hpp
+++ b/tests/soak/crash_rig.hpp
@@ -66,6 +66,25 @@
 /// When the third target began to run a request with `mark`; unset if there was none.
 [[nodiscard]] std::optional<loop::deadline> third_run(const crash_rig& rig, std::string_view mark);
 
+/// Whether more retries of requests with `mark` reached targets than may, later than the stable
+/// window after the third crash.
+[[nodiscard]] bool is_late(const crash_rig& rig, std::string_view mark);
+
+/// Refusals of all hosts that name a quarantine.
+[[nodiscard]] double quarantine_refusals(const crash_rig& rig);
+
+/// Sends the same request again and again, to each host in turn; returns the answers.
+loop::task<std::vector<transport::http_response>> repeat(crash_rig& rig, std::string path,
+                                                         milliseconds length);
+
+/// Sends requests of one path from that many senders at each host, side by side, all the same or
+/// each with a body of its own.
+loop::task<void> send_everywhere(crash_rig& rig, std::string path, milliseconds length, int senders,
+                                 bool same);
+
+/// Each target takes so long for a request.
+void slow_down(crash_rig& rig, milliseconds work);
+
 /// Runs the coroutine on the rig's loop until it has ended, then gives up everything else.
 void play(crash_rig& rig, const std::function<loop::task<void>()>& body);
 
