--- a/src/front/adapter.hpp
+++ b/src/front/adapter.hpp
@@ -67,6 +67,8 @@
     /// Client account of the request, empty for none; the caller's own key and account headers are
     /// removed. Unset: no accounts are configured, and these headers are forwarded.
     std::optional<std::string> account{};
+    /// Rank of the request at the target, 0 is the most urgent; unset: the target's default.
+    std::optional<int> priority{};
 };
 
 /// An order to a target to load a version of a model.
--- a/src/front/placement.cpp
+++ b/src/front/placement.cpp
@@ -67,7 +67,7 @@
 }
 
 bool has_free_slot(const target_state& target) {
-    return target.running < std::max(target.entry.slots, 1);
+    return target.running < target.slot_limit.value_or(std::max(target.entry.slots, 1));
 }
 
 bool has_capacity(const target_state& target) {
@@ -108,7 +108,8 @@
 
 /// Expected time until the item completes on that target.
 double completion_ms(const run_candidate& candidate, double events_left) {
-    return events_left * candidate.pace_ms * (1 + slowdown_per_run * candidate.target->running) +
+    const int running = candidate.target->running + candidate.target->running_elsewhere;
+    return events_left * candidate.pace_ms * (1 + slowdown_per_run * running) +
            candidate.network_ms;
 }
 
--- a/src/front/targets.hpp
+++ b/src/front/targets.hpp
@@ -4,6 +4,7 @@
 #include "kernel/clock.hpp"
 
 #include <map>
+#include <optional>
 #include <set>
 #include <span>
 #include <string>
@@ -20,6 +21,9 @@
     target_entry entry;
     int running = 0;              ///< Requests of this host in flight at the target.
     int awaiting_first_event = 0; ///< Items of this host in flight without an event yet.
+    int running_elsewhere = 0;    ///< Runs of other hosts at the target, as last announced.
+    /// Requests that this host may have in flight there; unset: as many as it has slots.
+    std::optional<int> slot_limit{};
     double latency_ms = 0;        ///< Moving average over non-streaming requests; 0: no sample.
     double event_interval_ms = 0; ///< Moving average between stream events; 0: no sample.
     double long_term_event_interval_ms =
--- a/src/front/types.hpp
+++ b/src/front/types.hpp
@@ -57,15 +57,19 @@
 
 struct service {
     std::string name;
-    int max_connections = 0;                 ///< Connections that a target accepts in total.
-    int slots = 0;                           ///< Concurrent requests of a target; 0: unknown.
-    std::vector<std::string> models;         ///< Empty for a service without models.
+    int max_connections = 0;         ///< Connections that a target accepts in total.
+    int slots = 0;                   ///< Concurrent requests of a target; 0: unknown.
+    std::vector<std::string> models; ///< Empty for a service without models.
+    double memory_tokens = 0;        ///< Tokens that a target keeps in memory; 0: unknown.
+    int tokens_per_event = 0;        ///< Tokens that an event of a text contains; 0: unknown.
     std::optional<scaling_bounds> scaling{}; ///< Unset: the number of its targets is fixed.
 };
 
 /// A client account: the name under which its requests reach targets, and its keys.
 struct client_account {
     std::string name;
+    /// Rank of its requests, 0 is the most urgent; unset: the routes' own ranks apply.
+    std::optional<int> priority{};
     std::vector<std::string> key_hashes; ///< Computed by `transport::token_hash`.
 };
 
@@ -160,6 +164,7 @@
     std::string body;
     std::string group;
     std::string model;
+    int prompt_tokens = 0;     ///< 0: unknown.
     int max_output_tokens = 0; ///< Limit on generated tokens, set by the caller.
     int expected_output_tokens =
         0; ///< The caller's estimate, accurate only at the median; 0: none.
--- a/tests/platform/adapter_tests.cpp
+++ b/tests/platform/adapter_tests.cpp
@@ -53,8 +53,9 @@
 const std::string configuration_text =
     R"({"version":3,"routes":[{"host":"h","path-prefix":"/a/","route-kind":"safe","service":"s"},)"
     R"({"host":"h","path-prefix":"/b/","route-kind":"safe","service":"s","allow-anonymous":true}],)"
-    R"("services":[{"name":"s","scaling":{"minimum":1,"maximum":16,"boot-time-s":4.5,)"
-    R"("zone-prices":{"a":1.0,"b":0.8}}}],"tenants":[{"name":"east","api-keys":["secret-1"]}]})";
+    R"("services":[{"name":"s","engine":{"slots":8,"kv-cache-tokens":37387,"stride":93},)"
+    R"("scaling":{"minimum":1,"maximum":16,"boot-time-s":4.5,)"
+    R"("zone-prices":{"a":1.0,"b":0.8}}}],"tenants":[{"name":"east","api-keys":["secret-1"],"priority":1}]})";
 
 const std::string target_text =
     R"({"service":"s","address":"10.128.0.9:8080","zone":"east-a","version":"v1","slots":16,)"
@@ -143,6 +144,19 @@
     CHECK(scaling->max_targets == 16);
     CHECK(scaling->startup_time == milliseconds(4500));
     CHECK(scaling->zone_prices.at("b") == 0.8);
+    CHECK(read.value().services.at("s").memory_tokens == 37387);
+    CHECK(read.value().services.at("s").tokens_per_event == 93);
+    CHECK(account.priority == 1);
+    SECTION("without a priority") {
+        text["tenants"][0].erase("priority");
+        CHECK_FALSE(decode_configuration(text).value().accounts->at(0).priority);
+    }
+    SECTION("a priority of another type") {
+        text["tenants"][0]["priority"] = "first";
+        const auto refused = decode_configuration(text);
+        REQUIRE_FALSE(refused);
+        CHECK(refused.error().detail.find("priority") != std::string::npos);
+    }
     SECTION("without accounts") {
         text.erase("tenants");
         CHECK_FALSE(decode_configuration(text).value().accounts);
@@ -167,6 +181,7 @@
     CHECK(read.value().oldest_version == 6);
     CHECK(read.value().required_groups == 1);
     CHECK(item.model == "m");
+    CHECK(item.prompt_tokens == 540);
     CHECK(item.max_output_tokens == 400);
     CHECK(item.expected_output_tokens == 77);
     CHECK(item.body == "\xAB\xCD\xEF\x12\x34\x56\x78\x90");
@@ -348,6 +363,24 @@
     }
 }
 
+TEST_CASE("a target gets the rank of a request if one is set", "[platform][requests]") {
+    // Guards against a client that ranks its own requests above those of other accounts.
+    transport::http_request message;
+    message.headers = {{"X-Attempt-Id", "r1"}, {"x-request-priority", "0"}};
+    front::forward_options terms{"i-1", milliseconds(1200), 0};
+    const auto rank_in = [](const transport::http_request& sent) {
+        return transport::find_header(sent.headers, "X-Request-Priority");
+    };
+    terms.priority = 3;
+    CHECK(rank_in(encode_forward(message, terms)) == "3");
+    CHECK(rank_in(encode_scoring({}, terms)) == "3");
+    terms.priority = 12;
+    CHECK(rank_in(encode_forward(message, terms)) == "9");
+    terms.priority.reset();
+    CHECK(rank_in(encode_forward(message, terms)) == "0");
+    CHECK_FALSE(rank_in(encode_scoring({}, terms)));
+}
+
 TEST_CASE("calls for all hosts name their sender and its fence", "[platform][duties]") {
     const auto usage = encode_usage_report({353445120, {{"east", 412}}}, {"host-1", 12});
     CHECK(usage.method == "POST");
