Client accounts: rank, key lookup, counts of killed hosts, guarded time of day

What callers saw: the rank of a client account had no effect; a key that a newer configuration had brought was refused with a final 401 until this host heard of it; usage of the last second of a killed host was not reported, and windows followed jumps of a host's clock.

Change: an account's rank goes before its route's and is sent to targets where any account has one; before a 401 for an unknown key a neighbour and then the store are asked, once for all requests that wait; counts go to two hosts of the zone 200 ms after they change; the time of day is held against the steady clock and follows the median of the peers'.

--- a/src/front/batch_log.cpp
+++ b/src/front/batch_log.cpp
@@ -254,7 +254,7 @@
         log_event(*self, object_unreadable, {{"kind", "batches"}, {"id", header.id}});
         return nullptr;
     }
-    const auto age = milliseconds(self->clock.wall_now().unix_ms - header.received_ms);
+    const auto age = milliseconds(unix_now(*self) - header.received_ms);
     const auto min_age = std::max(age - max_clock_difference, milliseconds(0));
     auto batch = std::make_shared<live_batch>(
         self, make_batch(std::move(header), std::move(spec.value()), self->now() - min_age));
--- a/src/front/batch_submit.cpp
+++ b/src/front/batch_submit.cpp
@@ -18,7 +18,7 @@
     new_header.account = std::move(account);
     new_header.owner = runner.name;
     new_header.owner_at = runner.address;
-    new_header.received_ms = self.clock.wall_now().unix_ms;
+    new_header.received_ms = unix_now(self);
     return new_header;
 }
 
--- a/src/front/count_exchange.cpp
+++ b/src/front/count_exchange.cpp
@@ -21,14 +21,28 @@
 /// Hosts asked in each zone: its feeder, and another one in case the feeder has changed recently.
 constexpr std::size_t max_zone_hosts_asked = 2;
 
+/// A host that is killed loses the counts of about this time.
+constexpr loop::milliseconds push_interval{200};
+/// States the time of day of the host that answers, in Unix milliseconds.
+constexpr std::string_view time_header = "Cornelloom-Unix-Ms";
+
+/// Records the time of day that an answer states.
+void record_time_of(host& self, const transport::endpoint& where,
+                    const loop::call_outcome& outcome) {
+    const auto text = transport::find_header(outcome.answer.headers, time_header).value_or("");
+    if (const auto unix_ms = kernel::parse_integer<std::int64_t>(text)) {
+        record_peer_time(self, where, *unix_ms);
+    }
+}
+
 report_rules rules_of(const host& self) {
     return report_rules_for(self.settings.duties ? self.settings.duties->usage_report_timeout
                                                  : milliseconds(0));
 }
 
 /// The oldest window that may still be reported.
-window_number oldest_window(const host& self) {
-    const auto now = self.clock.wall_now().unix_ms;
+window_number oldest_window(host& self) {
+    const auto now = unix_now(self);
     return window_of(self.usage, now - rules_of(self).retention.count());
 }
 
@@ -56,12 +70,12 @@
     counts_request.path = counts_path;
     counts_request.query = "window=" + std::to_string(window);
     counts_request.headers.push_back({"Host", "peer"});
-    const auto outcome =
-        co_await loop::call(self->connections, std::move(where), std::move(counts_request),
-                            loop::after(counts_timeout), counts_connect_timeout);
+    const auto outcome = co_await loop::call(self->connections, where, std::move(counts_request),
+                                             loop::after(counts_timeout), counts_connect_timeout);
     if (outcome.fault != loop::exchange_fault::none || outcome.answer.status != 200) {
         co_return false;
     }
+    record_time_of(*self, where, outcome);
     merge_counts(*self, outcome.answer.body);
     co_return true;
 }
@@ -80,18 +94,55 @@
     co_return answered > 0;
 }
 
+/// The hosts that know this host's counts if it is lost.
+std::vector<host_entry> count_holders(const host& self) {
+    auto hosts = ranked_zone_hosts(self.settings.zone, self.peers);
+    hosts.resize(std::min(hosts.size(), max_zone_hosts_asked));
+    return hosts;
+}
+
+loop::task<void> push_counts(std::shared_ptr<host> self, transport::endpoint where,
+                             std::string body) {
+    transport::http_request message;
+    message.method = "POST";
+    message.path = counts_path;
+    message.headers.push_back({"Host", "peer"});
+    message.body = std::move(body);
+    const auto outcome = co_await loop::call(self->connections, where, std::move(message),
+                                             loop::after(counts_timeout), counts_connect_timeout);
+    record_time_of(*self, where, outcome);
+}
+
+/// Sends new counts to other hosts soon after they change.
+loop::task<void> push_periodically(std::shared_ptr<host> self) {
+    std::uint64_t pushed = 0;
+    for (;;) {
+        co_await loop::pause_for(self->io, push_interval);
+        if (self->usage.changes == pushed) {
+            continue;
+        }
+        pushed = self->usage.changes;
+        const auto newest = window_of(self->usage, unix_now(*self));
+        const auto body = encode_counts(*self, newest - 1, newest, counter_name(*self));
+        for (const auto& peer : count_holders(*self)) {
+            loop::asio::co_spawn(self->io, push_counts(self, peer.address, body),
+                                 loop::asio::detached);
+        }
+    }
+}
+
 loop::task<void> gather_periodically(std::shared_ptr<host> self) {
     for (;;) {
         co_await wait_for_lease(self);
-        co_await gather_counts(self, window_of(self->demand, self->clock.wall_now().unix_ms));
+        co_await gather_counts(self, window_of(self->demand, unix_now(*self)));
         co_await loop::pause_for(self->io, gather_interval);
     }
 }
 
 } // namespace
 
-std::string encode_own_counts(const host& self) {
-    const auto newest = window_of(self.usage, self.clock.wall_now().unix_ms);
+std::string encode_own_counts(host& self) {
+    const auto newest = window_of(self.usage, unix_now(self));
     return encode_counts(self, oldest_window(self), newest, counter_name(self));
 }
 
@@ -113,7 +164,8 @@
     merge_counts(*self, request.message.body);
     const auto asked = transport::find_query(request.message.query, "window").value_or("");
     const auto window = kernel::parse_integer<window_number>(asked);
-    transport::http_response answer{200, {}, {}};
+    const auto unix_ms = self->clock.wall_now().unix_ms;
+    transport::http_response answer{200, {{std::string(time_header), std::to_string(unix_ms)}}, {}};
     if (window) {
         answer.body = encode_counts(*self, *window, *window);
     }
@@ -137,7 +189,7 @@
     if (self->usage.windows.empty() || hosts.empty()) {
         co_return;
     }
-    const auto newest = window_of(self->usage, self->clock.wall_now().unix_ms);
+    const auto newest = window_of(self->usage, unix_now(*self));
     for (const auto& peer : hosts | std::views::take(max_zone_hosts_asked)) {
         transport::http_request message;
         message.method = "POST";
@@ -151,7 +203,7 @@
 
 void record_demand(host& self,
                    const std::map<std::string, std::uint64_t, std::less<>>& in_progress) {
-    const auto now = self.clock.wall_now().unix_ms;
+    const auto now = unix_now(self);
     for (const auto& [model, items] : in_progress) {
         if (items > 0) {
             record_peak(self.demand, counter_name(self), model, now, items);
@@ -159,8 +211,8 @@
     }
 }
 
-std::uint64_t peak_demand(const host& self, std::string_view model) {
-    const auto newest = window_of(self.demand, self.clock.wall_now().unix_ms);
+std::uint64_t peak_demand(host& self, std::string_view model) {
+    const auto newest = window_of(self.demand, unix_now(self));
     std::uint64_t out = 0;
     for (auto window = newest - demand_windows + 1; window <= newest; ++window) {
         const auto sum = totals(self.demand, window);
@@ -172,6 +224,9 @@
 
 void start_gathering(const std::shared_ptr<host>& self) {
     loop::asio::co_spawn(self->io, gather_periodically(self), loop::asio::detached);
+    if (self->settings.duties && self->settings.duties->reports_usage) {
+        loop::asio::co_spawn(self->io, push_periodically(self), loop::asio::detached);
+    }
 }
 
 void drop_old_counts(host& self) {
--- a/src/front/count_exchange.hpp
+++ b/src/front/count_exchange.hpp
@@ -16,7 +16,7 @@
 inline constexpr std::string_view counts_path = "/counts";
 
 /// Encodes this process's own counts of all windows that may still be reported.
-[[nodiscard]] std::string encode_own_counts(const host& self);
+[[nodiscard]] std::string encode_own_counts(host& self);
 
 /// Merges encoded counts received from another process; an empty text is ignored.
 void merge_counts(host& self, std::string_view text);
@@ -36,7 +36,7 @@
 
 /// The peak number of items of the model in progress at the same time within the last few windows,
 /// summed over all hosts whose counts this host has received.
-[[nodiscard]] std::uint64_t peak_demand(const host& self, std::string_view model);
+[[nodiscard]] std::uint64_t peak_demand(host& self, std::string_view model);
 
 /// Starts to gather the counts of the current window periodically while this process holds the
 /// lease.
--- a/src/front/events.hpp
+++ b/src/front/events.hpp
@@ -25,6 +25,9 @@
                                      "the platform's store is available again"};
 inline constexpr event configuration_taken{9012, "configuration_taken", event_level::info,
                                            "a configuration version is in force"};
+inline constexpr event key_looked_up{
+    9047, "key_looked_up", event_level::info,
+    "a newer configuration was looked for, since a request has an unknown key"};
 inline constexpr event watch_cut{9016, "watch_cut", event_level::info,
                                  "a watch ended early without changes"};
 inline constexpr event feeder_lost{
--- a/src/front/feed.cpp
+++ b/src/front/feed.cpp
@@ -221,7 +221,7 @@
     return out;
 }
 
-void attach_counts(const host& self, transport::http_request& poll_request) {
+void attach_counts(host& self, transport::http_request& poll_request) {
     poll_request.method = "POST";
     poll_request.body = encode_own_counts(self);
 }
--- a/src/front/feed.hpp
+++ b/src/front/feed.hpp
@@ -56,7 +56,7 @@
 
 /// Attaches this process's request counts. Feeders hold the counts of their zone, so the counts of
 /// a killed process are not lost and need no separate call.
-void attach_counts(const host& self, transport::http_request& poll_request);
+void attach_counts(host& self, transport::http_request& poll_request);
 
 /// Response of a feeder: the full list if that was requested, otherwise changes.
 struct feed_response {
--- a/src/front/follower.cpp
+++ b/src/front/follower.cpp
@@ -21,31 +21,6 @@
 /// Delay at start. Hosts start at the same time; after this, each knows most peers of its zone.
 constexpr loop::milliseconds startup_delay{400};
 
-void apply_configuration(host& self, const stored_object& object) {
-    auto read = self.platform_adapter.configuration_of(object.specification);
-    if (!read) {
-        self.configuration_valid = false;
-        log_event(self, object_unreadable,
-                  {{"kind", "configuration"}, {"problem", read.error().detail}});
-        return;
-    }
-    self.configuration_valid = true;
-    const auto known = self.routes ? self.routes->config.version : 0;
-    // Never apply an older version than one that was in force in this process.
-    if (read.value().version <= known) {
-        return;
-    }
-    self.routes = index_routes(std::move(read.value()));
-    self.startup_changed.open();
-    self.metrics.set("cornelloom_configuration_generation",
-                     static_cast<double>(self.routes->config.version));
-    log_event(self, configuration_taken,
-              {{"version", self.routes->config.version},
-               {"before", known},
-               {"revision", object.revision},
-               {"routes", static_cast<std::uint64_t>(self.routes->config.routes.size())}});
-}
-
 std::optional<target_entry> decode_target(host& self, const stored_object& object) {
     auto read = self.platform_adapter.target(object);
     if (!read) {
@@ -262,6 +237,31 @@
 
 } // namespace
 
+void apply_configuration(host& self, const stored_object& object) {
+    auto read = self.platform_adapter.configuration_of(object.specification);
+    if (!read) {
+        self.configuration_valid = false;
+        log_event(self, object_unreadable,
+                  {{"kind", "configuration"}, {"problem", read.error().detail}});
+        return;
+    }
+    self.configuration_valid = true;
+    const auto known = self.routes ? self.routes->config.version : 0;
+    // Never apply an older version than one that was in force in this process.
+    if (read.value().version <= known) {
+        return;
+    }
+    self.routes = index_routes(std::move(read.value()));
+    self.startup_changed.open();
+    self.metrics.set("cornelloom_configuration_generation",
+                     static_cast<double>(self.routes->config.version));
+    log_event(self, configuration_taken,
+              {{"version", self.routes->config.version},
+               {"before", known},
+               {"revision", object.revision},
+               {"routes", static_cast<std::uint64_t>(self.routes->config.routes.size())}});
+}
+
 void start_platform_watches(const std::shared_ptr<host>& self) {
     loop::asio::co_spawn(self->io, start_watches(self), loop::asio::detached);
 }
--- a/src/front/follower.hpp
+++ b/src/front/follower.hpp
@@ -10,4 +10,7 @@
 /// operators, targets, trainers and peers write: each kind is listed, then watched for changes.
 void start_platform_watches(const std::shared_ptr<host>& self);
 
+/// Puts the configuration that the object contains into force, unless a newer one is.
+void apply_configuration(host& self, const stored_object& object);
+
 } // namespace cornelloom::front
--- a/src/front/gateway.cpp
+++ b/src/front/gateway.cpp
@@ -7,6 +7,7 @@
 #include "front/count_exchange.hpp"
 #include "front/crash_exchange.hpp"
 #include "front/feed.hpp"
+#include "front/key_lookup.hpp"
 #include "front/plain_call.hpp"
 #include "front/stream_call.hpp"
 #include "kernel/number.hpp"
@@ -73,10 +74,12 @@
     // message.
     const auto message =
         std::make_shared<const transport::http_request>(std::move(request.message));
-    call.build_request = [self, message, account](const forward_options& terms) {
-        auto terms_with_account = terms;
-        terms_with_account.account = account;
-        return self->platform_adapter.forward(*message, terms_with_account);
+    const auto rank = request_rank(*self->routes, account.value_or(""), request_route);
+    call.build_request = [self, message, account, rank](const forward_options& terms) {
+        auto complete_terms = terms;
+        complete_terms.account = account;
+        complete_terms.priority = rank;
+        return self->platform_adapter.forward(*message, complete_terms);
     };
     auto control = std::make_shared<call_control>();
     request.on_gone([control] { control->cancel(); });
@@ -175,8 +178,16 @@
     const bool is_batch_call = matched_route == nullptr && call.has_value();
     const auto purpose =
         is_batch_call ? access_purpose::existing_batch : access_purpose::new_request;
-    const auto access = check_access(*self->routes, request_info, matched_route, purpose,
-                                     configuration_age(*self), age_limits_of(self->settings));
+    const auto decide_access = [&] {
+        return check_access(*self->routes, request_info, matched_route, purpose,
+                            configuration_age(*self), age_limits_of(self->settings));
+    };
+    auto access = decide_access();
+    if (access.verdict == access_verdict::no_key && request_info.key_hash) {
+        co_await look_up_configuration(self);
+        matched_route = find_route(*self->routes, request_info.host, request.message.path);
+        access = decide_access();
+    }
     if (access.verdict != access_verdict::granted) {
         co_await answer_denied(*self, request, request_info.id, access.verdict);
         co_return;
--- a/src/front/host.cpp
+++ b/src/front/host.cpp
@@ -41,6 +41,27 @@
     }
 }
 
+std::int64_t unix_now(host& self) {
+    constexpr std::chrono::seconds max_peer_age{10};
+    const auto now = self.clock.boot_now();
+    const auto elapsed_ms =
+        std::chrono::duration_cast<milliseconds>(now.time_since_epoch()).count();
+    std::erase_if(self.clocks,
+                  [&](const auto& each) { return now - each.second.received > max_peer_age; });
+    std::vector<std::int64_t> peers;
+    for (const auto& [address, clock] : self.clocks) {
+        peers.push_back(elapsed_ms + clock.offset_ms);
+    }
+    return decide::guarded_unix_ms(self.wall_guard, now, self.clock.wall_now().unix_ms, peers);
+}
+
+void record_peer_time(host& self, const transport::endpoint& peer, std::int64_t unix_ms) {
+    const auto now = self.clock.boot_now();
+    const auto elapsed_ms =
+        std::chrono::duration_cast<milliseconds>(now.time_since_epoch()).count();
+    self.clocks.insert_or_assign(peer, peer_clock{unix_ms - elapsed_ms, now});
+}
+
 std::string counter_name(const host& self) {
     return self.settings.host + "/" + std::to_string(self.salt);
 }
@@ -51,8 +72,7 @@
         return;
     }
     const auto ago = std::chrono::duration_cast<milliseconds>(self.now() - when);
-    increment(self.usage, counter_name(self), *account,
-              self.clock.wall_now().unix_ms - ago.count());
+    increment(self.usage, counter_name(self), *account, unix_now(self) - ago.count());
 }
 
 milliseconds configuration_age(const host& self) {
--- a/src/front/host.hpp
+++ b/src/front/host.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "decide/wall_clock_guard.hpp"
 #include "front/adapter.hpp"
 #include "front/crash_watch.hpp"
 #include "front/events.hpp"
@@ -62,6 +63,15 @@
     auto end() { return by_kind.end(); }
 };
 
+/// The time of day of another host.
+struct peer_clock {
+    std::int64_t offset_ms = 0; ///< Its Unix time less this host's steady time, in milliseconds.
+    time_point received{};
+};
+
+/// Times of day of other hosts, by the address at which they answered.
+using peer_clocks = std::map<transport::endpoint, peer_clock>;
+
 /// State of one process, shared by everything that runs on its event loop.
 struct host {
     host(loop::io_context& loop, const adapter& platform, host_settings loaded_settings);
@@ -92,9 +102,13 @@
     feed_caches caches;
     avoided_feeders avoided{};
     leadership lead;
-    window_counts usage{};  ///< Requests that started to run, by client account.
-    window_counts demand{}; ///< Items in progress concurrently, by service.
-    crash_watch crashes;    ///< Requests that may crash their targets.
+    std::shared_ptr<loop::gate> key_lookup{}; ///< Opened when the current lookup ends; or null.
+    time_point last_key_lookup{};             ///< When the last lookup began; zero: none yet.
+    decide::wall_clock_guard wall_guard{};    ///< See `unix_now`.
+    peer_clocks clocks{};                     ///< Times of day of other hosts.
+    window_counts usage{};                    ///< Requests that started to run, by client account.
+    window_counts demand{};                   ///< Items in progress concurrently, by service.
+    crash_watch crashes;                      ///< Requests that may crash their targets.
     bool sends_load_orders =
         false; ///< This host sends load orders to targets, or may soon have to.
     bool stopping = false;
@@ -138,6 +152,12 @@
 /// Name under which this process counts requests; it differs after each start.
 [[nodiscard]] std::string counter_name(const host& self);
 
+/// The time of day in Unix milliseconds, which does not follow jumps of this host's clock.
+[[nodiscard]] std::int64_t unix_now(host& self);
+
+/// Records the time of day that another host has stated in its answer.
+void record_peer_time(host& self, const transport::endpoint& peer, std::int64_t unix_ms);
+
 /// Counts a request that started to run at `when`, for the usage report.
 void count_usage(host& self, const std::optional<std::string>& account, time_point when);
 
--- a/src/front/item_run.cpp
+++ b/src/front/item_run.cpp
@@ -170,9 +170,10 @@
     batch->state.items[index].trial = false;
     const auto time_left = std::chrono::duration_cast<milliseconds>(
         batch->state.submitted + item_route.retention - self->now());
-    const forward_options terms{batch->runs.at(index).target, time_left,
-                                batch->state.items[index].output.last_event,
-                                forwarded_account(*batch)};
+    const forward_options terms{
+        batch->runs.at(index).target, time_left, batch->state.items[index].output.last_event,
+        forwarded_account(*batch),
+        request_rank(*self->routes, batch->state.header.account, item_route)};
     const auto message = self->platform_adapter.item(item, batch->state.header.host, terms);
     fault = co_await exchange->send(message, loop::after(connect_timeout * 4));
     if (fault == loop::exchange_fault::none) {
@@ -315,8 +316,11 @@
     call.source = run_source::batch;
     const bool near_deadline = self->now() + near_deadline_window >= deadline_of(batch);
     call.hedge_factor = near_deadline ? short_hedge_factor : default_hedge_factor;
-    call.build_request = [self, scoring](const forward_options& terms) {
-        return self->platform_adapter.scoring(scoring, terms);
+    const auto rank = request_rank(*self->routes, batch.state.header.account, scoring_route);
+    call.build_request = [self, scoring, rank](const forward_options& terms) {
+        auto complete_terms = terms;
+        complete_terms.priority = rank;
+        return self->platform_adapter.scoring(scoring, complete_terms);
     };
     return call;
 }
--- a/src/front/routing.cpp
+++ b/src/front/routing.cpp
@@ -15,6 +15,9 @@
     }
     if (index->config.accounts) {
         for (const auto& account : *index->config.accounts) {
+            if (account.priority) {
+                index->priority_by_account.try_emplace(account.name, *account.priority);
+            }
             for (const auto& hash : account.key_hashes) {
                 index->account_by_key.try_emplace(hash, account.name);
             }
@@ -38,6 +41,15 @@
     return nullptr;
 }
 
+std::optional<int> request_rank(const route_index& index, std::string_view account,
+                                const route& request_route) {
+    if (index.priority_by_account.empty()) {
+        return std::nullopt;
+    }
+    const auto found = index.priority_by_account.find(std::string(account));
+    return found == index.priority_by_account.end() ? request_route.priority : found->second;
+}
+
 std::string_view choose_service(const route& request_route, std::string_view request_id) {
     const auto& shares = request_route.services;
     if (shares.empty()) {
--- a/src/front/routing.hpp
+++ b/src/front/routing.hpp
@@ -4,6 +4,7 @@
 #include "front/types.hpp"
 
 #include <memory>
+#include <optional>
 #include <string_view>
 #include <unordered_map>
 
@@ -16,6 +17,7 @@
     /// Positions in the configuration's routes, by host name and path prefix.
     std::unordered_map<std::string, std::unordered_map<std::string, std::size_t>> by_host;
     std::unordered_map<std::string, std::string> account_by_key; ///< By key hash.
+    std::unordered_map<std::string, int> priority_by_account;    ///< Of accounts that have one.
 };
 
 [[nodiscard]] std::shared_ptr<const route_index> index_routes(configuration config);
@@ -24,6 +26,11 @@
 [[nodiscard]] const route* find_route(const route_index& index, std::string_view host,
                                       std::string_view path);
 
+/// The rank of a request of the account, 0 is the most urgent: the account's own, else the route's.
+/// Unset if no account has one; all requests then have the targets' default rank.
+[[nodiscard]] std::optional<int> request_rank(const route_index& index, std::string_view account,
+                                              const route& request_route);
+
 /// Picks one of the route's services by weight. The choice is a function of the request id, so
 /// repeated attempts go to the same service.
 [[nodiscard]] std::string_view choose_service(const route& request_route,
--- a/src/front/stream_call.cpp
+++ b/src/front/stream_call.cpp
@@ -106,9 +106,11 @@
     }
     const auto time_left =
         std::chrono::duration_cast<milliseconds>(stream.deadline - stream.self->now());
+    const auto rank =
+        request_rank(*stream.self->routes, stream.account.value_or(""), stream.request_route);
     const auto message = stream.self->platform_adapter.forward(
         stream.request->message,
-        {std::move(target_id), time_left, stream.last_event, stream.account});
+        {std::move(target_id), time_left, stream.last_event, stream.account, rank});
     fault = co_await stream.exchange->send(message, deadline);
     if (fault == loop::exchange_fault::none) {
         fault = co_await stream.exchange->read_head(deadline);
--- a/src/front/usage_reporter.cpp
+++ b/src/front/usage_reporter.cpp
@@ -101,7 +101,7 @@
                {"fence", sender.fence},
                {"status", status},
                {"fault", to_string(outcome.fault)},
-               {"since_end_ms", self->clock.wall_now().unix_ms - window_end_ms}});
+               {"since_end_ms", unix_now(*self) - window_end_ms}});
     const bool retry = status == 0 || status == status_too_many_requests || status >= 500;
     self->metrics.count("cornelloom_usage_reports_total",
                         std::array{kernel::label{"outcome", retry           ? "again"
@@ -119,14 +119,13 @@
     const auto last = state.last_stored->revision == 0
                           ? std::nullopt
                           : std::optional(state.last_stored->report.window);
-    const auto window = next_window_to_report(self->usage, last, state.first_window,
-                                              self->clock.wall_now().unix_ms, rules);
+    const auto window =
+        next_window_to_report(self->usage, last, state.first_window, unix_now(*self), rules);
     if (!window) {
         co_return;
     }
     const bool complete = co_await gather_counts(self, *window);
-    const bool cutoff_passed =
-        past_cutoff(self->usage, *window, self->clock.wall_now().unix_ms, rules);
+    const bool cutoff_passed = past_cutoff(self->usage, *window, unix_now(*self), rules);
     if ((!complete && !cutoff_passed) || !is_leader(*self)) {
         co_return;
     }
@@ -156,7 +155,7 @@
 
 loop::task<void> run(std::shared_ptr<reporter_state> state) {
     auto self = state->self;
-    state->first_window = window_of(self->usage, self->clock.wall_now().unix_ms);
+    state->first_window = window_of(self->usage, unix_now(*self));
     for (;;) {
         co_await wait_for_lease(self);
         if (is_leader(*self)) {
