Slot shares: hosts divide the slots of targets by announced demand

What callers saw: several hosts filled the same slots and learned of it by items that did not start; a busy target had up to 2.4 times the mean load while others had free slots.

Change: hosts with items announce them and their runs to each other; each computes the same division of slots by weighted rendezvous hashing, lends idle shares and counts the runs of others. Without claims of other hosts nothing changes. Draft: not measured, tests follow.

--- a/src/decide/slot_shares.hpp
+++ b/src/decide/slot_shares.hpp
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <span>
+#include <vector>
 
 namespace cornelloom::decide {
 
@@ -19,13 +20,13 @@
     bool operator==(const slot_claim&) const = default;
 };
 
-/// The number of the target's slots that are assigned to `holder`.
+/// The number of the target's slots that are assigned to each claim, in the order of the claims.
 ///
 /// Weighted rendezvous hashing (Thaler and Ravishankar, weights after Schindelhauer and
 /// Schomaker): each slot goes to the claim with the best score for it. The parts of all claims add
 /// up to `slots`. When a weight changes, slots move only to or from the host whose weight changed.
-[[nodiscard]] int assigned_slots(std::uint64_t holder, std::span<const slot_claim> claims,
-                                 std::uint64_t target, int slots);
+[[nodiscard]] std::vector<int> assign_slots(std::span<const slot_claim> claims,
+                                            std::uint64_t target, int slots);
 
 /// The use of one target, as far as a host knows it.
 struct slot_use {
--- a/src/front/events.hpp
+++ b/src/front/events.hpp
@@ -104,6 +104,9 @@
     9045, "batch_held", event_level::info,
     "sending the items of a batch was paused because its log may have "
     "entries that this host does not know, or was resumed"};
+inline constexpr event slot_claims_changed{
+    9046, "slot_claims_changed", event_level::info,
+    "another host began or ceased to claim slots of the targets"};
 inline constexpr event order_lease_changed{9050, "order_lease_changed", event_level::info,
                                            "the order lease changed hands"};
 inline constexpr event order_given{9051, "order_given", event_level::info,
--- a/src/front/gateway.cpp
+++ b/src/front/gateway.cpp
@@ -8,6 +8,7 @@
 #include "front/crash_exchange.hpp"
 #include "front/feed.hpp"
 #include "front/plain_call.hpp"
+#include "front/slot_exchange.hpp"
 #include "front/stream_call.hpp"
 #include "kernel/number.hpp"
 
@@ -213,6 +214,10 @@
         co_await serve_counts(self, request);
         co_return;
     }
+    if (message.path == claims_path) {
+        co_await serve_claims(self, request);
+        co_return;
+    }
     if (message.path == feed_path) {
         co_await serve_feed(self, request);
         co_return;
--- a/src/front/host.hpp
+++ b/src/front/host.hpp
@@ -6,6 +6,7 @@
 #include "front/feeder_choice.hpp"
 #include "front/leadership.hpp"
 #include "front/routing.hpp"
+#include "front/slot_claims.hpp"
 #include "front/start_up.hpp"
 #include "front/store_client.hpp"
 #include "front/targets.hpp"
@@ -94,6 +95,7 @@
     leadership lead;
     window_counts usage{};  ///< Requests that started to run, by client account.
     window_counts demand{}; ///< Items in progress concurrently, by service.
+    slot_claims claims{};   ///< Claims of other hosts on the slots of targets.
     crash_watch crashes;    ///< Requests that may crash their targets.
     bool sends_load_orders =
         false; ///< This host sends load orders to targets, or may soon have to.
--- a/src/front/process.cpp
+++ b/src/front/process.cpp
@@ -9,6 +9,7 @@
 #include "front/gateway.hpp"
 #include "front/order_giver.hpp"
 #include "front/quarantine_store.hpp"
+#include "front/slot_exchange.hpp"
 #include "front/target_supplier.hpp"
 #include "front/usage_reporter.hpp"
 
@@ -203,6 +204,7 @@
     start_leader_election(self);
     start_load_scheduler(self);
     start_gathering(self);
+    start_slot_exchange(registry);
     start_crash_exchange(self);
     start_quarantine_store(self);
     start_usage_reports(self);
