--- a/src/front/host.hpp
+++ b/src/front/host.hpp
@@ -7,6 +7,7 @@
 #include "front/feeder_choice.hpp"
 #include "front/leadership.hpp"
 #include "front/routing.hpp"
+#include "front/slot_claims.hpp"
 #include "front/start_up.hpp"
 #include "front/store_client.hpp"
 #include "front/targets.hpp"
@@ -108,6 +109,7 @@
     peer_clocks clocks{};                     ///< Times of day of other hosts.
     window_counts usage{};                    ///< Requests that started to run, by client account.
     window_counts demand{};                   ///< Items in progress concurrently, by service.
+    slot_claims claims{};                     ///< Claims of other hosts on the slots of targets.
     crash_watch crashes;                      ///< Requests that may crash their targets.
     bool sends_load_orders =
         false; ///< This host sends load orders to targets, or may soon have to.
