Item order: batches of a host share scarce slots by slack and group

What callers saw: trainers with long texts ended seconds late while others had time to spare; the batch that came first took every slot.

Change: when a batch has more startable items than free slots, the items of all batches of the host start by account floor, rank, needed groups and least slack. An item starts only where its expected memory fits. Otherwise items start as before.

--- a/src/front/batch.cpp
+++ b/src/front/batch.cpp
@@ -216,4 +216,14 @@
     return out;
 }
 
+int count_carried_groups(const batch& batch, const struct batch& earlier) {
+    std::set<std::string_view> carried;
+    for (const auto& item : batch.spec.items) {
+        if (earlier.index_by_id.contains(item.id)) {
+            carried.insert(item.group);
+        }
+    }
+    return static_cast<int>(carried.size());
+}
+
 } // namespace cornelloom::front
--- a/src/front/batch.hpp
+++ b/src/front/batch.hpp
@@ -34,6 +34,7 @@
     std::string last_target;            ///< The target of the latest attempt.
     bool moved_for_deadline = false;    ///< Moved to another target, once, to meet the deadline.
     time_point deferred_since{};  ///< Since when it waits for a faster target; zero: it does not.
+    double memory_tokens = 0;     ///< Memory that its run is expected to take at its target.
     std::uint64_t digest = 0;     ///< Of its content; 0: not computed yet.
     bool asks_permission = false; ///< It may crash its targets; see `request_permission`.
     bool permitted = false;       ///< See there; holds until it is sent.
@@ -95,6 +96,7 @@
     time_point submitted{};
     time_point oldest_unlogged_since{}; ///< When the first result that is not in the log finished.
     time_point last_flush{};
+    int carried_groups = 0; ///< Leading groups that an earlier batch did not complete.
 };
 
 [[nodiscard]] batch make_batch(batch_header header, batch_spec spec, time_point submitted);
@@ -159,6 +161,10 @@
 /// rest. A single long item that starts late makes the whole step late.
 [[nodiscard]] std::vector<std::size_t> startable_items(const batch& batch, time_point now);
 
+/// Number of the batch's leading groups that have items of `earlier`. Its caller waits for them,
+/// whatever other groups are complete.
+[[nodiscard]] int count_carried_groups(const batch& batch, const struct batch& earlier);
+
 /// Number of tokens that the item is expected to generate.
 [[nodiscard]] double expected_tokens(const batch_item& item);
 
--- a/src/front/batch_drive.cpp
+++ b/src/front/batch_drive.cpp
@@ -1,6 +1,7 @@
 #include "front/batch_drive.hpp"
 
 #include "front/batch_log.hpp"
+#include "front/item_dispatch.hpp"
 #include "front/item_run.hpp"
 #include "front/placement.hpp"
 #include "front/quarantine_store.hpp"
@@ -24,125 +25,6 @@
 /// that have arrived since.
 constexpr milliseconds append_timeout{3000};
 
-/// Items are placed by a length that one text in ten exceeds, because the longest texts are what
-/// makes a step late.
-constexpr double length_tail = 0.1;
-
-/// How long an item waits for the permission to be sent before it asks again.
-constexpr milliseconds permission_timeout{2000};
-/// Until an item whose permission was refused may ask again.
-constexpr milliseconds max_permission_delay{1000};
-
-text_progress text_progress_of(const batch_item& item, const item_state& state) {
-    return {expected_tokens(item), static_cast<double>(item.max_output_tokens),
-            static_cast<double>(state.output.last_event)};
-}
-
-/// Whether the item should keep waiting for a faster target instead of taking `available`, the best
-/// one with capacity.
-bool waits_for_faster(placement_round& round, item_state& state,
-                      const run_requirements& requirements, const target_state& available) {
-    const bool first_wait = state.deferred_since == time_point{};
-    const bool may_wait = first_wait || round.now - state.deferred_since < max_wait_for_faster;
-    if (!may_wait || !faster_target_soon(round, requirements, available)) {
-        return false;
-    }
-    state.deferred_since = first_wait ? round.now : state.deferred_since;
-    return true;
-}
-
-run_requirements requirements_of(const live_batch& batch, const batch_item& item,
-                                 const item_state& state, const route& item_route) {
-    run_requirements requirements;
-    requirements.service = choose_service(item_route, item.id);
-    requirements.model = item.model;
-    requirements.oldest_version = batch.state.spec.oldest_version;
-    if (item_route.single_version && !state.output.versions.empty()) {
-        requirements.exact_version = state.output.versions.back();
-    }
-    requirements.events_left = events_left(find_length_model(batch.local_host->lengths, item.model),
-                                           text_progress_of(item, state), length_tail);
-    return requirements;
-}
-
-loop::task<void> ask_permission(live_batch_ptr batch, std::size_t index) {
-    auto self = batch->local_host;
-    const auto decision = co_await request_permission(
-        self, digest_of_item(*batch, index), run_source::batch, self->now() + permission_timeout);
-    auto& state = batch->state.items[index];
-    state.asks_permission = false;
-    state.permitted = !decision.refusal;
-    state.trial = decision.trial;
-    if (decision.refusal) {
-        const auto delay = std::min(decision.refusal->retry_delay, max_permission_delay);
-        state.not_before = std::max(state.not_before, self->now() + delay);
-    }
-    batch->changed.open();
-}
-
-/// Whether the item is held back because it may crash its targets: it is being checked, or the
-/// permission to send it is missing.
-bool is_held_back(const live_batch_ptr& batch, std::size_t index) {
-    auto& self = *batch->local_host;
-    auto& state = batch->state.items[index];
-    if (self.crashes.ledger.digests.empty() || state.permitted) {
-        return false;
-    }
-    const auto digest = digest_of_item(*batch, index);
-    if (state.asks_permission || is_being_checked(self, digest)) {
-        return true;
-    }
-    const auto verdict = judge_request(self, digest, run_source::batch);
-    if (verdict.permission == decide::send_permission::trial) {
-        state.asks_permission = true;
-        loop::asio::co_spawn(self.io, ask_permission(batch, index), loop::asio::detached);
-    }
-    return verdict.permission != decide::send_permission::granted;
-}
-
-/// Starts waiting items on targets, the most urgent first.
-void dispatch_items(const live_batch_ptr& batch, placement_round& round) {
-    auto& self = *batch->local_host;
-    for (const auto index : startable_items(batch->state, round.now)) {
-        auto& state = batch->state.items[index];
-        const auto& item = batch->state.spec.items[index];
-        if (state.output.whole) {
-            state.phase = item_phase::scoring;
-            loop::asio::co_spawn(self.io, score_item(batch, index), loop::asio::detached);
-            continue;
-        }
-        const auto* item_route = route_of_item(*batch, item);
-        if (item_route == nullptr) {
-            if (self.routes) {
-                give_up_item(*batch, index, "no route for the item");
-            }
-            continue;
-        }
-        if (is_held_back(batch, index)) {
-            continue;
-        }
-        auto requirements = requirements_of(*batch, item, state, *item_route);
-        auto* target = choose_target(round, requirements);
-        if (target == nullptr && requirements.exact_version > 0) {
-            // No target has the version that began the text, so the text is generated from the
-            // start.
-            state.output = {};
-            requirements.exact_version = 0;
-            target = choose_target(round, requirements);
-        }
-        if (target == nullptr || waits_for_faster(round, state, requirements, *target)) {
-            continue;
-        }
-        state.deferred_since = {};
-        state.phase = item_phase::running;
-        // Counted here rather than in run_item(), so that the next item of this burst sees it.
-        ++target->running;
-        ++target->awaiting_first_event;
-        loop::asio::co_spawn(self.io, run_item(batch, index, target->entry.id),
-                             loop::asio::detached);
-    }
-}
-
 run_progress run_progress_of(const live_batch& batch, std::size_t index, const item_run& run) {
     const auto now = batch.local_host->now();
     run_progress current_progress;
@@ -261,20 +143,6 @@
     }
 }
 
-/// Whether items may be sent now. Logs every change of that.
-bool may_dispatch(live_batch& batch) {
-    const bool held = !may_send_items(batch);
-    if (held != batch.sending_paused) {
-        batch.sending_paused = held;
-        log_event(*batch.local_host, batch_held,
-                  {{"id", batch.state.header.id},
-                   {"held", held},
-                   {"log_age_ms", ms_between(batch.log.confirmed, batch.local_host->now())},
-                   {"entry", batch.state.next_entry_number}});
-    }
-    return !held && !batch.handing_over;
-}
-
 /// Returns the trial runs of items that were not sent.
 void return_unused_trials(live_batch& batch) {
     for (std::size_t index = 0; index < batch.state.items.size(); ++index) {
@@ -284,16 +152,25 @@
     }
 }
 
+/// The carried groups of a batch, found by the batches that ran before it on this host.
+int find_carried_groups(const live_batch& batch) {
+    int carried = 0;
+    for (const auto& earlier : batch.local_host->running_batches) {
+        carried = std::max(carried, count_carried_groups(batch.state, earlier->state));
+    }
+    return carried;
+}
+
 loop::task<void> run_batch(live_batch_ptr batch) {
     auto self = batch->local_host;
+    batch->state.carried_groups = find_carried_groups(*batch);
+    self->running_batches.push_back(batch);
     while (batch->owned && !is_over(batch->state)) {
         give_up_expired(*batch);
         auto round = begin_placement(self->targets, self->here(), self->now());
         check_runs(*batch, round);
         read_log_if_due(batch);
-        if (may_dispatch(*batch)) {
-            dispatch_items(batch, round);
-        }
+        dispatch_items(*self, round);
         const auto flush_due =
             batch->stored ? next_flush_time(batch->state, default_flush_policy, deadline_of(*batch))
                           : std::optional<time_point>{};
@@ -306,6 +183,7 @@
         }
         co_await batch->changed.wait(to_deadline(*self, wake_at));
     }
+    std::erase(self->running_batches, batch);
     stop_runs(*batch);
     return_unused_trials(*batch);
     for (const auto& [index, control] : batch->scoring_calls) {
--- a/src/front/host.hpp
+++ b/src/front/host.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "decide/item_order.hpp"
 #include "front/adapter.hpp"
 #include "front/crash_watch.hpp"
 #include "front/events.hpp"
@@ -62,6 +63,8 @@
     auto end() { return by_kind.end(); }
 };
 
+struct live_batch;
+
 /// State of one process, shared by everything that runs on its event loop.
 struct host {
     host(loop::io_context& loop, const adapter& platform, host_settings loaded_settings);
@@ -94,7 +97,9 @@
     leadership lead;
     window_counts usage{};  ///< Requests that started to run, by client account.
     window_counts demand{}; ///< Items in progress concurrently, by service.
-    crash_watch crashes;    ///< Requests that may crash their targets.
+    std::vector<std::shared_ptr<live_batch>> running_batches{}; ///< Those that this host runs.
+    decide::account_costs account_costs{}; ///< Items started lately, by client account.
+    crash_watch crashes;                   ///< Requests that may crash their targets.
     bool sends_load_orders =
         false; ///< This host sends load orders to targets, or may soon have to.
     bool stopping = false;
--- /dev/null
+++ b/src/front/item_dispatch.cpp
@@ -0,0 +1,281 @@
+#include "front/item_dispatch.hpp"
+
+#include "decide/item_order.hpp"
+#include "decide/memory_room.hpp"
+#include "front/item_run.hpp"
+#include "front/quarantine_store.hpp"
+#include "front/send_permission.hpp"
+
+#include <algorithm>
+
+namespace cornelloom::front {
+
+namespace {
+
+/// Items are placed by a length that one text in ten exceeds, because the longest texts are what
+/// makes a step late.
+constexpr double length_tail = 0.1;
+
+/// How long an item waits for the permission to be sent before it asks again.
+constexpr milliseconds permission_timeout{2000};
+/// Until an item whose permission was refused may ask again.
+constexpr milliseconds max_permission_delay{1000};
+
+text_progress text_progress_of(const batch_item& item, const item_state& state) {
+    return {expected_tokens(item), static_cast<double>(item.max_output_tokens),
+            static_cast<double>(state.output.last_event)};
+}
+
+/// Whether the item should keep waiting for a faster target instead of taking `available`, the best
+/// one with capacity.
+bool waits_for_faster(placement_round& round, item_state& state,
+                      const run_requirements& requirements, const target_state& available) {
+    const bool first_wait = state.deferred_since == time_point{};
+    const bool may_wait = first_wait || round.now - state.deferred_since < max_wait_for_faster;
+    if (!may_wait || !faster_target_soon(round, requirements, available)) {
+        return false;
+    }
+    state.deferred_since = first_wait ? round.now : state.deferred_since;
+    return true;
+}
+
+loop::task<void> ask_permission(live_batch_ptr batch, std::size_t index) {
+    auto self = batch->local_host;
+    const auto decision = co_await request_permission(
+        self, digest_of_item(*batch, index), run_source::batch, self->now() + permission_timeout);
+    auto& state = batch->state.items[index];
+    state.asks_permission = false;
+    state.permitted = !decision.refusal;
+    state.trial = decision.trial;
+    if (decision.refusal) {
+        const auto delay = std::min(decision.refusal->retry_delay, max_permission_delay);
+        state.not_before = std::max(state.not_before, self->now() + delay);
+    }
+    batch->changed.open();
+}
+
+/// Whether the item is held back because it may crash its targets: it is being checked, or the
+/// permission to send it is missing.
+bool is_held_back(const live_batch_ptr& batch, std::size_t index) {
+    auto& self = *batch->local_host;
+    auto& state = batch->state.items[index];
+    if (self.crashes.ledger.digests.empty() || state.permitted) {
+        return false;
+    }
+    const auto digest = digest_of_item(*batch, index);
+    if (state.asks_permission || is_being_checked(self, digest)) {
+        return true;
+    }
+    const auto verdict = judge_request(self, digest, run_source::batch);
+    if (verdict.permission == decide::send_permission::trial) {
+        state.asks_permission = true;
+        loop::asio::co_spawn(self.io, ask_permission(batch, index), loop::asio::detached);
+    }
+    return verdict.permission != decide::send_permission::granted;
+}
+
+/// Adds the memory that the item needs, where the configuration states the memory of targets.
+void add_memory(run_requirements& requirements, const live_batch& batch, const batch_item& item,
+                const item_state& state) {
+    const auto& services = batch.local_host->routes->config.services;
+    const auto found = services.find(requirements.service);
+    if (found == services.end() || found->second.tokens_per_event <= 0) {
+        return;
+    }
+    const double tokens_per_event = found->second.tokens_per_event;
+    requirements.memory_capacity = found->second.memory_tokens;
+    requirements.memory_tokens =
+        decide::expected_memory({static_cast<double>(item.prompt_tokens),
+                                 tokens_per_event * static_cast<double>(state.output.last_event),
+                                 tokens_per_event * requirements.events_left});
+}
+
+/// Expected cost of an item in tokens.
+double cost_of(const batch_item& item) {
+    return item.prompt_tokens + expected_tokens(item);
+}
+
+/// Starts the item on a target if one has capacity for it.
+void dispatch_item(const live_batch_ptr& batch, std::size_t index, placement_round& round) {
+    auto& self = *batch->local_host;
+    auto& state = batch->state.items[index];
+    const auto& item = batch->state.spec.items[index];
+    if (state.output.whole) {
+        state.phase = item_phase::scoring;
+        loop::asio::co_spawn(self.io, score_item(batch, index), loop::asio::detached);
+        return;
+    }
+    const auto* item_route = route_of_item(*batch, item);
+    if (item_route == nullptr) {
+        if (self.routes) {
+            give_up_item(*batch, index, "no route for the item");
+        }
+        return;
+    }
+    if (is_held_back(batch, index)) {
+        return;
+    }
+    auto requirements = requirements_of(*batch, item, state, *item_route);
+    auto* target = choose_target(round, requirements);
+    if (target == nullptr && requirements.exact_version > 0) {
+        // No target has the version that began the text, so the text is generated from the start.
+        state.output = {};
+        requirements.exact_version = 0;
+        target = choose_target(round, requirements);
+    }
+    if (target == nullptr || waits_for_faster(round, state, requirements, *target)) {
+        return;
+    }
+    state.deferred_since = {};
+    state.phase = item_phase::running;
+    // Counted here rather than in run_item(), so that the next item of this burst sees it.
+    ++target->running;
+    ++target->awaiting_first_event;
+    state.memory_tokens = requirements.memory_tokens;
+    target->memory_tokens += state.memory_tokens;
+    decide::record_start(self.account_costs, batch->state.header.account, cost_of(item));
+    loop::asio::co_spawn(self.io, run_item(batch, index, target->entry.id), loop::asio::detached);
+}
+
+decide::item_progress progress_of(const item_state& state, time_point now) {
+    switch (state.phase) {
+    case item_phase::waiting:
+        return state.not_before <= now ? decide::item_progress::waiting
+                                       : decide::item_progress::held;
+    case item_phase::running:
+    case item_phase::scoring:
+        return decide::item_progress::running;
+    case item_phase::finished:
+        break;
+    }
+    return decide::item_progress::finished;
+}
+
+/// The batch's items as `decide::order_items` needs them.
+std::vector<decide::order_item> order_items_of(const live_batch& batch, double pace_ms,
+                                               time_point now) {
+    const auto& state = batch.state;
+    std::map<std::string_view, std::uint32_t> groups;
+    std::vector<decide::order_item> out;
+    out.reserve(state.items.size());
+    for (std::size_t index = 0; index < state.items.size(); ++index) {
+        const auto& item = state.spec.items[index];
+        const auto next_group = static_cast<std::uint32_t>(groups.size());
+        decide::order_item each;
+        each.group = groups.try_emplace(item.group, next_group).first->second;
+        each.progress = progress_of(state.items[index], now);
+        if (each.progress != decide::item_progress::finished) {
+            each.remaining_ms =
+                pace_ms * events_left(find_length_model(batch.local_host->lengths, item.model),
+                                      text_progress_of(item, state.items[index]), length_tail);
+        }
+        out.push_back(each);
+    }
+    return out;
+}
+
+int priority_of(const live_batch& batch) {
+    const auto* batch_route = route_of(batch);
+    return batch_route == nullptr ? 0 : batch_route->priority;
+}
+
+/// A batch with the items that may start, in the order of `startable_items`.
+struct startable_batch {
+    live_batch_ptr batch;
+    std::vector<std::size_t> items;
+};
+
+std::string_view service_of(const live_batch& batch, std::size_t index) {
+    const auto& item = batch.state.spec.items[index];
+    const auto* item_route = route_of_item(batch, item);
+    return item_route == nullptr ? std::string_view() : choose_service(*item_route, item.id);
+}
+
+/// Whether the batch has more startable items than there are free slots for them.
+bool exceeds_free_slots(const startable_batch& each, placement_round& round) {
+    const auto first = each.items.front();
+    const auto& item = each.batch->state.spec.items[first];
+    const auto* item_route = route_of_item(*each.batch, item);
+    if (item_route == nullptr) {
+        return false;
+    }
+    const auto requirements =
+        requirements_of(*each.batch, item, each.batch->state.items[first], *item_route);
+    return each.items.size() > count_free_slots(round, requirements);
+}
+
+/// Starts the items of all batches in the order in which they need the free slots.
+void dispatch_in_order(host& self, std::span<const startable_batch> batches,
+                       placement_round& round) {
+    std::vector<std::vector<decide::order_item>> items;
+    for (const auto& [batch, startable] : batches) {
+        const double pace_ms = typical_pace(round, service_of(*batch, startable.front()));
+        items.push_back(order_items_of(*batch, pace_ms, round.now));
+    }
+    std::vector<decide::order_batch> views;
+    for (std::size_t index = 0; index < batches.size(); ++index) {
+        const auto& batch = *batches[index].batch;
+        views.push_back({batch.state.header.account, priority_of(batch), deadline_of(batch),
+                         batch.state.spec.required_groups, batch.state.carried_groups,
+                         items[index]});
+    }
+    for (const auto& each : decide::order_items(views, self.account_costs, round.now)) {
+        dispatch_item(batches[each.batch].batch, each.item, round);
+    }
+}
+
+} // namespace
+
+run_requirements requirements_of(const live_batch& batch, const batch_item& item,
+                                 const item_state& state, const route& item_route) {
+    run_requirements requirements;
+    requirements.service = choose_service(item_route, item.id);
+    requirements.model = item.model;
+    requirements.oldest_version = batch.state.spec.oldest_version;
+    if (item_route.single_version && !state.output.versions.empty()) {
+        requirements.exact_version = state.output.versions.back();
+    }
+    requirements.events_left = events_left(find_length_model(batch.local_host->lengths, item.model),
+                                           text_progress_of(item, state), length_tail);
+    add_memory(requirements, batch, item, state);
+    return requirements;
+}
+
+/// Whether items may be sent now. Logs every change of that.
+bool may_dispatch(live_batch& batch) {
+    const bool held = !may_send_items(batch);
+    if (held != batch.sending_paused) {
+        batch.sending_paused = held;
+        log_event(*batch.local_host, batch_held,
+                  {{"id", batch.state.header.id},
+                   {"held", held},
+                   {"log_age_ms", ms_between(batch.log.confirmed, batch.local_host->now())},
+                   {"entry", batch.state.next_entry_number}});
+    }
+    return !held && !batch.handing_over;
+}
+
+void dispatch_items(host& self, placement_round& round) {
+    std::vector<startable_batch> batches;
+    for (const auto& batch : self.running_batches) {
+        if (batch->owned && !is_over(batch->state) && may_dispatch(*batch)) {
+            auto items = startable_items(batch->state, round.now);
+            if (!items.empty()) {
+                batches.push_back({batch, std::move(items)});
+            }
+        }
+    }
+    const bool scarce = std::ranges::any_of(
+        batches, [&](const startable_batch& each) { return exceeds_free_slots(each, round); });
+    if (scarce) {
+        dispatch_in_order(self, batches, round);
+        return;
+    }
+    for (const auto& each : batches) {
+        for (const auto index : each.items) {
+            dispatch_item(each.batch, index, round);
+        }
+    }
+}
+
+} // namespace cornelloom::front
--- a/src/front/item_run.cpp
+++ b/src/front/item_run.cpp
@@ -213,6 +213,10 @@
     co_return result;
 }
 
+void release_memory(target_state& target, const item_state& item) {
+    target.memory_tokens = std::max(target.memory_tokens - item.memory_tokens, 0.0);
+}
+
 /// Updates the length estimates for the model with a finished text.
 void record_text_length(live_batch& batch, std::size_t index) {
     const auto& item = batch.state.spec.items[index];
@@ -228,6 +232,7 @@
         auto& target = found->second;
         target.running = std::max(0, target.running - 1);
         target.awaiting_first_event -= run.events == 0 ? 1 : 0;
+        release_memory(target, batch.state.items[index]);
         const bool target_failed = result.kind == run_outcome::retry && !run.being_moved &&
                                    !result.reason.starts_with("not run") &&
                                    !result.reason.starts_with("version");
@@ -355,6 +360,7 @@
         if (target != self->targets.by_id.end()) {
             --target->second.running;
             --target->second.awaiting_first_event;
+            release_memory(target->second, batch->state.items[index]);
         }
         requeue_item(*batch, index);
         co_return;
--- a/src/front/placement.cpp
+++ b/src/front/placement.cpp
@@ -1,5 +1,7 @@
 #include "front/placement.hpp"
 
+#include "decide/memory_room.hpp"
+
 #include <algorithm>
 
 namespace cornelloom::front {
@@ -66,8 +68,12 @@
                                           : loaded->second >= requirements.oldest_version;
 }
 
+int slot_limit(const target_state& target) {
+    return target.slot_limit.value_or(std::max(target.entry.slots, 1));
+}
+
 bool has_free_slot(const target_state& target) {
-    return target.running < target.slot_limit.value_or(std::max(target.entry.slots, 1));
+    return target.running < slot_limit(target);
 }
 
 bool has_capacity(const target_state& target) {
@@ -76,6 +82,14 @@
            target.awaiting_first_event < std::max(1, slots / slots_per_unstarted);
 }
 
+/// Runs of other hosts are assumed to take as much memory as those of this host.
+bool has_memory(const target_state& target, const run_requirements& requirements) {
+    const double mean =
+        target.running > 0 ? target.memory_tokens / target.running : requirements.memory_tokens;
+    const double used = target.memory_tokens + target.running_elsewhere * mean;
+    return decide::has_memory_for(requirements.memory_tokens, used, requirements.memory_capacity);
+}
+
 run_candidate make_candidate(placement_round& round, target_state& target) {
     const double extra_ms = network_rtt_ms(round.from, target.entry.zone) / 2 +
                             tie_breaker_ms(round.from, target.entry.id);
@@ -119,7 +133,7 @@
     std::optional<run_candidate> best;
     double best_ms = 0;
     for (const auto& candidate : candidates_for(round, requirements)) {
-        if (!has_capacity(*candidate.target) ||
+        if (!has_capacity(*candidate.target) || !has_memory(*candidate.target, requirements) ||
             !is_eligible(*candidate.target, requirements, round.now)) {
             continue;
         }
@@ -162,6 +176,19 @@
     return candidate ? candidate->target : nullptr;
 }
 
+std::size_t count_free_slots(placement_round& round, const run_requirements& requirements) {
+    std::size_t free = 0;
+    for (const auto& candidate : candidates_for(round, requirements)) {
+        const auto& target = *candidate.target;
+        free += static_cast<std::size_t>(std::max(slot_limit(target) - target.running, 0));
+    }
+    return free;
+}
+
+double typical_pace(placement_round& round, std::string_view service) {
+    return service_median_pace(round, service).value_or(default_pace_ms);
+}
+
 bool faster_target_soon(placement_round& round, const run_requirements& requirements,
                         const target_state& available) {
     const auto& candidates = candidates_for(round, requirements);
--- a/src/front/placement.hpp
+++ b/src/front/placement.hpp
@@ -16,6 +16,8 @@
     std::string_view model;
     int oldest_version = 0;
     int exact_version = 0;            ///< 0: any that is not older than `oldest_version`.
+    double memory_tokens = 0;         ///< Memory that the run is expected to take.
+    double memory_capacity = 0;       ///< Memory of a target of the service, in tokens; 0: unknown.
     double events_left = 1;           ///< Remaining events that one text in ten exceeds.
     std::string_view excluded_target; ///< The target that the item is to leave; empty: none.
 };
@@ -56,6 +58,13 @@
 [[nodiscard]] target_state* choose_target(placement_round& round,
                                           const run_requirements& requirements);
 
+/// Free slots of the targets that can serve the item.
+[[nodiscard]] std::size_t count_free_slots(placement_round& round,
+                                           const run_requirements& requirements);
+
+/// Median pace of the service's targets in ms per event; an assumed one before any is measured.
+[[nodiscard]] double typical_pace(placement_round& round, std::string_view service);
+
 /// Whether a faster target has free slots, is only blocked by runs that have not started yet, and
 /// is expected to complete the item earlier than `available`, the best target with capacity.
 ///
--- a/src/front/targets.cpp
+++ b/src/front/targets.cpp
@@ -58,9 +58,11 @@
     if (restarted) {
         const int running = target.running;
         const int unstarted = target.awaiting_first_event;
+        const double memory_tokens = target.memory_tokens;
         target = {};
         target.running = running;
         target.awaiting_first_event = unstarted;
+        target.memory_tokens = memory_tokens;
     }
     if (!restarted && entry.revision < target.entry.revision) {
         return;
