--- a/tests/front/placement_tests.cpp
+++ b/tests/front/placement_tests.cpp
@@ -305,3 +305,31 @@
         CHECK(evaluate_run(table, slow, progress, text, origin, now) == run_decision::stay);
     }
 }
+
+TEST_CASE("long texts are spread by the memory of the targets", "[front][placement][memory]") {
+    // Guards against long texts on a target whose memory is used up: it preempts one of them.
+    auto table = make_table(2);
+    auto requirements = typical_requirements();
+    requirements.memory_tokens = 7000;
+    requirements.memory_capacity = 37000;
+    int placed = 0;
+    while (auto* target = choose_target(table, requirements, origin, now)) {
+        ++target->running;
+        target->memory_tokens += requirements.memory_tokens;
+        ++placed;
+    }
+    CHECK(placed == 10);
+    table.by_id["target-0"].running = 0;
+    table.by_id["target-0"].memory_tokens = 0;
+    requirements.memory_tokens = 50000;
+    CHECK(choose_target(table, requirements, origin, now)->entry.id == "target-0");
+}
+
+TEST_CASE("free slots are those of targets that can serve the item", "[front][placement]") {
+    auto table = make_table(4);
+    table.by_id["target-1"].entry.versions["notes"] = 4;
+    table.by_id["target-2"].running = 20;
+    table.by_id["target-3"].slot_limit = 5;
+    auto round = begin_placement(table, origin, now);
+    CHECK(count_free_slots(round, typical_requirements()) == 16 + 5);
+}
