--- a/src/front/host.hpp
+++ b/src/front/host.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "decide/item_order.hpp"
 #include "decide/wall_clock_guard.hpp"
 #include "front/adapter.hpp"
 #include "front/crash_watch.hpp"
@@ -72,6 +73,7 @@
 
 /// Times of day of other hosts, by the address at which they answered.
 using peer_clocks = std::map<transport::endpoint, peer_clock>;
+struct live_batch;
 
 /// State of one process, shared by everything that runs on its event loop.
 struct host {
@@ -109,8 +111,10 @@
     peer_clocks clocks{};                     ///< Times of day of other hosts.
     window_counts usage{};                    ///< Requests that started to run, by client account.
     window_counts demand{};                   ///< Items in progress concurrently, by service.
-    slot_claims claims{};                     ///< Claims of other hosts on the slots of targets.
-    crash_watch crashes;                      ///< Requests that may crash their targets.
+    std::vector<std::shared_ptr<live_batch>> running_batches{}; ///< Those that this host runs.
+    decide::account_costs account_costs{}; ///< Items started lately, by client account.
+    slot_claims claims{};                  ///< Claims of other hosts on the slots of targets.
+    crash_watch crashes;                   ///< Requests that may crash their targets.
     bool sends_load_orders =
         false; ///< This host sends load orders to targets, or may soon have to.
     bool stopping = false;
