Target pace: a run leaves a slow target only if the slowdown is expected to last

What callers saw: on targets that are slow for half a second at a time, items were moved to other targets again and again; each move ended a connection and read the prompt once more.

Where a dozen slowdowns have been seen to end, moves are judged by it, each further move of an item must save more, a host's moves are limited by its starts, and an item does not return. Elsewhere as before.

--- a/src/decide/move_budget.hpp
+++ b/src/decide/move_budget.hpp
@@ -22,13 +22,14 @@
 };
 
 /// Records the start of an item, which earns a part of a move.
-void earn_move(move_budget& budget, const move_policy& policy);
+void earn_move(move_budget& budget, const move_policy& policy = {});
 
 /// Takes a move from the budget; false if there is none left or the item has been moved too often.
-[[nodiscard]] bool take_move(move_budget& budget, const move_policy& policy, int moves_of_item);
+[[nodiscard]] bool take_move(move_budget& budget, int moves_of_item,
+                             const move_policy& policy = {});
 
 /// The time in milliseconds that a move must save after `moves_of_item` earlier ones.
-[[nodiscard]] double required_gain_ms(const move_policy& policy, double first_gain_ms,
-                                      int moves_of_item);
+[[nodiscard]] double required_gain_ms(double first_gain_ms, int moves_of_item,
+                                      const move_policy& policy = {});
 
 } // namespace cornelloom::decide
--- a/src/decide/pace_model.hpp
+++ b/src/decide/pace_model.hpp
@@ -34,6 +34,10 @@
 /// observations every slowdown is taken for a lasting one.
 [[nodiscard]] double expected_rest_ms(const slowdown_history& history, double age_ms);
 
+/// Whether the service's slowdowns have been seen to pass: the ends of a dozen are known, and a new
+/// one is expected to end within half of the horizon.
+[[nodiscard]] bool slowdowns_pass(const slowdown_history& history);
+
 /// A longer rest than this makes no difference to a text.
 inline constexpr double slowdown_horizon_ms = 8000;
 
--- a/src/front/batch.hpp
+++ b/src/front/batch.hpp
@@ -27,12 +27,13 @@
 struct item_state {
     item_phase phase = item_phase::waiting;
     partial_text output;
-    std::int64_t last_logged_event = 0; ///< The last event that the batch's log contains.
-    int failures = 0;                   ///< Failed attempts, counted as the platform does.
-    int logged_failures = 0;            ///< Those that the batch's log contains.
-    time_point not_before{};            ///< No new attempt is made earlier.
-    std::string last_target;            ///< The target of the latest attempt.
-    bool moved_for_deadline = false;    ///< Moved to another target, once, to meet the deadline.
+    std::int64_t last_logged_event = 0;    ///< The last event that the batch's log contains.
+    int failures = 0;                      ///< Failed attempts, counted as the platform does.
+    int logged_failures = 0;               ///< Those that the batch's log contains.
+    time_point not_before{};               ///< No new attempt is made earlier.
+    std::string last_target;               ///< The target of the latest attempt.
+    std::vector<std::string> left_targets; ///< Targets that it left because they were slow.
+    bool moved_for_deadline = false;       ///< Moved to another target, once, to meet the deadline.
     time_point deferred_since{};  ///< Since when it waits for a faster target; zero: it does not.
     double memory_tokens = 0;     ///< Memory that its run is expected to take at its target.
     std::uint64_t digest = 0;     ///< Of its content; 0: not computed yet.
--- a/src/front/batch_drive.cpp
+++ b/src/front/batch_drive.cpp
@@ -32,6 +32,7 @@
     current_progress.started = run.events > 0;
     current_progress.ms_to_deadline = ms_between(now, deadline_of(batch));
     current_progress.moved_late = batch.state.items[index].moved_for_deadline;
+    current_progress.moves = static_cast<int>(batch.state.items[index].left_targets.size());
     return current_progress;
 }
 
@@ -51,6 +52,26 @@
     run.exchange->abort();
 }
 
+/// Moves a run to a faster target. Where slowdowns of the service pass, the host's budget for moves
+/// must allow it.
+void leave_slow_target(live_batch& batch, std::size_t index, item_run& run, bool late,
+                       const run_progress& progress) {
+    auto& self = *batch.local_host;
+    auto& state = batch.state.items[index];
+    const auto target = self.targets.by_id.find(run.target);
+    const auto slowdowns = self.targets.slowdowns.find(target->second.entry.service);
+    const bool limited =
+        slowdowns != self.targets.slowdowns.end() && decide::slowdowns_pass(slowdowns->second);
+    if (limited && !decide::take_move(self.moves, progress.moves)) {
+        return;
+    }
+    if (limited) {
+        state.left_targets.push_back(run.target);
+    }
+    state.moved_for_deadline = state.moved_for_deadline || late;
+    move_run(batch, index, run, late ? "late" : "slow", progress);
+}
+
 void check_runs(live_batch& batch, placement_round& round) {
     auto& self = *batch.local_host;
     for (auto& [index, run] : batch.runs) {
@@ -72,7 +93,8 @@
         }
         const auto requirements = requirements_of(batch, batch.state.spec.items[index],
                                                   batch.state.items[index], *item_route);
-        switch (evaluate_run(round, target, progress, requirements)) {
+        const auto decision = evaluate_run(round, target, progress, requirements);
+        switch (decision) {
         case run_decision::stay:
             break;
         case run_decision::move_silent:
@@ -81,11 +103,8 @@
             move_run(batch, index, run, "silent", progress);
             break;
         case run_decision::move_slow:
-            move_run(batch, index, run, "slow", progress);
-            break;
         case run_decision::move_late:
-            batch.state.items[index].moved_for_deadline = true;
-            move_run(batch, index, run, "late", progress);
+            leave_slow_target(batch, index, run, decision == run_decision::move_late, progress);
             break;
         case run_decision::move_queued:
             move_run(batch, index, run, "queued", progress);
--- a/src/front/host.hpp
+++ b/src/front/host.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "decide/item_order.hpp"
+#include "decide/move_budget.hpp"
 #include "front/adapter.hpp"
 #include "front/crash_watch.hpp"
 #include "front/events.hpp"
@@ -99,6 +100,7 @@
     window_counts demand{}; ///< Items in progress concurrently, by service.
     std::vector<std::shared_ptr<live_batch>> running_batches{}; ///< Those that this host runs.
     decide::account_costs account_costs{}; ///< Items started lately, by client account.
+    decide::move_budget moves{};           ///< Moves to faster targets that may be made now.
     crash_watch crashes;                   ///< Requests that may crash their targets.
     bool sends_load_orders =
         false; ///< This host sends load orders to targets, or may soon have to.
--- a/src/front/item_dispatch.cpp
+++ b/src/front/item_dispatch.cpp
@@ -123,6 +123,10 @@
         requirements.exact_version = 0;
         target = choose_target(round, requirements);
     }
+    if (target == nullptr && !state.left_targets.empty()) {
+        requirements.left_targets = {};
+        target = choose_target(round, requirements);
+    }
     if (target == nullptr || waits_for_faster(round, state, requirements, *target)) {
         return;
     }
@@ -133,6 +137,7 @@
     ++target->awaiting_first_event;
     state.memory_tokens = requirements.memory_tokens;
     target->memory_tokens += state.memory_tokens;
+    decide::earn_move(self.moves);
     decide::record_start(self.account_costs, batch->state.header.account, cost_of(item));
     loop::asio::co_spawn(self.io, run_item(batch, index, target->entry.id), loop::asio::detached);
 }
@@ -235,6 +240,7 @@
     if (item_route.single_version && !state.output.versions.empty()) {
         requirements.exact_version = state.output.versions.back();
     }
+    requirements.left_targets = state.left_targets;
     requirements.events_left = events_left(find_length_model(batch.local_host->lengths, item.model),
                                            text_progress_of(item, state), length_tail);
     add_memory(requirements, batch, item, state);
--- a/src/front/item_run.cpp
+++ b/src/front/item_run.cpp
@@ -71,7 +71,8 @@
     const auto now = batch.local_host->now();
     const auto run_target = batch.local_host->targets.by_id.find(run.target);
     if (run.events > 0 && run_target != batch.local_host->targets.by_id.end()) {
-        record_event_interval(run_target->second, ms_between(run.last_event, now));
+        record_event_interval(batch.local_host->targets, run_target->second,
+                              ms_between(run.last_event, now), now);
     }
     run.last_event = now;
     if (run.events == 0) {
--- a/src/front/placement.cpp
+++ b/src/front/placement.cpp
@@ -1,6 +1,7 @@
 #include "front/placement.hpp"
 
 #include "decide/memory_room.hpp"
+#include "decide/move_budget.hpp"
 
 #include <algorithm>
 
@@ -18,6 +19,8 @@
 constexpr double start_delay_ms = 100;
 /// Time that a move must save: it costs a cancelled request, a round trip and a second prefill.
 constexpr double min_move_gain_ms = 250;
+/// The same where slowdowns pass: the end of one is not predicted more closely.
+constexpr double min_move_gain_passing_ms = 400;
 /// Longer than the silence of a target that loads new weights: 0.9 s, more if several targets load
 /// at once.
 constexpr double silence_timeout_ms = 1300;
@@ -45,6 +48,19 @@
     return median;
 }
 
+const decide::slowdown_history* passing_slowdowns(placement_round& round,
+                                                  std::string_view service) {
+    const auto cached = round.passing_slowdowns.find(service);
+    if (cached != round.passing_slowdowns.end()) {
+        return cached->second;
+    }
+    const auto found = round.table->slowdowns.find(service);
+    const bool pass = found != round.table->slowdowns.end() && slowdowns_pass(found->second);
+    const auto* out = pass ? &found->second : nullptr;
+    round.passing_slowdowns.emplace(service, out);
+    return out;
+}
+
 double expected_pace(placement_round& round, const target_state& target) {
     const double measured = expected_event_interval(target);
     return measured > 0
@@ -93,7 +109,10 @@
 run_candidate make_candidate(placement_round& round, target_state& target) {
     const double extra_ms = network_rtt_ms(round.from, target.entry.zone) / 2 +
                             tie_breaker_ms(round.from, target.entry.id);
-    return {&target, expected_pace(round, target), extra_ms};
+    const auto* slowdowns = passing_slowdowns(round, target.entry.service);
+    const bool known_pace = slowdowns != nullptr && target.pace.base_ms > 0;
+    const double pace_ms = known_pace ? target.pace.base_ms : expected_pace(round, target);
+    return {&target, pace_ms, extra_ms, slowdowns};
 }
 
 /// The targets that can serve the item, with or without capacity.
@@ -117,14 +136,20 @@
 
 /// Whether the item may use the target, apart from its capacity.
 bool is_eligible(const target_state& target, const run_requirements& requirements, time_point now) {
-    return target.backoff_until <= now && target.entry.id != requirements.excluded_target;
+    return target.backoff_until <= now && target.entry.id != requirements.excluded_target &&
+           std::ranges::find(requirements.left_targets, target.entry.id) ==
+               requirements.left_targets.end();
 }
 
 /// Expected time until the item completes on that target.
-double completion_ms(const run_candidate& candidate, double events_left) {
-    const int running = candidate.target->running + candidate.target->running_elsewhere;
-    return events_left * candidate.pace_ms * (1 + slowdown_per_run * running) +
-           candidate.network_ms;
+double completion_ms(const run_candidate& candidate, double events_left, time_point now) {
+    const auto& target = *candidate.target;
+    const double run_ms = candidate.slowdowns == nullptr
+                              ? events_left * candidate.pace_ms
+                              : expected_run_ms(target.pace, *candidate.slowdowns, events_left,
+                                                candidate.pace_ms, now);
+    const int running = target.running + target.running_elsewhere;
+    return run_ms * (1 + slowdown_per_run * running) + candidate.network_ms;
 }
 
 /// The candidate with capacity that is expected to complete the item first.
@@ -137,7 +162,7 @@
             !is_eligible(*candidate.target, requirements, round.now)) {
             continue;
         }
-        const double expected_ms = completion_ms(candidate, requirements.events_left);
+        const double expected_ms = completion_ms(candidate, requirements.events_left, round.now);
         if (!best || expected_ms < best_ms) {
             best = candidate;
             best_ms = expected_ms;
@@ -146,6 +171,25 @@
     return best;
 }
 
+bool is_slow_now(const run_candidate& candidate, std::optional<double> service_pace) {
+    return candidate.slowdowns == nullptr ? is_slow(*candidate.target, service_pace)
+                                          : decide::is_slowed(candidate.target->pace);
+}
+
+double pace_now(const run_candidate& candidate) {
+    const bool slowed = candidate.slowdowns != nullptr && decide::is_slowed(candidate.target->pace);
+    return slowed ? candidate.target->pace.recent_ms : candidate.pace_ms;
+}
+
+bool is_faster(const run_candidate& candidate, const run_candidate& current) {
+    return pace_now(candidate) < faster_pace_ratio * pace_now(current);
+}
+
+double required_gain_ms(const run_candidate& current, int moves) {
+    return current.slowdowns == nullptr ? min_move_gain_ms
+                                        : decide::required_gain_ms(min_move_gain_passing_ms, moves);
+}
+
 } // namespace
 
 std::optional<double> median_pace(const target_table& table, std::string_view service) {
@@ -198,12 +242,12 @@
         return false;
     }
     const double available_completion_ms =
-        completion_ms(*available_candidate, requirements.events_left);
+        completion_ms(*available_candidate, requirements.events_left, round.now);
     return std::ranges::any_of(candidates, [&](const run_candidate& candidate) {
         const auto& target = *candidate.target;
         return has_free_slot(target) && !has_capacity(target) &&
                candidate.pace_ms < faster_pace_ratio * available_candidate->pace_ms &&
-               completion_ms(candidate, requirements.events_left) + start_delay_ms <
+               completion_ms(candidate, requirements.events_left, round.now) + start_delay_ms <
                    available_completion_ms &&
                is_eligible(target, requirements, round.now);
     });
@@ -218,10 +262,11 @@
     const auto service_pace = service_median_pace(round, current.entry.service);
     const auto current_candidate = make_candidate(round, current);
     const bool queued = !progress.started && progress.silent_ms > queue_timeout_ms;
-    const bool slow = progress.started && is_slow(current, service_pace);
-    const bool late =
-        progress.started && !slow && !progress.moved_late && progress.ms_to_deadline > 0 &&
-        completion_ms(current_candidate, requirements.events_left) > progress.ms_to_deadline;
+    const bool slow = progress.started && is_slow_now(current_candidate, service_pace);
+    const bool late = progress.started && !slow && !progress.moved_late &&
+                      progress.ms_to_deadline > 0 &&
+                      completion_ms(current_candidate, requirements.events_left, round.now) >
+                          progress.ms_to_deadline;
     if (!queued && !slow && !late) {
         return run_decision::stay;
     }
@@ -233,15 +278,15 @@
                    ? run_decision::move_queued
                    : run_decision::stay;
     }
-    const bool faster =
-        alternative && alternative->pace_ms < faster_pace_ratio * current_candidate.pace_ms;
-    if (!faster || is_slow(*alternative->target, service_pace)) {
+    const bool faster = alternative && is_faster(*alternative, current_candidate);
+    if (!faster || is_slow_now(*alternative, service_pace)) {
         return run_decision::stay;
     }
     const double alternative_ms =
-        completion_ms(*alternative, requirements.events_left) + start_delay_ms;
-    if (completion_ms(current_candidate, requirements.events_left) - alternative_ms <=
-        min_move_gain_ms) {
+        completion_ms(*alternative, requirements.events_left, round.now) + start_delay_ms;
+    const double gain_ms =
+        completion_ms(current_candidate, requirements.events_left, round.now) - alternative_ms;
+    if (gain_ms <= required_gain_ms(current_candidate, progress.moves)) {
         return run_decision::stay;
     }
     return late ? run_decision::move_late : run_decision::move_slow;
--- a/src/front/placement.hpp
+++ b/src/front/placement.hpp
@@ -4,6 +4,7 @@
 
 #include <map>
 #include <optional>
+#include <span>
 #include <string_view>
 #include <tuple>
 #include <vector>
@@ -20,6 +21,8 @@
     double memory_capacity = 0;       ///< Memory of a target of the service, in tokens; 0: unknown.
     double events_left = 1;           ///< Remaining events that one text in ten exceeds.
     std::string_view excluded_target; ///< The target that the item is to leave; empty: none.
+    /// Targets that the item has left because they were slow.
+    std::span<const std::string> left_targets{};
 };
 
 /// A target that can serve an item, with the estimates that the choice is based on.
@@ -27,6 +30,8 @@
     target_state* target = nullptr;
     double pace_ms = 0;    ///< Expected time per event.
     double network_ms = 0; ///< Extra time of a request, due to the distance.
+    /// Slowdowns of its service; null as long as they have not been seen to pass.
+    const decide::slowdown_history* slowdowns = nullptr;
 };
 
 /// Results that are shared by all placement decisions made at one moment.
@@ -42,6 +47,8 @@
     host_location from{};
     time_point now{};
     std::map<std::string_view, std::optional<double>> median_paces{}; ///< By service.
+    /// Slowdowns that pass, by service; null for a service whose slowdowns last.
+    std::map<std::string_view, const decide::slowdown_history*> passing_slowdowns{};
     std::map<requirements_key, std::vector<run_candidate>> candidates{};
 };
 
@@ -85,6 +92,7 @@
     bool started = false;      ///< At least one event has arrived.
     double ms_to_deadline = 0; ///< Until the batch's deadline; negative: it has passed.
     bool moved_late = false; ///< The item was moved to meet the deadline, which is done once only.
+    int moves = 0;           ///< How often the item has left a slow target.
 };
 
 enum class run_decision { stay, move_slow, move_late, move_silent, move_queued };
@@ -96,6 +104,9 @@
 /// capacity is expected to complete it earlier by more than that cost, or if its target has been
 /// silent for longer than loading new weights or being descheduled can explain. Only texts that may
 /// miss the deadline leave a slightly slower target: moving all of them would fill the fast ones.
+///
+/// Where slowdowns of the service pass, the time at which the target's slowdown is expected to end
+/// counts, and each further move of an item must save more.
 [[nodiscard]] run_decision evaluate_run(placement_round& round, target_state& current,
                                         const run_progress& progress,
                                         const run_requirements& requirements);
--- a/src/front/targets.cpp
+++ b/src/front/targets.cpp
@@ -159,6 +159,12 @@
         (gap_ms - target.long_term_event_interval_ms) / target.interval_samples;
 }
 
+void record_event_interval(target_table& table, target_state& target, double gap_ms,
+                           time_point now) {
+    record_event_interval(target, gap_ms);
+    decide::record_gap(target.pace, table.slowdowns[target.entry.service], gap_ms, now);
+}
+
 double expected_event_interval(const target_state& target) {
     const bool has_enough_samples = target.interval_samples >= min_interval_samples;
     return has_enough_samples && !deviates_from_long_term(target)
--- a/src/front/targets.hpp
+++ b/src/front/targets.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "decide/pace_model.hpp"
 #include "front/types.hpp"
 #include "kernel/clock.hpp"
 
@@ -28,9 +29,10 @@
     double latency_ms = 0;        ///< Moving average over non-streaming requests; 0: no sample.
     double event_interval_ms = 0; ///< Moving average between stream events; 0: no sample.
     double long_term_event_interval_ms =
-        0;                    ///< Long-term average; excludes samples during a slowdown.
-    int interval_samples = 0; ///< Number of samples in `long_term_event_interval_ms`, capped.
-    double failure_rate = 0;  ///< Moving average of requests that failed without a response.
+        0;                     ///< Long-term average; excludes samples during a slowdown.
+    int interval_samples = 0;  ///< Number of samples in `long_term_event_interval_ms`, capped.
+    decide::pace_state pace{}; ///< Usual pace, and the slowdown that it is in.
+    double failure_rate = 0;   ///< Moving average of requests that failed without a response.
     int consecutive_failures = 0;
     time_point backoff_until{};  ///< Until then selected only if no other target is available.
     time_point draining_since{}; ///< When it was first seen draining; zero: not draining.
@@ -44,7 +46,8 @@
     /// Removals before this time are deferred until then: after a platform outage the list may lack
     /// running targets whose heartbeats expired meanwhile.
     time_point defer_removals_until{};
-    std::map<std::string, time_point, std::less<>> deferred_removals; ///< With the due time.
+    std::map<std::string, time_point, std::less<>> deferred_removals;       ///< With the due time.
+    std::map<std::string, decide::slowdown_history, std::less<>> slowdowns; ///< By service.
 };
 
 /// How long removals are deferred after a platform outage. The platform lists running targets again
@@ -87,6 +90,9 @@
 void record_rejection(target_state& target, time_point now);
 /// Records the time between two events of a stream.
 void record_event_interval(target_state& target, double gap_ms);
+/// The same, for the slowdowns of the target's service as well.
+void record_event_interval(target_table& table, target_state& target, double gap_ms,
+                           time_point now);
 
 /// Expected time between two stream events of the target, in milliseconds; 0: unknown.
 ///
