Connections: kept as long as the target keeps them, preferred, and counted by cause

What callers saw: every pair of host and target opened connections that were closed before their next use; new ones cost time at targets, which limit them.

Change: a connection without a stated idle time is kept until the target closes it; requests prefer targets with an open connection within a quarter of the best time; each new connection is counted with its cause. Draft: not measured.

--- a/src/decide/connection_choice.hpp
+++ b/src/decide/connection_choice.hpp
@@ -1,46 +1,34 @@
 #pragma once
 
 #include <cstddef>
-#include <cstdint>
 #include <span>
 
 namespace cornelloom::decide {
 
-/// Choice of a target for a request without a stream, by expected time and by the connections that
-/// are open already.
+/// Choice of a target for a request, by expected time and by the connections that are open already.
 ///
-/// Designed for thousands of short requests a minute from dozens of hosts to dozens of targets. If
-/// each host uses every target, each pair of them has a connection that idles out before it is used
-/// again. A host therefore keeps to a few targets, and takes another one when these are busy.
+/// Designed for thousands of short requests a minute from dozens of hosts to dozens of targets.
+/// Targets limit the connections of all hosts together, and each new one takes time at the target.
+/// If every host uses every target, each pair of them has a connection that is closed before it is
+/// used again. A host that prefers its open connections keeps to a few targets and takes another
+/// one when these become slower.
 
 struct connection_candidate {
-    double expected_ms = 0; ///< Expected response time, distance included.
+    double expected_ms = 0; ///< Expected time of the request, network included.
     bool has_idle_connection = false;
-    bool preferred = false; ///< Belongs to the targets that this host keeps to.
 };
 
 struct connection_policy {
-    /// Time that a new connection costs, and so the time that another target must save.
-    double new_connection_ms = 8;
-    /// Additional time that leaving the preferred targets must save.
-    double leave_preferred_ms = 8;
+    /// Time by which an open connection may be slower than the best target: a small part of the
+    /// objectives of short requests.
+    double tolerated_ms = 8;
+    /// The same as a share of the best target's time. Averages of ten requests differ by as much
+    /// between equal targets.
+    double tolerated_share = 0.25;
 };
 
 /// The position of the best candidate; `candidates.size()` if there is none.
 [[nodiscard]] std::size_t choose_connection(std::span<const connection_candidate> candidates,
                                             const connection_policy& policy = {});
 
-/// Learns for how long the targets of a service keep idle connections open.
-///
-/// Designed for targets that name no time, or a shorter one than they keep. Requests that may be
-/// repeated use a connection until the learned time; a connection that is found closed shortens it.
-struct idle_time_model {
-    double usable_ms = 4000; ///< Shortest default of common servers, less a margin.
-};
-
-/// Records that a connection was still open after `idle_ms`.
-void record_open(idle_time_model& model, double idle_ms);
-/// Records that the target had closed a connection that was idle for `idle_ms`.
-void record_closed(idle_time_model& model, double idle_ms);
-
 } // namespace cornelloom::decide
--- a/src/front/host.hpp
+++ b/src/front/host.hpp
@@ -113,7 +113,7 @@
     [[nodiscard]] time_point now() const { return clock.now(); }
 
     [[nodiscard]] host_location here() const {
-        return {salt, settings.zone, &settings.region_of_zone};
+        return {salt, settings.zone, &settings.region_of_zone, &connections};
     }
 };
 
--- a/src/front/placement.cpp
+++ b/src/front/placement.cpp
@@ -29,6 +29,9 @@
 /// Other hosts fill the same slots, and a full target shows only by missing events; this bounds the
 /// number of items that it can delay. An empty target still takes 16 items within four round trips.
 constexpr int slots_per_unstarted = 4;
+/// Time that an item may lose by using an open connection in place of a new one: half a percent of
+/// the time that a step has.
+constexpr double new_connection_ms = 40;
 /// Relative increase of the time per token for each further run on the target.
 constexpr double slowdown_per_run = 0.008;
 
@@ -113,6 +116,14 @@
            candidate.network_ms;
 }
 
+/// Whether an item can use an open connection to the target. Items that have not started may not
+/// have taken theirs yet.
+bool has_open_connection(const placement_round& round, const target_state& target) {
+    return round.from.connections != nullptr &&
+           loop::count_idle(*round.from.connections, target.entry.address) >
+               static_cast<std::size_t>(target.awaiting_first_event);
+}
+
 /// The candidate with capacity that is expected to complete the item first.
 std::optional<run_candidate> choose_candidate(placement_round& round,
                                               const run_requirements& requirements) {
@@ -123,7 +134,11 @@
             !is_eligible(*candidate.target, requirements, round.now)) {
             continue;
         }
-        const double expected_ms = completion_ms(candidate, requirements.events_left);
+        double expected_ms = completion_ms(candidate, requirements.events_left);
+        if (best && expected_ms >= best_ms) {
+            continue;
+        }
+        expected_ms += has_open_connection(round, *candidate.target) ? 0 : new_connection_ms;
         if (!best || expected_ms < best_ms) {
             best = candidate;
             best_ms = expected_ms;
--- a/src/front/process.cpp
+++ b/src/front/process.cpp
@@ -18,6 +18,7 @@
 #include <fstream>
 #include <iostream>
 #include <iterator>
+#include <limits>
 
 namespace cornelloom::front {
 
@@ -48,6 +49,46 @@
     return {std::istreambuf_iterator<char>(in), std::istreambuf_iterator<char>()};
 }
 
+/// The label of a server in metrics: the service of a target, or what else it is.
+std::string server_label(const host& self, const transport::endpoint& server) {
+    if (server == self.settings.platform) {
+        return "platform";
+    }
+    const auto target = std::ranges::find_if(self.targets.by_id, [&server](const auto& each) {
+        return each.second.entry.address == server;
+    });
+    return target == self.targets.by_id.end() ? "other" : target->second.entry.service;
+}
+
+/// Idle connections that each host may keep to one target, so that those of all hosts together stay
+/// within the limits of the services.
+std::size_t max_idle_connections(const host& self) {
+    auto limit = std::numeric_limits<std::size_t>::max();
+    if (!self.routes) {
+        return limit;
+    }
+    for (const auto& [name, service] : self.routes->config.services) {
+        if (service.max_connections > 0) {
+            const auto share =
+                static_cast<std::size_t>(service.max_connections) / (self.peers.size() + 1);
+            limit = std::min(limit, std::max<std::size_t>(share, 1));
+        }
+    }
+    return limit;
+}
+
+void count_connections(const std::shared_ptr<host>& self) {
+    // The host owns the pool, so the callback must not own the host.
+    auto* owner = self.get();
+    self->connections.on_open = [owner](const transport::endpoint& server,
+                                        loop::opening_cause cause) {
+        const auto label = server_label(*owner, server);
+        const std::array labels{kernel::label{"service", label},
+                                kernel::label{"cause", to_string(cause)}};
+        owner->metrics.count("cornelloom_connections_opened_total", labels);
+    };
+}
+
 void configure_store_client(const std::shared_ptr<host>& self) {
     // The host owns the store client, so the callbacks must not own the host.
     auto* owner = self.get();
@@ -111,8 +152,6 @@
         self->metrics.set("cornelloom_configuration_age_seconds",
                           static_cast<double>(configuration_age(*self).count()) / 1000);
     }
-    self->metrics.set("cornelloom_connections_opened",
-                      static_cast<double>(self->connections.opened));
     transport::http_response answer{200, {{"Content-Type", "text/plain"}}, self->metrics.text()};
     co_await request.answer(std::move(answer));
 }
@@ -145,6 +184,7 @@
         const auto due = self->now() + housekeeping_interval;
         co_await loop::pause_for(self->io, housekeeping_interval);
         record_loop_delay(*self, ms_between(due, self->now()));
+        self->connections.max_idle_per_server = max_idle_connections(*self);
         loop::close_stale(self->connections);
         remove_expired_targets(self->targets, self->now());
         evict_unused(*registry);
@@ -216,6 +256,7 @@
                                            host_settings settings) {
     auto self = std::make_shared<host>(io, platform, std::move(settings));
     configure_store_client(self);
+    count_connections(self);
     auto registry = std::make_shared<batch_registry>(self);
     if (self->settings.serves_callers) {
         start_serving(registry);
--- a/src/front/targets.cpp
+++ b/src/front/targets.cpp
@@ -1,5 +1,6 @@
 #include "front/targets.hpp"
 
+#include "decide/connection_choice.hpp"
 #include "kernel/hash.hpp"
 
 #include <algorithm>
@@ -187,19 +188,23 @@
 target_state* choose_target(target_table& table, std::string_view service,
                             const host_location& from,
                             const std::set<std::string, std::less<>>& excluded, time_point now) {
-    target_state* best = nullptr;
-    std::pair<bool, double> best_rank{};
+    std::vector<target_state*> available;
+    std::vector<target_state*> in_backoff;
     for (auto& [id, target] : table.by_id) {
-        if (target.entry.service != service || !accepts_requests(target) || excluded.contains(id)) {
-            continue;
-        }
-        const std::pair rank(target.backoff_until > now, expected_response_ms(target, from));
-        if (best == nullptr || rank < best_rank) {
-            best = &target;
-            best_rank = rank;
+        if (target.entry.service == service && accepts_requests(target) && !excluded.contains(id)) {
+            (target.backoff_until > now ? in_backoff : available).push_back(&target);
         }
     }
-    return best;
+    const auto& usable = available.empty() ? in_backoff : available;
+    std::vector<decide::connection_candidate> candidates;
+    candidates.reserve(usable.size());
+    for (const auto* target : usable) {
+        const bool open = from.connections != nullptr &&
+                          loop::count_idle(*from.connections, target->entry.address) > 0;
+        candidates.push_back({expected_response_ms(*target, from), open});
+    }
+    const auto chosen = decide::choose_connection(candidates);
+    return chosen < usable.size() ? usable[chosen] : nullptr;
 }
 
 } // namespace cornelloom::front
--- a/src/front/targets.hpp
+++ b/src/front/targets.hpp
@@ -2,6 +2,7 @@
 
 #include "front/types.hpp"
 #include "kernel/clock.hpp"
+#include "loop/connection_pool.hpp"
 
 #include <map>
 #include <optional>
@@ -99,6 +100,8 @@
     std::uint64_t salt = 0; ///< Differs by host, to vary the choice of targets.
     std::string_view zone;
     const std::map<std::string, std::string, std::less<>>* region_of_zone = nullptr;
+    /// Open connections of this host; null: not taken into account.
+    const loop::connection_pool* connections = nullptr;
 };
 
 /// Round trip time between two regions.
@@ -120,7 +123,8 @@
 /// Designed for requests of 25 to 200 ms on services with 6 slots per target. The expected time is
 /// the average latency, scaled by this host's requests in flight, plus the network latency and a
 /// penalty for recent failures. This avoids queues at one target while others are idle, and ranks
-/// targets that pass health checks but fail some of their requests last.
+/// targets that pass health checks but fail some of their requests last. A target to which an idle
+/// connection is open is preferred; see `decide::choose_connection`.
 [[nodiscard]] target_state* choose_target(target_table& table, std::string_view service,
                                           const host_location& from,
                                           const std::set<std::string, std::less<>>& excluded,
--- /dev/null
+++ b/src/loop/connection_pool.hpp
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "loop/task.hpp"
+#include "transport/http.hpp"
+
+#include <boost/beast/core/tcp_stream.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <limits>
+#include <map>
+#include <memory>
+#include <string_view>
+#include <vector>
+
+namespace cornelloom::loop {
+
+/// Why a connection is opened: what became of the one that could have been used instead.
+enum class opening_cause : std::uint8_t {
+    first,            ///< There was none to the server.
+    concurrent,       ///< All of them are in use.
+    required,         ///< The request must not use one that was used before.
+    idle_too_long,    ///< It was idle for longer than the server keeps it.
+    closed_by_server, ///< The server closed it while it was idle, or announced that it would.
+    limited,          ///< It was closed because too many were idle.
+    cancelled,        ///< It was closed to end a request.
+    failed            ///< Its last request got no whole answer.
+};
+
+[[nodiscard]] std::string_view to_string(opening_cause cause);
+
+/// An open connection that no request uses.
+struct idle_connection {
+    std::shared_ptr<boost::beast::tcp_stream> stream;
+    deadline usable_until;
+};
+
+/// The connections to one server.
+struct server_connections {
+    std::vector<idle_connection> idle;
+    std::size_t in_use = 0;
+    std::vector<opening_cause> lost; ///< Why connections were closed, the latest last; bounded.
+};
+
+/// Connections kept open between exchanges, by server.
+struct connection_pool {
+    explicit connection_pool(io_context& loop) : io(&loop) {}
+
+    io_context* io;
+    /// Shared with the exchanges, which may outlive the pool.
+    std::map<transport::endpoint, std::shared_ptr<server_connections>> servers{};
+    /// Idle connections that are kept to one server.
+    std::size_t max_idle_per_server = std::numeric_limits<std::size_t>::max();
+    /// Called for each new connection.
+    std::function<void(const transport::endpoint&, opening_cause)> on_open =
+        [](const transport::endpoint&, opening_cause) {};
+};
+
+/// Closes what has been idle for too long. Call about once a second.
+void close_stale(connection_pool& pool);
+
+/// Number of idle connections to the server. Some of them may be closed by the time they are used.
+[[nodiscard]] std::size_t count_idle(const connection_pool& pool,
+                                     const transport::endpoint& server);
+
+/// Takes an idle connection that is still usable; null if there is none.
+[[nodiscard]] std::shared_ptr<boost::beast::tcp_stream> take_idle(server_connections& server);
+
+/// Keeps a connection for later requests, in place of the one that has been idle for the longest if
+/// there would be more than `max_idle`.
+void keep_idle(server_connections& server, std::shared_ptr<boost::beast::tcp_stream> stream,
+               deadline usable_until, std::size_t max_idle);
+
+/// Records that a connection is opened because no idle one is used, and returns the cause.
+opening_cause record_opening(server_connections& server, bool reuse_allowed);
+
+/// Records that a connection in use was closed.
+void record_loss(server_connections& server, opening_cause cause);
+
+/// Whether nothing has arrived on an idle connection: neither its end nor bytes that belong to no
+/// request.
+[[nodiscard]] bool is_silent(tcp::socket& socket);
+
+} // namespace cornelloom::loop
--- a/src/loop/exchange.cpp
+++ b/src/loop/exchange.cpp
@@ -26,8 +26,9 @@
 constexpr int probe_interval_s = 1;
 constexpr int probe_count = 2;
 
-/// A server that names no idle time: the shortest keep-alive default in common use is 5 s.
-constexpr milliseconds default_idle{4000};
+/// How long a connection is kept to a server that states no time. Whether it is still open shows
+/// when it is used again.
+constexpr milliseconds unstated_idle_limit{60000};
 /// A server closes by its own clock; a request must not cross that close.
 constexpr milliseconds idle_margin{500};
 /// Longer bodies are written beside the reading of the answer.
@@ -46,14 +47,6 @@
     set(TCP_KEEPCNT, probe_count);
 }
 
-/// An idle connection is usable when nothing has arrived on it: neither its end nor bytes that
-/// belong to no request.
-bool is_silent(tcp::socket& socket) {
-    char byte = 0;
-    const auto got = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-}
-
 request_message encode(const transport::http_request& request) {
     request_message out;
     out.version(11);
@@ -69,17 +62,18 @@
     return out;
 }
 
-/// How long the server keeps an idle connection, from `Keep-Alive: timeout=N`.
+/// For how long an idle connection may be used: what the server states by `Keep-Alive: timeout=N`,
+/// less a margin.
 milliseconds idle_time(const http::fields& fields) {
     const auto text = fields[http::field::keep_alive];
     const auto at = text.find("timeout=");
     if (at == beast::string_view::npos) {
-        return default_idle;
+        return unstated_idle_limit;
     }
     auto digits = std::string_view(text.data(), text.size()).substr(at + 8);
     digits = digits.substr(0, digits.find_first_not_of("0123456789"));
     const auto seconds = kernel::parse_integer<int>(digits).value_or(0);
-    return std::chrono::seconds(seconds);
+    return std::chrono::seconds(seconds) - idle_margin;
 }
 
 /// Keeps the message and the connection alive until the write has ended.
@@ -110,13 +104,18 @@
     return "unknown";
 }
 
-void close_stale(connection_pool& pool) {
-    const auto now = steady_clock::now();
-    for (auto& [server, connections] : pool.idle) {
-        std::erase_if(connections,
-                      [now](const idle_connection& each) { return each.usable_until <= now; });
+exchange::exchange(connection_pool& pool, transport::endpoint server)
+    : pool_(&pool), server_(std::move(server)),
+      stream_(std::make_shared<beast::tcp_stream>(*pool.io)) {
+    auto& connections = pool.servers[server_];
+    if (!connections) {
+        connections = std::make_shared<server_connections>();
     }
-    std::erase_if(pool.idle, [](const auto& entry) { return entry.second.empty(); });
+    connections_ = connections;
+}
+
+exchange::~exchange() {
+    close(opening_cause::failed);
 }
 
 exchange_fault exchange::fault_of(const boost::system::error_code& ec) const {
@@ -134,40 +133,28 @@
     return exchange_fault::broken;
 }
 
-bool exchange::take_idle() {
-    const auto found = pool_->idle.find(server_);
-    if (found == pool_->idle.end()) {
-        return false;
-    }
-    auto& connections = found->second;
-    const auto now = steady_clock::now();
-    while (!connections.empty()) {
-        idle_connection candidate = std::move(connections.back());
-        connections.pop_back();
-        if (candidate.usable_until > now && is_silent(candidate.stream->socket())) {
-            stream_ = std::move(candidate.stream);
-            connected_ = true;
-            return true;
-        }
-    }
-    return false;
+/// Remembers the first fault, which tells why the connection is lost.
+exchange_fault exchange::note(exchange_fault fault) {
+    last_fault_ = last_fault_ == exchange_fault::none ? fault : last_fault_;
+    return fault;
 }
 
-task<exchange_fault> exchange::connect(deadline until) {
+task<exchange_fault> exchange::connect(deadline until, bool reuse) {
     boost::system::error_code ec;
     const auto address = asio::ip::make_address(server_.address, ec);
     if (ec) {
         co_return exchange_fault::not_connected;
     }
-    ++pool_->opened;
+    pool_->on_open(server_, record_opening(*connections_, reuse));
+    connected_ = true;
     stream_->expires_at(until);
     const tcp::endpoint where(address, server_.port);
     co_await stream_->async_connect(where, asio::redirect_error(asio::use_awaitable, ec));
     if (ec) {
+        close(aborted_ ? opening_cause::cancelled : opening_cause::failed);
         co_return aborted_ ? exchange_fault::aborted : exchange_fault::not_connected;
     }
     tune(stream_->socket());
-    connected_ = true;
     co_return exchange_fault::none;
 }
 
@@ -175,10 +162,14 @@
     if (aborted_) {
         co_return exchange_fault::aborted;
     }
-    if (reuse && take_idle()) {
-        co_return exchange_fault::none;
+    if (reuse) {
+        if (auto idle = take_idle(*connections_)) {
+            stream_ = std::move(idle);
+            connected_ = true;
+            co_return exchange_fault::none;
+        }
     }
-    const auto fault = co_await connect(until);
+    const auto fault = co_await connect(until, reuse);
     co_return fault;
 }
 
@@ -197,7 +188,7 @@
     }
     boost::system::error_code ec;
     co_await http::async_write(*stream_, *message, asio::redirect_error(asio::use_awaitable, ec));
-    co_return ec ? fault_of(ec) : exchange_fault::none;
+    co_return ec ? note(fault_of(ec)) : exchange_fault::none;
 }
 
 task<exchange_fault> exchange::read_head(deadline until) {
@@ -206,7 +197,7 @@
     co_await http::async_read_header(*stream_, buffer_, *parser_,
                                      asio::redirect_error(asio::use_awaitable, ec));
     if (ec) {
-        co_return fault_of(ec);
+        co_return note(fault_of(ec));
     }
     headers_.clear();
     for (const auto& field : parser_->get().base()) {
@@ -224,7 +215,7 @@
         co_await http::async_read_some(*stream_, buffer_, *parser_,
                                        asio::redirect_error(asio::use_awaitable, ec));
         if (ec) {
-            co_return fault_of(ec);
+            co_return note(fault_of(ec));
         }
         piece = std::exchange(parser_->get().body(), {});
     }
@@ -258,29 +249,35 @@
     return parser_ && parser_->need_eof();
 }
 
-void exchange::abort() {
-    aborted_ = true;
+void exchange::close(opening_cause cause) {
     if (stream_) {
         boost::system::error_code ignored; // it may be closed already
         ignored = stream_->socket().close(ignored);
     }
+    if (connected_) {
+        connected_ = false;
+        record_loss(*connections_, cause);
+    }
+}
+
+void exchange::abort() {
+    aborted_ = true;
+    close(last_fault_ == exchange_fault::none ? opening_cause::cancelled : opening_cause::failed);
 }
 
 void exchange::finish() {
     // Bytes after the answer, or a body the server has not read, would be taken for the next one.
     const bool clean = connected_ && !aborted_ && complete() && *body_written_ &&
-                       buffer_.size() == 0 && parser_->keep_alive();
-    if (!clean) {
-        abort();
+                       buffer_.size() == 0 && is_silent(stream_->socket());
+    const bool kept = clean && parser_->keep_alive();
+    const auto stated = kept ? idle_time(parser_->get().base()) : milliseconds::zero();
+    if (stated <= milliseconds::zero()) {
+        aborted_ = true;
+        close(clean ? opening_cause::closed_by_server : opening_cause::failed);
         return;
     }
-    const auto keep = idle_time(parser_->get().base()) - idle_margin;
     stream_->expires_never();
-    if (keep > milliseconds::zero() && is_silent(stream_->socket())) {
-        pool_->idle[server_].push_back({std::move(stream_), after(keep)});
-    } else {
-        abort();
-    }
+    keep_idle(*connections_, std::move(stream_), after(stated), pool_->max_idle_per_server);
     connected_ = false;
 }
 
--- a/src/loop/exchange.hpp
+++ b/src/loop/exchange.hpp
@@ -1,14 +1,13 @@
 #pragma once
 
+#include "loop/connection_pool.hpp"
 #include "loop/task.hpp"
 #include "transport/http.hpp"
 
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
-#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -29,34 +28,17 @@
 
 [[nodiscard]] std::string_view to_string(exchange_fault fault);
 
-/// An open connection that no request uses.
-struct idle_connection {
-    std::shared_ptr<boost::beast::tcp_stream> stream;
-    deadline usable_until;
-};
-
-/// Connections kept open between exchanges, by server.
-struct connection_pool {
-    explicit connection_pool(io_context& loop) : io(&loop) {}
-
-    io_context* io;
-    std::map<transport::endpoint, std::vector<idle_connection>> idle;
-    std::uint64_t opened = 0; ///< New connections so far.
-};
-
 /// Largest body of an answer that is read, in bytes.
 inline constexpr std::size_t answer_bytes_most = std::size_t{64} << 20U;
 
-/// Closes what has been idle for too long. Call about once a second.
-void close_stale(connection_pool& pool);
-
 /// One request and its answer on one connection. At most one step runs at a time; `abort` may be
 /// called at any moment and ends the running step.
 class exchange {
 public:
-    exchange(connection_pool& pool, transport::endpoint server)
-        : pool_(&pool), server_(std::move(server)),
-          stream_(std::make_shared<boost::beast::tcp_stream>(*pool.io)) {}
+    exchange(connection_pool& pool, transport::endpoint server);
+    exchange(const exchange&) = delete;
+    exchange& operator=(const exchange&) = delete;
+    ~exchange();
 
     /// Takes an idle connection if `reuse`, else opens one.
     task<exchange_fault> open(deadline until, bool reuse);
@@ -89,12 +71,14 @@
     void finish();
 
 private:
-    task<exchange_fault> connect(deadline until);
-    bool take_idle();
+    task<exchange_fault> connect(deadline until, bool reuse);
+    exchange_fault note(exchange_fault fault);
+    void close(opening_cause cause);
     [[nodiscard]] exchange_fault fault_of(const boost::system::error_code& ec) const;
 
     connection_pool* pool_;
     transport::endpoint server_;
+    std::shared_ptr<server_connections> connections_;  ///< All connections to the server.
     std::shared_ptr<boost::beast::tcp_stream> stream_; ///< Shared with a write in the background.
     boost::beast::flat_buffer buffer_;
     std::optional<boost::beast::http::response_parser<boost::beast::http::string_body>> parser_;
@@ -102,6 +86,7 @@
     std::shared_ptr<bool> body_written_ = std::make_shared<bool>(true);
     bool aborted_ = false;
     bool connected_ = false;
+    exchange_fault last_fault_ = exchange_fault::none;
 };
 
 /// A whole answer, or why there is none.
--- a/tests/loop/loop_tests.cpp
+++ b/tests/loop/loop_tests.cpp
@@ -202,6 +202,107 @@
     });
 }
 
+TEST_CASE("each new connection is counted with its cause", "[loop][exchange]") {
+    // Guards against causes that hide what an operator can change: idle times, cancelled requests,
+    // servers that close.
+    io_context io(1);
+    const auto [answer, cause] = GENERATE(table<std::string, opening_cause>(
+        {{"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n",
+          opening_cause::closed_by_server},
+         {"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nKeep-Alive: timeout=0\r\n\r\n",
+          opening_cause::closed_by_server},
+         {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf", opening_cause::failed}}));
+    scripted_server server(io, [text = answer](tcp::socket& socket) -> task<void> {
+        co_await read_head(socket);
+        co_await write(socket, text);
+        socket.shutdown(tcp::socket::shutdown_send);
+    });
+    connection_pool pool(io);
+    std::vector<opening_cause> causes;
+    pool.on_open = [&](const transport::endpoint& where, opening_cause opened_for) {
+        CHECK(where == server.where());
+        causes.push_back(opened_for);
+    };
+    run(io, [&]() -> task<void> {
+        co_await call(pool, server.where(), get(), after(1s), 500ms);
+        co_await call(pool, server.where(), get(), after(1s), 500ms);
+        CHECK(causes == std::vector{opening_cause::first, cause});
+    });
+}
+
+TEST_CASE("no more idle connections are kept than allowed", "[loop][exchange]") {
+    // Guards against hosts that together keep more connections to a target than it accepts, so that
+    // it resets those of others.
+    io_context io(1);
+    scripted_server server(io, [](tcp::socket& socket) -> task<void> {
+        for (;;) {
+            co_await read_head(socket);
+            co_await write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+        }
+    });
+    connection_pool pool(io);
+    pool.max_idle_per_server = 2;
+    run(io, [&]() -> task<void> {
+        std::vector<task<call_outcome>> calls;
+        for (int number = 0; number < 5; ++number) {
+            calls.push_back(call(pool, server.where(), get(), after(1s), 500ms));
+        }
+        co_await gather(io, std::move(calls));
+        CHECK(server.connections == 5);
+        CHECK(count_idle(pool, server.where()) == 2);
+    });
+}
+
+TEST_CASE("a connection that was closed to end its request is counted as cancelled",
+          "[loop][exchange]") {
+    io_context io(1);
+    scripted_server server(io, [](tcp::socket& socket) -> task<void> {
+        co_await read_head(socket);
+        co_await read_head(socket); // never answers
+    });
+    connection_pool pool(io);
+    std::vector<opening_cause> causes;
+    pool.on_open = [&](const transport::endpoint&, opening_cause cause) {
+        causes.push_back(cause);
+    };
+    run(io, [&]() -> task<void> {
+        exchange first(pool, server.where());
+        co_await first.open(after(1s), true);
+        co_await first.send(get(), after(1s));
+        exchange beside(pool, server.where());
+        co_await beside.open(after(1s), true);
+        first.abort();
+        exchange next(pool, server.where());
+        co_await next.open(after(1s), true);
+        exchange unused(pool, server.where());
+        co_await unused.open(after(1s), false);
+        CHECK(causes == std::vector{opening_cause::first, opening_cause::concurrent,
+                                    opening_cause::cancelled, opening_cause::required});
+    });
+}
+
+TEST_CASE("a connection without a stated idle time is used until the server closes it",
+          "[loop][exchange]") {
+    // Guards against closing connections that the server keeps, and against sending on one that it
+    // has closed.
+    io_context io(1);
+    const bool closes = GENERATE(false, true);
+    scripted_server server(io, [closes](tcp::socket& socket) -> task<void> {
+        do {
+            co_await read_head(socket);
+            co_await write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+        } while (!closes);
+    });
+    connection_pool pool(io);
+    run(io, [&]() -> task<void> {
+        co_await call(pool, server.where(), get(), after(1s), 500ms);
+        co_await pause_for(io, 20ms); // the close arrives
+        const auto again = co_await call(pool, server.where(), get(), after(1s), 500ms);
+        CHECK(again.fault == exchange_fault::none);
+        CHECK(server.connections == (closes ? 2 : 1));
+    });
+}
+
 TEST_CASE("a call on a fresh connection does not wait on one that has gone silent",
           "[loop][exchange]") {
     // Guards against a watch that waits for an answer on a connection which died while it was idle.
