--- a/tests/front/placement_tests.cpp
+++ b/tests/front/placement_tests.cpp
@@ -333,55 +333,54 @@
     table.by_id["target-3"].slot_limit = 5;
     auto round = begin_placement(table, origin, now);
     CHECK(count_free_slots(round, typical_requirements()) == 16 + 5);
+}
 
-    namespace {
+namespace {
 
-    /// A table whose service has shown slowdowns of this length, and where `slow` is in one since
-    /// then.
-    target_table make_uneven_table(double slowdown_ms, target_state*& slow) {
-        auto table = make_table(4);
-        auto& history = table.slowdowns["engines"];
-        history.slowdowns.assign(40, {slowdown_ms, true});
-        for (auto& [id, target] : table.by_id) {
-            target.pace.base_ms = 40;
-            target.pace.samples = 50;
-        }
-        slow = &table.by_id["target-0"];
-        slow->event_interval_ms = 120;
-        slow->pace.recent_ms = 120;
-        slow->pace.slow_since = now - 300ms;
-        return table;
+/// A table whose service has shown slowdowns of this length, and where `slow` is in one since then.
+target_table make_uneven_table(double slowdown_ms, target_state*& slow) {
+    auto table = make_table(4);
+    auto& history = table.slowdowns["engines"];
+    history.slowdowns.assign(40, {slowdown_ms, true});
+    for (auto& [id, target] : table.by_id) {
+        target.pace.base_ms = 40;
+        target.pace.samples = 50;
     }
+    slow = &table.by_id["target-0"];
+    slow->event_interval_ms = 120;
+    slow->pace.recent_ms = 120;
+    slow->pace.slow_since = now - 300ms;
+    return table;
+}
 
-    } // namespace
+} // namespace
 
-    TEST_CASE("a run waits for the end of a slowdown that passes", "[front][placement][pace]") {
-        // Guards against items that are moved again and again between targets that are slow by
-        // turns.
-        target_state* slow = nullptr;
-        auto passing = make_uneven_table(600, slow);
-        const run_progress progress{.silent_ms = 50, .started = true, .ms_to_deadline = 7000};
+TEST_CASE("a run waits for the end of a slowdown that passes", "[front][placement][pace]") {
+    // Guards against items that are moved again and again between targets that are slow by turns.
+    target_state* slow = nullptr;
+    auto passing = make_uneven_table(600, slow);
+    const run_progress progress{.silent_ms = 50, .started = true, .ms_to_deadline = 7000};
+    CHECK(evaluate_run(passing, *slow, progress, typical_requirements(), origin, now) ==
+          run_decision::stay);
+    SECTION("one that outlasts the others is left") {
+        slow->pace.slow_since = now - 3s;
         CHECK(evaluate_run(passing, *slow, progress, typical_requirements(), origin, now) ==
-              run_decision::stay);
-        SECTION("one that outlasts the others is left") {
-            slow->pace.slow_since = now - 3s;
-            CHECK(evaluate_run(passing, *slow, progress, typical_requirements(), origin, now) ==
-                  run_decision::move_slow);
-        }
-        SECTION("where slowdowns last, it is left at once") {
-            auto lasting = make_uneven_table(8000, slow);
-            CHECK(evaluate_run(lasting, *slow, progress, typical_requirements(), origin, now) ==
-                  run_decision::move_slow);
-        }
+              run_decision::move_slow);
     }
-
-    TEST_CASE("an item does not return to a target that it has left", "[front][placement][pace]") {
-        auto table = make_table(2);
-        const std::vector<std::string> left{"target-0"};
-        auto requirements = typical_requirements();
-        requirements.left_targets = left;
-        table.by_id["target-1"].running = 15;
-        CHECK(choose_target(table, requirements, origin, now)->entry.id == "target-1");
-        table.by_id["target-1"].running = 16;
-        CHECK(choose_target(table, requirements, origin, now) == nullptr);
+    SECTION("where slowdowns last, it is left at once") {
+        auto lasting = make_uneven_table(8000, slow);
+        CHECK(evaluate_run(lasting, *slow, progress, typical_requirements(), origin, now) ==
+              run_decision::move_slow);
     }
+}
+
+TEST_CASE("an item does not return to a target that it has left", "[front][placement][pace]") {
+    auto table = make_table(2);
+    const std::vector<std::string> left{"target-0"};
+    auto requirements = typical_requirements();
+    requirements.left_targets = left;
+    table.by_id["target-1"].running = 15;
+    CHECK(choose_target(table, requirements, origin, now)->entry.id == "target-1");
+    table.by_id["target-1"].running = 16;
+    CHECK(choose_target(table, requirements, origin, now) == nullptr);
+}
