front: a connection that answered another request is not used again

What callers saw: after a late second answer on a kept connection, the next request on it could meet another one; it was discarded by its id, at the price of an attempt. Cause: the connection was given back before the answer's id was checked. Change: it is closed.

--- a/src/front/plain_call.cpp
+++ b/src/front/plain_call.cpp
@@ -128,8 +128,13 @@
     answer.status = exchange->status();
     answer.headers = exchange->headers();
     const bool ended_by_close = exchange->ended_by_close();
-    exchange->finish();
     result = classify_answer(*state, std::move(answer));
+    // A connection that gave the answer to another request may give another one.
+    if (result.end == attempt_end::no_valid_answer) {
+        exchange->abort();
+    } else {
+        exchange->finish();
+    }
     if (ended_by_close && result.end_of_run == run_end::survived) {
         result.end_of_run = run_end::broken;
     }
@@ -231,8 +236,9 @@
 
 bool start_attempt(const call_state_ptr& state) {
     auto& self = *state->self;
-    auto* target =
-        choose_target_apart(self, state->call.service, state->call.digest, state->tried_targets);
+    const bool may_reuse = state->call.idempotent && state->outcome.sends == 0;
+    auto* target = choose_target_apart(self, state->call.service, state->call.digest,
+                                       state->tried_targets, may_reuse);
     if (target == nullptr) {
         return false;
     }
