--- a/src/decide/item_order.cpp
+++ b/src/decide/item_order.cpp
@@ -41,7 +41,9 @@
         }
     }
     const auto complete = groups.size() - open.size();
-    const auto required = static_cast<std::size_t>(std::max(batch.required_groups, 0));
+    // A batch that states no number requires all of its groups.
+    const auto required =
+        batch.required_groups > 0 ? static_cast<std::size_t>(batch.required_groups) : groups.size();
     const auto still_required = std::min(required - std::min(required, complete), open.size());
     const auto carried = static_cast<std::size_t>(std::max(batch.carried_groups, 0));
     std::ranges::stable_sort(open, std::less{}, [&](std::size_t index) {
@@ -81,7 +83,7 @@
 
 struct ranked_item {
     item_position position;
-    std::tuple<bool, int, bool, double> rank;
+    std::tuple<bool, int, bool, bool, double> rank;
 };
 
 } // namespace
@@ -108,7 +110,7 @@
             const auto& each = batch.items[item];
             if (each.progress == item_progress::waiting) {
                 ranked.push_back({{index, item},
-                                  {above_floor, batch.priority, !needed[each.group],
+                                  {above_floor, batch.priority, !needed[each.group], left_ms <= 0,
                                    left_ms - each.remaining_ms}});
             }
         }
--- a/src/decide/pace_model.hpp
+++ b/src/decide/pace_model.hpp
@@ -47,19 +47,29 @@
     double recent_ms = 0;            ///< Time per event during the current slowdown.
     int samples = 0;                 ///< Number of samples in `base_ms`, capped.
     double evidence = 0;             ///< Statistic of Page's test for the next change of the pace.
+    int long_gaps = 0;               ///< Consecutive gaps that were taken for pauses.
     kernel::time_point slow_since{}; ///< Start of the current slowdown; zero: none.
     kernel::time_point last_sample{};
+    kernel::time_point last_tested{}; ///< Last sample that the test has used.
 };
 
-/// Records the time between two events. Page's CUSUM test detects the start and the end of a
-/// slowdown, since a single long gap is no evidence.
+/// Records the time between two events of a run. Page's CUSUM test detects the start and the end of
+/// a slowdown, since a single long gap is no evidence. Runs that see the same gap count once.
 void record_gap(pace_state& pace, slowdown_history& history, double gap_ms, kernel::time_point now);
 
-[[nodiscard]] bool is_slowed(const pace_state& pace);
+/// Records that the target is no longer observed: it has ended or left.
+void stop_observing(const pace_state& pace, slowdown_history& history);
 
-/// Expected time for `events` more events. `default_ms`: time per event of a target without
-/// samples.
+/// Whether the target is in a slowdown; false if it was not observed for some seconds.
+[[nodiscard]] bool is_slowed(const pace_state& pace, kernel::time_point now);
+
+/// Expected rest of the target's slowdown; 0 without one.
+[[nodiscard]] double expected_rest_ms(const pace_state& pace, const slowdown_history& history,
+                                      kernel::time_point now);
+
+/// Expected time for `events` more events, `rest_ms` of it in a slowdown. `default_ms`: time per
+/// event of a target without samples.
 [[nodiscard]] double expected_run_ms(const pace_state& pace, const slowdown_history& history,
-                                     double events, double default_ms, kernel::time_point now);
+                                     double rest_ms, double events, double default_ms);
 
 } // namespace cornelloom::decide
--- a/src/front/batch.cpp
+++ b/src/front/batch.cpp
@@ -216,10 +216,10 @@
     return out;
 }
 
-int count_carried_groups(const batch& batch, const struct batch& earlier) {
+int count_carried_groups(const batch& batch, const std::set<std::string, std::less<>>& unfinished) {
     std::set<std::string_view> carried;
     for (const auto& item : batch.spec.items) {
-        if (earlier.index_by_id.contains(item.id)) {
+        if (unfinished.contains(item.id)) {
             carried.insert(item.group);
         }
     }
--- a/src/front/batch.hpp
+++ b/src/front/batch.hpp
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <vector>
@@ -162,9 +163,10 @@
 /// rest. A single long item that starts late makes the whole step late.
 [[nodiscard]] std::vector<std::size_t> startable_items(const batch& batch, time_point now);
 
-/// Number of the batch's leading groups that have items of `earlier`. Its caller waits for them,
-/// whatever other groups are complete.
-[[nodiscard]] int count_carried_groups(const batch& batch, const struct batch& earlier);
+/// Number of the batch's groups that have items of an earlier batch that did not finish. They come
+/// first, and their caller waits for them, whatever other groups are complete.
+[[nodiscard]] int count_carried_groups(const batch& batch,
+                                       const std::set<std::string, std::less<>>& unfinished);
 
 /// Number of tokens that the item is expected to generate.
 [[nodiscard]] double expected_tokens(const batch_item& item);
--- a/src/front/batch_drive.cpp
+++ b/src/front/batch_drive.cpp
@@ -63,6 +63,7 @@
     const bool limited =
         slowdowns != self.targets.slowdowns.end() && decide::slowdowns_pass(slowdowns->second);
     if (limited && !decide::take_move(self.moves, progress.moves)) {
+        self.metrics.count("cornelloom_moves_refused_total");
         return;
     }
     if (limited) {
@@ -171,11 +172,30 @@
     }
 }
 
-/// The carried groups of a batch, found by the batches that ran before it on this host.
+/// Batches whose unfinished items are remembered. A caller asks for them again in one of the next
+/// two batches.
+constexpr std::size_t max_remembered_batches = 16;
+
+/// Remembers the unfinished items of a batch, which may be carried over to a later one.
+void remember_unfinished(live_batch& batch) {
+    auto& remembered = batch.local_host->unfinished_items;
+    std::set<std::string, std::less<>> unfinished;
+    for (std::size_t index = 0; index < batch.state.items.size(); ++index) {
+        if (batch.state.items[index].phase != item_phase::finished) {
+            unfinished.insert(batch.state.spec.items[index].id);
+        }
+    }
+    remembered.push_back(std::move(unfinished));
+    if (remembered.size() > max_remembered_batches) {
+        remembered.pop_front();
+    }
+}
+
+/// The carried groups of a batch, as far as the batches before it ran on this host.
 int find_carried_groups(const live_batch& batch) {
     int carried = 0;
-    for (const auto& earlier : batch.local_host->running_batches) {
-        carried = std::max(carried, count_carried_groups(batch.state, earlier->state));
+    for (const auto& unfinished : batch.local_host->unfinished_items) {
+        carried = std::max(carried, count_carried_groups(batch.state, unfinished));
     }
     return carried;
 }
@@ -183,7 +203,9 @@
 loop::task<void> run_batch(live_batch_ptr batch) {
     auto self = batch->local_host;
     batch->state.carried_groups = find_carried_groups(*batch);
-    self->running_batches.push_back(batch);
+    if (std::ranges::find(self->running_batches, batch) == self->running_batches.end()) {
+        self->running_batches.push_back(batch);
+    }
     while (batch->owned && !is_over(batch->state)) {
         give_up_expired(*batch);
         auto round = begin_placement(self->targets, self->here(), self->now());
@@ -203,6 +225,7 @@
         co_await batch->changed.wait(to_deadline(*self, wake_at));
     }
     std::erase(self->running_batches, batch);
+    remember_unfinished(*batch);
     stop_runs(*batch);
     return_unused_trials(*batch);
     for (const auto& [index, control] : batch->scoring_calls) {
--- a/src/front/host.hpp
+++ b/src/front/host.hpp
@@ -113,6 +113,8 @@
     window_counts usage{};                    ///< Requests that started to run, by client account.
     window_counts demand{};                   ///< Items in progress concurrently, by service.
     std::vector<std::shared_ptr<live_batch>> running_batches{}; ///< Those that this host runs.
+    /// Ids of the items that did not finish, by batch that this host ran lately.
+    std::deque<std::set<std::string, std::less<>>> unfinished_items{};
     decide::account_costs account_costs{}; ///< Items started lately, by client account.
     decide::move_budget moves{};           ///< Moves to faster targets that may be made now.
     bool targets_shared = false;           ///< Other hosts had claims when limits were last set.
--- a/src/front/item_dispatch.cpp
+++ b/src/front/item_dispatch.cpp
@@ -16,6 +16,10 @@
 /// makes a step late.
 constexpr double length_tail = 0.1;
 
+/// How long an item waits for a target with memory for it. After that any free slot will do, since
+/// the expected use of memory is an estimate.
+constexpr milliseconds max_wait_for_memory{2000};
+
 /// How long an item waits for the permission to be sent before it asks again.
 constexpr milliseconds permission_timeout{2000};
 /// Until an item whose permission was refused may ask again.
@@ -83,7 +87,10 @@
         return;
     }
     const double tokens_per_event = found->second.tokens_per_event;
-    requirements.memory_capacity = found->second.memory_tokens;
+    const auto waiting_since = std::max(batch.state.submitted, state.not_before);
+    if (batch.local_host->now() - waiting_since < max_wait_for_memory) {
+        requirements.memory_capacity = found->second.memory_tokens;
+    }
     requirements.memory_tokens =
         decide::expected_memory({static_cast<double>(item.prompt_tokens),
                                  tokens_per_event * static_cast<double>(state.output.last_event),
@@ -100,6 +107,9 @@
     auto& self = *batch->local_host;
     auto& state = batch->state.items[index];
     const auto& item = batch->state.spec.items[index];
+    if (state.phase != item_phase::waiting) {
+        return;
+    }
     if (state.output.whole) {
         state.phase = item_phase::scoring;
         loop::asio::co_spawn(self.io, score_item(batch, index), loop::asio::detached);
@@ -117,16 +127,16 @@
     }
     auto requirements = requirements_of(*batch, item, state, *item_route);
     auto* target = choose_target(round, requirements);
+    if (target == nullptr && !state.left_targets.empty()) {
+        requirements.left_targets = {};
+        target = choose_target(round, requirements);
+    }
     if (target == nullptr && requirements.exact_version > 0) {
         // No target has the version that began the text, so the text is generated from the start.
         state.output = {};
         requirements.exact_version = 0;
         target = choose_target(round, requirements);
     }
-    if (target == nullptr && !state.left_targets.empty()) {
-        requirements.left_targets = {};
-        target = choose_target(round, requirements);
-    }
     if (target == nullptr || waits_for_faster(round, state, requirements, *target)) {
         return;
     }
@@ -201,17 +211,29 @@
     return item_route == nullptr ? std::string_view() : choose_service(*item_route, item.id);
 }
 
-/// Whether the batch has more startable items than there are free slots for them.
-bool exceeds_free_slots(const startable_batch& each, placement_round& round) {
-    const auto first = each.items.front();
-    const auto& item = each.batch->state.spec.items[first];
-    const auto* item_route = route_of_item(*each.batch, item);
-    if (item_route == nullptr) {
-        return false;
+/// Whether there are more startable items of a model than free slots for them.
+bool slots_are_scarce(std::span<const startable_batch> batches, placement_round& round) {
+    struct model_demand {
+        std::size_t items = 0;
+        std::size_t free_slots = 0;
+    };
+
+    std::map<std::pair<std::string_view, std::string_view>, model_demand> by_model;
+    for (const auto& [batch, startable] : batches) {
+        const auto first = startable.front();
+        const auto& item = batch->state.spec.items[first];
+        const auto* item_route = route_of_item(*batch, item);
+        if (item_route == nullptr) {
+            continue;
+        }
+        const auto requirements =
+            requirements_of(*batch, item, batch->state.items[first], *item_route);
+        auto& demand = by_model[{requirements.service, requirements.model}];
+        demand.items += startable.size();
+        demand.free_slots = std::max(demand.free_slots, count_free_slots(round, requirements));
     }
-    const auto requirements =
-        requirements_of(*each.batch, item, each.batch->state.items[first], *item_route);
-    return each.items.size() > count_free_slots(round, requirements);
+    return std::ranges::any_of(
+        by_model, [](const auto& each) { return each.second.items > each.second.free_slots; });
 }
 
 /// Starts the items of all batches in the order in which they need the free slots.
@@ -276,9 +298,7 @@
             }
         }
     }
-    const bool scarce = std::ranges::any_of(
-        batches, [&](const startable_batch& each) { return exceeds_free_slots(each, round); });
-    if (scarce) {
+    if (slots_are_scarce(batches, round)) {
         dispatch_in_order(self, batches, round);
         return;
     }
--- a/src/front/item_run.cpp
+++ b/src/front/item_run.cpp
@@ -67,12 +67,12 @@
     return true;
 }
 
-void record_event(live_batch& batch, item_run& run) {
+/// `gap_ms`: time since the event before, in equal parts for events that arrive together.
+void record_event(live_batch& batch, item_run& run, double gap_ms) {
     const auto now = batch.local_host->now();
     const auto run_target = batch.local_host->targets.by_id.find(run.target);
     if (run.events > 0 && run_target != batch.local_host->targets.by_id.end()) {
-        record_event_interval(batch.local_host->targets, run_target->second,
-                              ms_between(run.last_event, now), now);
+        record_event_interval(batch.local_host->targets, run_target->second, gap_ms, now);
     }
     run.last_event = now;
     if (run.events == 0) {
@@ -109,7 +109,10 @@
             co_return failed_exchange(fault);
         }
         buffer += chunk;
-        for (const auto& event : batch->local_host->platform_adapter.events(buffer)) {
+        const auto events = batch->local_host->platform_adapter.events(buffer);
+        const double gap_ms = ms_between(run.last_event, batch->local_host->now()) /
+                              static_cast<double>(std::max<std::size_t>(events.size(), 1));
+        for (const auto& event : events) {
             version = event.version > 0 ? event.version : version;
             auto& item = batch->state.items[index];
             if (!may_continue_text(*batch, item_route, item, version)) {
@@ -119,7 +122,7 @@
             if (!append_event(*batch, index, event, version)) {
                 co_return run_result{run_outcome::retry, "event out of order"};
             }
-            record_event(*batch, run);
+            record_event(*batch, run, gap_ms);
         }
     }
     const auto end = exchange->ended_by_close() ? run_end::broken : run_end::survived;
@@ -217,7 +220,8 @@
 }
 
 void release_memory(target_state& target, const item_state& item) {
-    target.memory_tokens = std::max(target.memory_tokens - item.memory_tokens, 0.0);
+    const double left = target.memory_tokens - item.memory_tokens;
+    target.memory_tokens = target.running == 0 ? 0 : std::max(left, 0.0);
 }
 
 /// Updates the length estimates for the model with a finished text.
--- a/src/front/placement.cpp
+++ b/src/front/placement.cpp
@@ -115,7 +115,9 @@
     const auto* slowdowns = passing_slowdowns(round, target.entry.service);
     const bool known_pace = slowdowns != nullptr && target.pace.base_ms > 0;
     const double pace_ms = known_pace ? target.pace.base_ms : expected_pace(round, target);
-    return {&target, pace_ms, extra_ms, slowdowns};
+    const double rest_ms =
+        slowdowns == nullptr ? 0 : decide::expected_rest_ms(target.pace, *slowdowns, round.now);
+    return {&target, pace_ms, extra_ms, slowdowns, rest_ms};
 }
 
 /// The targets that can serve the item, with or without capacity.
@@ -145,12 +147,12 @@
 }
 
 /// Expected time until the item completes on that target.
-double completion_ms(const run_candidate& candidate, double events_left, time_point now) {
+double completion_ms(const run_candidate& candidate, double events_left) {
     const auto& target = *candidate.target;
     const double run_ms = candidate.slowdowns == nullptr
                               ? events_left * candidate.pace_ms
-                              : expected_run_ms(target.pace, *candidate.slowdowns, events_left,
-                                                candidate.pace_ms, now);
+                              : expected_run_ms(target.pace, *candidate.slowdowns,
+                                                candidate.rest_ms, events_left, candidate.pace_ms);
     const int running = target.running + target.running_elsewhere;
     return run_ms * (1 + slowdown_per_run * running) + candidate.network_ms;
 }
@@ -173,7 +175,7 @@
             !is_eligible(*candidate.target, requirements, round.now)) {
             continue;
         }
-        double expected_ms = completion_ms(candidate, requirements.events_left, round.now);
+        double expected_ms = completion_ms(candidate, requirements.events_left);
         if (best && expected_ms >= best_ms) {
             continue;
         }
@@ -188,14 +190,17 @@
     return best;
 }
 
+/// Whether the candidate is much slower than its service, now or lastingly.
 bool is_slow_now(const run_candidate& candidate, std::optional<double> service_pace) {
-    return candidate.slowdowns == nullptr ? is_slow(*candidate.target, service_pace)
-                                          : decide::is_slowed(candidate.target->pace);
+    if (candidate.slowdowns == nullptr) {
+        return is_slow(*candidate.target, service_pace);
+    }
+    return candidate.rest_ms > 0 ||
+           (service_pace && candidate.pace_ms > slow_factor * *service_pace);
 }
 
 double pace_now(const run_candidate& candidate) {
-    const bool slowed = candidate.slowdowns != nullptr && decide::is_slowed(candidate.target->pace);
-    return slowed ? candidate.target->pace.recent_ms : candidate.pace_ms;
+    return candidate.rest_ms > 0 ? candidate.target->pace.recent_ms : candidate.pace_ms;
 }
 
 bool is_faster(const run_candidate& candidate, const run_candidate& current) {
@@ -259,12 +264,12 @@
         return false;
     }
     const double available_completion_ms =
-        completion_ms(*available_candidate, requirements.events_left, round.now);
+        completion_ms(*available_candidate, requirements.events_left);
     return std::ranges::any_of(candidates, [&](const run_candidate& candidate) {
         const auto& target = *candidate.target;
         return has_free_slot(target) && !has_capacity(target) &&
                candidate.pace_ms < faster_pace_ratio * available_candidate->pace_ms &&
-               completion_ms(candidate, requirements.events_left, round.now) + start_delay_ms <
+               completion_ms(candidate, requirements.events_left) + start_delay_ms <
                    available_completion_ms &&
                is_eligible(target, requirements, round.now);
     });
@@ -280,10 +285,9 @@
     const auto current_candidate = make_candidate(round, current);
     const bool queued = !progress.started && progress.silent_ms > queue_timeout_ms;
     const bool slow = progress.started && is_slow_now(current_candidate, service_pace);
-    const bool late = progress.started && !slow && !progress.moved_late &&
-                      progress.ms_to_deadline > 0 &&
-                      completion_ms(current_candidate, requirements.events_left, round.now) >
-                          progress.ms_to_deadline;
+    const bool late =
+        progress.started && !slow && !progress.moved_late && progress.ms_to_deadline > 0 &&
+        completion_ms(current_candidate, requirements.events_left) > progress.ms_to_deadline;
     if (!queued && !slow && !late) {
         return run_decision::stay;
     }
@@ -300,9 +304,9 @@
         return run_decision::stay;
     }
     const double alternative_ms =
-        completion_ms(*alternative, requirements.events_left, round.now) + start_delay_ms;
+        completion_ms(*alternative, requirements.events_left) + start_delay_ms;
     const double gain_ms =
-        completion_ms(current_candidate, requirements.events_left, round.now) - alternative_ms;
+        completion_ms(current_candidate, requirements.events_left) - alternative_ms;
     if (gain_ms <= required_gain_ms(current_candidate, progress.moves)) {
         return run_decision::stay;
     }
--- a/src/front/placement.hpp
+++ b/src/front/placement.hpp
@@ -32,6 +32,7 @@
     double network_ms = 0; ///< Extra time of a request, due to the distance.
     /// Slowdowns of its service; null as long as they have not been seen to pass.
     const decide::slowdown_history* slowdowns = nullptr;
+    double rest_ms = 0; ///< Expected rest of the target's slowdown, if slowdowns pass.
 };
 
 /// Results that are shared by all placement decisions made at one moment.
--- a/src/front/targets.cpp
+++ b/src/front/targets.cpp
@@ -62,6 +62,7 @@
         const int running = target.running;
         const int unstarted = target.awaiting_first_event;
         const double memory_tokens = target.memory_tokens;
+        stop_observing(target.pace, table.slowdowns[target.entry.service]);
         target = {};
         target.running = running;
         target.awaiting_first_event = unstarted;
--- a/tests/decide/item_order_tests.cpp
+++ b/tests/decide/item_order_tests.cpp
@@ -149,12 +149,45 @@
     CHECK(small_starts <= starts / 5);
 }
 
+TEST_CASE("batches that are late already do not delay those that can be in time",
+          "[decide][order]") {
+    const auto late = make_batch(2, 2, 1000, -500ms);
+    const auto in_time = make_batch(2, 2, 1000, 5000ms);
+    const auto starts = order({late, in_time});
+    REQUIRE(starts.size() == 8);
+    CHECK(starts[0].batch == 1);
+    CHECK(starts[3].batch == 1);
+    CHECK(starts[4].batch == 0);
+}
+
+TEST_CASE("a batch that states no number of groups requires all of them", "[decide][order]") {
+    auto batch = make_batch(3, 2, 1000);
+    batch.view.required_groups = 0;
+    batch.items.back().remaining_ms = 6000;
+    CHECK(order({batch}).front().item == batch.items.size() - 1);
+}
+
 TEST_CASE("an account that was idle gets no more than its floor for it", "[decide][order]") {
     account_costs costs;
     for (int start = 0; start < 10000; ++start) {
         record_start(costs, "busy", 1000);
     }
     CHECK(costs.at("busy") < 600'000);
+    auto busy = make_batch(50, 4, 2000);
+    busy.view.account = "busy";
+    auto idle = make_batch(50, 4, 2000);
+    idle.view.account = "idle";
+    int idle_starts = 0;
+    while (idle_starts < 1000) {
+        const auto next = order({busy, idle}, costs).front();
+        if (next.batch == 0) {
+            break;
+        }
+        record_start(costs, "idle", 1000);
+        ++idle_starts;
+    }
+    CHECK(idle_starts > 0);
+    CHECK(idle_starts < 100);
 }
 
 TEST_CASE("every startable item is listed once", "[decide][order]") {
