--- a/src/front/order_giver.cpp
+++ b/src/front/order_giver.cpp
@@ -65,7 +65,7 @@
 
 using load_scheduler_ptr = std::shared_ptr<load_scheduler>;
 
-std::vector<model_demand> collect_demands(const host& self, const service& service_config) {
+std::vector<model_demand> collect_demands(host& self, const service& service_config) {
     bool single = false;
     for (const auto& route : self.routes->config.routes) {
         const bool serves =
--- a/src/front/target_supplier.cpp
+++ b/src/front/target_supplier.cpp
@@ -79,7 +79,7 @@
 }
 
 /// Sum of the peak numbers of concurrent items over all models of the service.
-std::uint64_t total_peak_items(const host& self, const service& service_config) {
+std::uint64_t total_peak_items(host& self, const service& service_config) {
     std::uint64_t out = 0;
     for (const auto& model : service_config.models) {
         out += peak_demand(self, model);
