soak: accounts with ranks, and targets that are slow for moments

The soak's client accounts have priorities, and a run that a target gets without the rank of its account breaks the promise "own rank".

--- a/soak/internal/day.cpp
+++ b/soak/internal/day.cpp
@@ -89,6 +89,7 @@
     one->service = service;
     one->zone = zones.at(static_cast<std::size_t>(index) % zones.size());
     one->address = address(self, target_way_group, number, target_port);
+    one->uneven = true;
     if (service == engine_service) {
         one->models = self.models;
     }
@@ -247,7 +248,7 @@
 constexpr std::uint64_t keys_kept = 3;
 
 standins::account_plan account_at(std::string_view name, std::uint64_t version) {
-    standins::account_plan out{std::string(name), {}};
+    standins::account_plan out{std::string(name), {}, rank_of(name)};
     for (auto each = version; each > 0 && each + keys_kept > version; --each) {
         out.keys.push_back(key_added(name, each));
     }
@@ -261,7 +262,11 @@
 }
 
 day::day(const day_options& given)
-    : options(given), random(given.seed), platform(std::make_shared<standins::store>(io)) {}
+    : options(given), random(given.seed), platform(std::make_shared<standins::store>(io)) {
+    for (const auto account : {caller_account, trainer_account}) {
+        book.ranks.emplace(account, rank_of(account));
+    }
+}
 
 std::string make_id(day& self) {
     constexpr std::string_view digits = "0123456789abcdef";
--- a/soak/internal/day.hpp
+++ b/soak/internal/day.hpp
@@ -81,6 +81,13 @@
 inline constexpr std::string_view caller_account = "callers";
 inline constexpr std::string_view trainer_account = "trainers";
 
+/// The priority of an account in every configuration.
+[[nodiscard]] inline int rank_of(std::string_view account) {
+    constexpr int caller_rank = 2;
+    constexpr int trainer_rank = 4;
+    return account == trainer_account ? trainer_rank : caller_rank;
+}
+
 /// A key of the account that the newest configuration holds, as does the one before it.
 [[nodiscard]] std::string key_of(const day& self, std::string_view account);
 
--- a/soak/internal/promises.cpp
+++ b/soak/internal/promises.cpp
@@ -52,6 +52,12 @@
         note_broken(book, "own account",
                     seen.request + " runs under '" + seen.account + "' at " + seen.target);
     }
+    const bool ranked = book.ranks.contains(sent.account);
+    const auto rank = !ranked ? std::string() : std::to_string(book.ranks.at(sent.account));
+    if (!rank.empty() && seen.rank != rank) {
+        note_broken(book, "own rank",
+                    seen.request + " has rank '" + seen.rank + "' at " + seen.target);
+    }
     if (sent.revoked) {
         note_broken(book, "revocation", seen.request + " runs under a key that was taken away");
     }
--- a/soak/internal/promises.hpp
+++ b/soak/internal/promises.hpp
@@ -57,6 +57,7 @@
 /// is judged from outside, by ids.
 struct ledger {
     promise_bounds bounds{};
+    std::map<std::string, int> ranks{}; ///< Priorities of the client accounts.
     std::vector<std::string> broken{};
     deadline calm_since{};                    ///< The end of the last trouble.
     int troubles = 0;                         ///< In progress.
--- a/tests/soak/promises_tests.cpp
+++ b/tests/soak/promises_tests.cpp
@@ -97,6 +97,20 @@
     CHECK(book.broken.size() == 1);
 }
 
+TEST_CASE("the ledger notices a run without the rank of its client account", "[soak]") {
+    ledger book;
+    book.ranks["east"] = 2;
+    const auto seen = observe(book);
+    note_sent(book, "look", {run_rule::any, "east", false});
+    auto run = make_run("look", "target-1", "east");
+    run.rank = "2";
+    seen.ran(run);
+    CHECK(book.broken.empty());
+    run.rank = GENERATE("", "4");
+    seen.ran(run);
+    CHECK(book.broken.size() == 1);
+}
+
 TEST_CASE("the ledger notices a request that reaches too many targets, or with too much time",
           "[soak]") {
     ledger book;
