--- a/src/front/types.hpp
+++ b/src/front/types.hpp
@@ -68,9 +68,9 @@
 /// A client account: the name under which its requests reach targets, and its keys.
 struct client_account {
     std::string name;
+    std::vector<std::string> key_hashes; ///< Computed by `transport::token_hash`.
     /// Rank of its requests, 0 is the most urgent; unset: the routes' own ranks apply.
     std::optional<int> priority{};
-    std::vector<std::string> key_hashes; ///< Computed by `transport::token_hash`.
 };
 
 /// One complete version of the operators' configuration.
--- a/tests/decide/slot_shares_tests.cpp
+++ b/tests/decide/slot_shares_tests.cpp
@@ -104,8 +104,9 @@
         const bool grows = after[changed].weight >= before[changed].weight;
         for (std::size_t host = 0; host < before.size(); ++host) {
             const bool may_grow = (host == changed) == grows;
-            RC_ASSERT(may_grow ? new_parts[host] >= old_parts[host]
-                               : new_parts[host] <= old_parts[host]);
+            const bool as_expected =
+                may_grow ? new_parts[host] >= old_parts[host] : new_parts[host] <= old_parts[host];
+            RC_ASSERT(as_expected);
         }
     });
 }
