Connections: as many idle ones as a target has slots; second attempts may use them

Change: up to the slots of a target stay idle; a new connection is required only after one has failed.

--- a/src/front/plain_call.cpp
+++ b/src/front/plain_call.cpp
@@ -32,6 +32,8 @@
     int refusals = 0;
     bool permitted = false; ///< See `request_permission`; holds until it is sent.
     bool trial = false;     ///< It is sent in a trial run.
+    /// An attempt ended without an answer, perhaps since its connection was no longer good.
+    bool connection_failed = false;
     bool decided = false;
 
     call_state(std::shared_ptr<host> owner, plain_call request)
@@ -201,6 +203,7 @@
         ++state.refusals;
         break;
     case attempt_end::no_valid_answer:
+        state.connection_failed = true;
         state.permitted = false;
         if (outcome.result == plain_outcome::state::not_run) {
             outcome.result = plain_outcome::state::unknown;
@@ -236,7 +239,7 @@
 
 bool start_attempt(const call_state_ptr& state) {
     auto& self = *state->self;
-    const bool may_reuse = state->call.idempotent && state->outcome.sends == 0;
+    const bool may_reuse = state->call.idempotent && !state->connection_failed;
     auto* target = choose_target_apart(self, state->call.service, state->call.digest,
                                        state->tried_targets, may_reuse);
     if (target == nullptr) {
@@ -248,7 +251,7 @@
     plan.address = target->entry.address;
     plan.one_way_latency = milliseconds(
         static_cast<std::int64_t>(network_rtt_ms(self.here(), target->entry.zone) / 2));
-    plan.new_connection = state->outcome.sends > 0;
+    plan.new_connection = state->connection_failed;
     state->tried_targets.insert(target->entry.id);
     ++target->running;
     ++state->running_attempts;
--- a/src/front/process.cpp
+++ b/src/front/process.cpp
@@ -67,8 +67,8 @@
 constexpr loop::milliseconds unstated_target_idle{30000};
 
 /// Sets the use of idle connections to targets whose service limits connections. This host keeps at
-/// most its equal part of half of what a target accepts, so that those of all hosts together leave
-/// room for the ones in use.
+/// most its equal part of half of what a target accepts, or as many as the target has slots: only
+/// the few hosts that run batches need more than their part, and no more than that at a time.
 void limit_idle_connections(host& self) {
     for (const auto& [id, target] : self.targets.by_id) {
         const auto found = self.connections.servers.find(target.entry.address);
@@ -77,7 +77,9 @@
                            service != self.routes->config.services.end();
         if (known && service->second.max_connections > 0) {
             const auto half = static_cast<std::size_t>(service->second.max_connections) / 2;
-            found->second->max_idle = std::max<std::size_t>(half / (self.peers.size() + 1), 1);
+            const auto slots = static_cast<std::size_t>(std::max(target.entry.slots, 1));
+            found->second->max_idle =
+                std::max(half / (self.peers.size() + 1), std::min(slots, half));
             found->second->unstated_idle = unstated_target_idle;
         }
     }
