Target pace: one run stays at a slow target until durations are known

Cause: all runs left at once, so no end of a slowdown was seen and every one was taken for lasting. Change: until a dozen slowdowns were seen to end or to outlast a second, the last run of a host stays for a second.

--- a/src/decide/pace_model.cpp
+++ b/src/decide/pace_model.cpp
@@ -11,7 +11,8 @@
 /// Lasting slowdowns that are assumed beside the observed ones, so that none is ever certain to
 /// end.
 constexpr double assumed_lasting = 1;
-/// Slowdowns whose end must have been seen before a run waits for the end of one.
+/// Slowdowns whose end must have been seen before a run waits for the end of one, and that must
+/// have been observed before their usual duration is taken for known.
 constexpr std::ptrdiff_t min_ended = 12;
 /// Longer gaps, as multiples of the usual one, are pauses and say nothing of the pace: a target
 /// that loads weights generates nothing for about a second.
@@ -124,6 +125,13 @@
            expected_rest_ms(history, 0) < slowdown_horizon_ms / 2;
 }
 
+bool duration_is_known(const slowdown_history& history) {
+    const auto observed = std::ranges::count_if(history.slowdowns, [](const slowdown& each) {
+        return each.ended || each.duration_ms >= min_observation_ms;
+    });
+    return observed >= min_ended;
+}
+
 void stop_observing(const pace_state& pace, slowdown_history& history) {
     if (pace.slow_since != kernel::time_point{}) {
         auto last = pace;
@@ -168,9 +176,13 @@
            ms_between(pace.last_sample, now) <= max_unobserved_ms;
 }
 
+double slowdown_age_ms(const pace_state& pace, kernel::time_point now) {
+    return is_slowed(pace, now) ? ms_between(pace.slow_since, now) : 0;
+}
+
 double expected_rest_ms(const pace_state& pace, const slowdown_history& history,
                         kernel::time_point now) {
-    return is_slowed(pace, now) ? expected_rest_ms(history, ms_between(pace.slow_since, now)) : 0;
+    return is_slowed(pace, now) ? expected_rest_ms(history, slowdown_age_ms(pace, now)) : 0;
 }
 
 double expected_run_ms(const pace_state& pace, const slowdown_history& history, double rest_ms,
--- a/src/decide/pace_model.hpp
+++ b/src/decide/pace_model.hpp
@@ -38,6 +38,12 @@
 /// one is expected to end within half of the horizon.
 [[nodiscard]] bool slowdowns_pass(const slowdown_history& history);
 
+/// Whether it is known how long the service's slowdowns last. As long as it is not, one run stays
+/// at a slow target for `min_observation_ms`: if all runs left at once, no end would ever be seen.
+[[nodiscard]] bool duration_is_known(const slowdown_history& history);
+
+inline constexpr double min_observation_ms = 1000;
+
 /// A longer rest than this makes no difference to a text.
 inline constexpr double slowdown_horizon_ms = 8000;
 
@@ -63,6 +69,9 @@
 /// Whether the target is in a slowdown; false if it was not observed for some seconds.
 [[nodiscard]] bool is_slowed(const pace_state& pace, kernel::time_point now);
 
+/// How long the target's slowdown has lasted; 0 without one.
+[[nodiscard]] double slowdown_age_ms(const pace_state& pace, kernel::time_point now);
+
 /// Expected rest of the target's slowdown; 0 without one.
 [[nodiscard]] double expected_rest_ms(const pace_state& pace, const slowdown_history& history,
                                       kernel::time_point now);
--- a/src/front/batch_drive.cpp
+++ b/src/front/batch_drive.cpp
@@ -49,6 +49,11 @@
     const std::array labels{reason_label, kind_label};
     batch.local_host->metrics.count("cornelloom_retries_total", labels);
     run.being_moved = true;
+    const auto target = batch.local_host->targets.by_id.find(run.target);
+    if (target != batch.local_host->targets.by_id.end()) {
+        ++target->second.leaving;
+        run.counted_as_leaving = true;
+    }
     run.exchange->abort();
 }
 
--- a/src/front/item_run.cpp
+++ b/src/front/item_run.cpp
@@ -238,6 +238,7 @@
     if (found != self.targets.by_id.end()) {
         auto& target = found->second;
         target.running = std::max(0, target.running - 1);
+        target.leaving = std::max(0, target.leaving - (run.counted_as_leaving ? 1 : 0));
         target.awaiting_first_event -= run.events == 0 ? 1 : 0;
         release_memory(target, batch.state.items[index]);
         const bool target_failed = result.kind == run_outcome::retry && !run.being_moved &&
--- a/src/front/live_batch.hpp
+++ b/src/front/live_batch.hpp
@@ -17,11 +17,12 @@
     std::shared_ptr<loop::exchange> exchange;
     std::string target;
     time_point sent{};
-    time_point first_event{}; ///< Zero before the first event.
-    time_point last_event{};  ///< Arrival of the latest event; `sent` before the first.
-    std::int64_t events = 0;  ///< Received in this run.
-    bool silent = false;      ///< It is being stopped because its target is silent.
-    bool being_moved = false; ///< It is being stopped, to continue at another target.
+    time_point first_event{};        ///< Zero before the first event.
+    time_point last_event{};         ///< Arrival of the latest event; `sent` before the first.
+    std::int64_t events = 0;         ///< Received in this run.
+    bool silent = false;             ///< It is being stopped because its target is silent.
+    bool being_moved = false;        ///< It is being stopped, to continue at another target.
+    bool counted_as_leaving = false; ///< In `target_state::leaving`.
 };
 
 /// A batch that is loaded in this process, with its runs and pending calls.
--- a/src/front/placement.cpp
+++ b/src/front/placement.cpp
@@ -199,6 +199,15 @@
            (service_pace && candidate.pace_ms > slow_factor * *service_pace);
 }
 
+/// Whether a run stays at its slow target to observe when the slowdown ends.
+bool stays_to_observe(const placement_round& round, const target_state& target) {
+    const auto history = round.table->slowdowns.find(target.entry.service);
+    const double age_ms = decide::slowdown_age_ms(target.pace, round.now);
+    return history != round.table->slowdowns.end() && age_ms > 0 &&
+           age_ms < decide::min_observation_ms && target.running - target.leaving <= 1 &&
+           !decide::duration_is_known(history->second);
+}
+
 double pace_now(const run_candidate& candidate) {
     return candidate.rest_ms > 0 ? candidate.target->pace.recent_ms : candidate.pace_ms;
 }
@@ -294,6 +303,9 @@
     run_requirements other_requirements = requirements;
     other_requirements.excluded_target = current.entry.id;
     const auto alternative = choose_candidate(round, other_requirements);
+    if (slow && stays_to_observe(round, current)) {
+        return run_decision::stay;
+    }
     if (queued) {
         return alternative && alternative->target->awaiting_first_event == 0
                    ? run_decision::move_queued
--- a/src/front/targets.cpp
+++ b/src/front/targets.cpp
@@ -61,11 +61,13 @@
     if (restarted) {
         const int running = target.running;
         const int unstarted = target.awaiting_first_event;
+        const int leaving = target.leaving;
         const double memory_tokens = target.memory_tokens;
         stop_observing(target.pace, table.slowdowns[target.entry.service]);
         target = {};
         target.running = running;
         target.awaiting_first_event = unstarted;
+        target.leaving = leaving;
         target.memory_tokens = memory_tokens;
     }
     if (!restarted && entry.revision < target.entry.revision) {
--- a/src/front/targets.hpp
+++ b/src/front/targets.hpp
@@ -23,6 +23,7 @@
     target_entry entry;
     int running = 0;              ///< Requests of this host in flight at the target.
     int awaiting_first_event = 0; ///< Items of this host in flight without an event yet.
+    int leaving = 0;              ///< Items of this host that are being moved away from it.
     int running_elsewhere = 0;    ///< Runs of other hosts at the target, as last announced.
     double memory_tokens = 0;     ///< Memory that this host's items in flight are expected to take.
     time_point reserved_since{};  ///< Since when slots are reserved for other hosts unused.
--- a/tests/front/placement_tests.cpp
+++ b/tests/front/placement_tests.cpp
@@ -375,6 +375,27 @@
     }
 }
 
+TEST_CASE("one run stays at a slow target until it is known how long slowdowns last",
+          "[front][placement][pace]") {
+    // Guards against slowdowns whose ends nobody sees, so that every one is taken for lasting.
+    target_state* slow = nullptr;
+    auto table = make_uneven_table(600, slow);
+    table.slowdowns["engines"].slowdowns.clear();
+    const run_progress progress{.silent_ms = 50, .started = true, .ms_to_deadline = 7000};
+    const auto decision = [&] {
+        return evaluate_run(table, *slow, progress, typical_requirements(), origin, now);
+    };
+    slow->running = 3;
+    CHECK(decision() == run_decision::move_slow);
+    slow->leaving = 2;
+    CHECK(decision() == run_decision::stay);
+    slow->pace.slow_since = now - 1500ms;
+    CHECK(decision() == run_decision::move_slow);
+    slow->pace.slow_since = now - 300ms;
+    table.slowdowns["engines"].slowdowns.assign(12, {1500, false});
+    CHECK(decision() == run_decision::move_slow);
+}
+
 TEST_CASE("an item does not return to a target that it has left", "[front][placement][pace]") {
     auto table = make_table(2);
     const std::vector<std::string> left{"target-0"};
