Linter: the headers of a source are known also with relative paths in the build's records

What developers saw: after a change of one header all sources were linted again. Cause: with a base directory set, the compiler cache records paths relative to the build directory; none was taken for a header of this repository, so every source counted as including all. Change: such paths are understood. More is skipped only where the records name the headers that a source includes.

--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -16,8 +16,10 @@
     awk -v root="$PWD/" '
         /^[^ ]/ { source = "" }
         /^ / {
-            if (index($1, root) != 1) next
-            file = substr($1, length(root) + 1)
+            # A compiler cache with a base directory records paths relative to the build directory.
+            file = $1
+            if (index(file, root) == 1) file = substr(file, length(root) + 1)
+            else if (!sub(/^\.\.\//, "", file)) next
             if (source == "") source = file
             else if (file !~ /^build/) print source, file
         }' | sort -u > "$includes"
