--- a/tests/decide/connection_choice_tests.cpp
+++ b/tests/decide/connection_choice_tests.cpp
@@ -66,6 +66,7 @@
     rc::prop("bounded by the policy", [] {
         const auto times = *rc::gen::nonEmpty<std::vector<std::uint16_t>>();
         std::vector<connection_candidate> candidates;
+        candidates.reserve(times.size());
         for (const auto time : times) {
             candidates.push_back({static_cast<double>(time), *rc::gen::arbitrary<bool>()});
         }
--- a/tests/decide/pace_model_tests.cpp
+++ b/tests/decide/pace_model_tests.cpp
@@ -14,7 +14,7 @@
 
 /// A target of whose runs the events are seen.
 struct observed_target {
-    slowdown_history* history;
+    slowdown_history* history = nullptr;
     pace_state pace{};
     kernel::time_point now{1000s};
 
--- a/tests/decide/wall_clock_guard_tests.cpp
+++ b/tests/decide/wall_clock_guard_tests.cpp
@@ -29,6 +29,7 @@
         elapsed_ms += span.count();
         const auto true_ms = true_start_ms + elapsed_ms;
         std::vector<std::int64_t> peers;
+        peers.reserve(peer_errors_ms.size());
         for (const auto error : peer_errors_ms) {
             peers.push_back(true_ms + error);
         }
--- a/tests/loop/loop_tests.cpp
+++ b/tests/loop/loop_tests.cpp
@@ -291,11 +291,14 @@
     const auto [assumed, closes, connections] = GENERATE(table<milliseconds, bool, int>(
         {{10s, false, 1}, {milliseconds(1), false, 2}, {10s, true, 2}}));
     scripted_server server(io, [&io, closes = closes](tcp::socket& socket) -> task<void> {
-        do {
+        for (;;) {
             co_await read_head(socket);
             co_await write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
-        } while (!closes);
-        co_await pause_for(io, 20ms);
+            if (closes) {
+                co_await pause_for(io, 20ms);
+                co_return;
+            }
+        }
     });
     connection_pool pool(io);
     pool.servers[server.where()] = std::make_shared<server_connections>();
