--- a/tests/loop/loop_tests.cpp
+++ b/tests/loop/loop_tests.cpp
@@ -245,6 +245,7 @@
     pool.servers[server.where()]->max_idle = 2;
     run(io, [&]() -> task<void> {
         std::vector<task<call_outcome>> calls;
+        calls.reserve(5);
         for (int number = 0; number < 5; ++number) {
             calls.push_back(call(pool, server.where(), get(), after(1s), 500ms));
         }
