--- a/src/decide/item_order.hpp
+++ b/src/decide/item_order.hpp
@@ -30,7 +30,6 @@
     std::uint32_t group = 0; ///< Position of its group in the batch, in order of first appearance.
     item_progress progress = item_progress::waiting;
     double remaining_ms = 0; ///< Expected time until its result, if it starts now.
-    double cost = 0;         ///< Expected number of tokens that it still takes.
 };
 
 struct order_batch {
@@ -49,7 +48,8 @@
     bool operator==(const item_position&) const = default;
 };
 
-/// Cost of the items that were started lately, by client account. Older starts lose weight.
+/// Expected tokens of the items that were started lately, by client account. Older starts lose
+/// weight.
 using account_costs = std::map<std::string, double, std::less<>>;
 
 /// Records the start of an item.
--- a/tests/decide/item_order_tests.cpp
+++ b/tests/decide/item_order_tests.cpp
@@ -34,7 +34,7 @@
     owned_batch out;
     for (std::uint32_t group = 0; group < groups; ++group) {
         for (std::size_t item = 0; item < size; ++item) {
-            out.items.push_back({group, item_progress::waiting, item_ms, 100});
+            out.items.push_back({group, item_progress::waiting, item_ms});
         }
     }
     out.view.required_groups = static_cast<int>(groups);
