Connections: servers that are no longer used are forgotten

What callers saw: nothing yet. Cause: the pool kept limits and causes of lost connections of every address for ever, and a target has a new address after each start. Change: what was not used for five minutes is erased. The test fails without it.

--- a/src/loop/connection_pool.cpp
+++ b/src/loop/connection_pool.cpp
@@ -10,6 +10,8 @@
 
 namespace {
 
+/// A server that was not used for so long is forgotten.
+constexpr std::chrono::minutes unused_server_limit{5};
 /// Bound of the losses that are remembered for one server.
 constexpr std::size_t max_losses = 64;
 
@@ -69,6 +71,11 @@
             return true;
         });
     }
+    std::erase_if(pool.servers, [now](const auto& entry) {
+        const auto& server = entry.second;
+        return server.use_count() == 1 && server->idle.empty() &&
+               now - server->last_used > unused_server_limit;
+    });
 }
 
 std::size_t count_idle(const connection_pool& pool, const transport::endpoint& server) {
--- a/src/loop/connection_pool.hpp
+++ b/src/loop/connection_pool.hpp
@@ -44,6 +44,7 @@
     /// How long an idle connection is used if the server states no time. The shortest default of
     /// common servers is 5 s, and a request must not cross the close.
     milliseconds unstated_idle{3500};
+    deadline last_used{};   ///< When an exchange with the server last began.
     std::vector<opening_cause> lost; ///< Why connections were closed, the latest last; bounded.
 };
 
@@ -59,7 +60,8 @@
         [](const transport::endpoint&, opening_cause) {};
 };
 
-/// Closes what has been idle for too long. Call about once a second.
+/// Closes what has been idle for too long, and forgets servers that were not used for minutes: each
+/// start of a target may have an address of its own. Call about once a second.
 void close_stale(connection_pool& pool);
 
 /// Number of idle connections to the server. Some of them may be closed by the time they are used.
--- a/src/loop/exchange.cpp
+++ b/src/loop/exchange.cpp
@@ -109,6 +109,7 @@
         connections = std::make_shared<server_connections>();
     }
     connections_ = connections;
+    connections_->last_used = steady_clock::now();
 }
 
 exchange::~exchange() {
--- a/tests/loop/loop_tests.cpp
+++ b/tests/loop/loop_tests.cpp
@@ -230,6 +230,20 @@
     });
 }
 
+TEST_CASE("servers that are no longer used are forgotten", "[loop][exchange]") {
+    // Guards against a pool that grows with every address that a target has ever had.
+    io_context io(1);
+    connection_pool pool(io);
+    const transport::endpoint gone{"127.0.0.1", 1};
+    const transport::endpoint in_use{"127.0.0.1", 2};
+    pool.servers[gone] = std::make_shared<server_connections>();
+    pool.servers[gone]->last_used = steady_clock::now() - 6min;
+    const exchange current(pool, in_use);
+    close_stale(pool);
+    CHECK_FALSE(pool.servers.contains(gone));
+    CHECK(pool.servers.contains(in_use));
+}
+
 TEST_CASE("no more idle connections are kept than allowed", "[loop][exchange]") {
     // Guards against hosts that together keep more connections to a target than it accepts, so that
     // it resets those of others.
