Open connections are preferred only where the configuration limits connections

What callers saw: at services without a limit requests went to a target with an open connection, up to the tie breaker further away than the best. Change: the limit of a service switches it on; the test's section without a limit fails on the former code.

--- a/src/front/placement.cpp
+++ b/src/front/placement.cpp
@@ -161,7 +161,7 @@
 /// have taken theirs yet.
 bool has_open_connection(const placement_round& round, const target_state& target) {
     return round.from.connections != nullptr &&
-           loop::count_idle(*round.from.connections, target.entry.address) >
+           loop::count_preferred_idle(*round.from.connections, target.entry.address) >
                static_cast<std::size_t>(target.awaiting_first_event);
 }
 
--- a/src/front/process.cpp
+++ b/src/front/process.cpp
@@ -81,6 +81,7 @@
             found->second->max_idle =
                 std::max(half / (self.peers.size() + 1), std::min(slots, half));
             found->second->unstated_idle = unstated_target_idle;
+            found->second->preferred = true;
         }
     }
 }
--- a/src/front/targets.cpp
+++ b/src/front/targets.cpp
@@ -221,7 +221,7 @@
                                 target->failure_rate < max_preferred_failure_rate &&
                                 distance(target) <= nearest_ms + inter_zone_rtt_ms;
         const bool open =
-            preferable && loop::count_idle(*from.connections, target->entry.address) > 0;
+            preferable && loop::count_preferred_idle(*from.connections, target->entry.address) > 0;
         candidates.push_back({expected_response_ms(*target, from), open});
     }
     const auto chosen = decide::choose_connection(candidates);
--- a/src/front/targets.hpp
+++ b/src/front/targets.hpp
@@ -133,7 +133,7 @@
 /// the average latency, scaled by this host's requests in flight, plus the network latency and a
 /// penalty for recent failures. This avoids queues at one target while others are idle, and ranks
 /// targets that pass health checks but fail some of their requests last. A target to which an idle
-/// connection is open is preferred; see `decide::choose_connection`.
+/// connection is open is preferred where connections are limited; see `decide::choose_connection`.
 [[nodiscard]] target_state* choose_target(target_table& table, std::string_view service,
                                           const host_location& from,
                                           const std::set<std::string, std::less<>>& excluded,
--- a/src/loop/connection_pool.cpp
+++ b/src/loop/connection_pool.cpp
@@ -83,6 +83,12 @@
     return found == pool.servers.end() ? 0 : found->second->idle.size();
 }
 
+std::size_t count_preferred_idle(const connection_pool& pool, const transport::endpoint& server) {
+    const auto found = pool.servers.find(server);
+    const bool preferred = found != pool.servers.end() && found->second->preferred;
+    return preferred ? found->second->idle.size() : 0;
+}
+
 std::shared_ptr<boost::beast::tcp_stream> take_idle(server_connections& server) {
     const auto now = steady_clock::now();
     while (!server.idle.empty()) {
--- a/src/loop/connection_pool.hpp
+++ b/src/loop/connection_pool.hpp
@@ -44,6 +44,7 @@
     /// How long an idle connection is used if the server states no time. The shortest default of
     /// common servers is 5 s, and a request must not cross the close.
     milliseconds unstated_idle{3500};
+    bool preferred = false; ///< The server limits connections, so requests prefer its open ones.
     deadline last_used{};   ///< When an exchange with the server last began.
     std::vector<opening_cause> lost; ///< Why connections were closed, the latest last; bounded.
 };
@@ -68,6 +69,10 @@
 [[nodiscard]] std::size_t count_idle(const connection_pool& pool,
                                      const transport::endpoint& server);
 
+/// The same if the server is a preferred one, else 0.
+[[nodiscard]] std::size_t count_preferred_idle(const connection_pool& pool,
+                                               const transport::endpoint& server);
+
 /// Takes an idle connection that is still usable; null if there is none.
 [[nodiscard]] std::shared_ptr<boost::beast::tcp_stream> take_idle(server_connections& server);
 
--- a/tests/front/targets_tests.cpp
+++ b/tests/front/targets_tests.cpp
@@ -223,8 +223,13 @@
     auto& server = connections.servers[target.entry.address];
     server = std::make_shared<cornelloom::loop::server_connections>();
     server->idle.push_back({});
+    server->preferred = true;
     CHECK(choose_target(table, "pages", from, {}, now)->entry.id == "target-2");
     CHECK(choose_target(table, "pages", origin, {}, now)->entry.id != "target-2");
+    SECTION("not where connections are not limited") {
+        server->preferred = false;
+        CHECK(choose_target(table, "pages", from, {}, now)->entry.id != "target-2");
+    }
     SECTION("not in another region") {
         target.entry.zone = "zone-c";
         CHECK(choose_target(table, "pages", from, {}, now)->entry.id != "target-2");
