--- a/src/front/targets.cpp
+++ b/src/front/targets.cpp
@@ -63,7 +63,9 @@
         const int unstarted = target.awaiting_first_event;
         const int leaving = target.leaving;
         const double memory_tokens = target.memory_tokens;
-        stop_observing(target.pace, table.slowdowns[target.entry.service]);
+        if (!target.entry.service.empty()) {
+            stop_observing(target.pace, table.slowdowns[target.entry.service]);
+        }
         target = {};
         target.running = running;
         target.awaiting_first_event = unstarted;
