Time that a request waits for its configuration or key counts for all its limits

What callers saw: a request that arrived while a host started, or waited for a lookup of its key, could have the whole timeout of its route again after the wait, and a target was told so. Cause: only the time left that the caller stated was shortened, and only by the lookup. Change: the whole wait is taken off both.

--- a/src/front/gateway.cpp
+++ b/src/front/gateway.cpp
@@ -169,12 +169,15 @@
                         age_limits_of(self.settings));
 }
 
-/// Takes time that has passed here off the time that the caller waits.
-void shorten_time_left(caller_request& request_info, kernel::duration passed) {
+/// Takes time that a request has waited here off what its caller and its route allow.
+void shorten_limits(caller_request& request_info, route& request_route, kernel::duration waited) {
+    constexpr milliseconds min_limit{1};
+    const auto passed = std::chrono::duration_cast<milliseconds>(waited);
     if (request_info.time_left) {
-        const auto left =
-            *request_info.time_left - std::chrono::duration_cast<milliseconds>(passed);
-        request_info.time_left = std::max(left, milliseconds(1));
+        request_info.time_left = std::max(*request_info.time_left - passed, min_limit);
+    }
+    if (request_route.timeout > milliseconds::zero()) {
+        request_route.timeout = std::max(request_route.timeout - passed, min_limit);
     }
 }
 
@@ -183,6 +186,7 @@
 loop::task<void> serve_caller(std::shared_ptr<batch_registry> registry,
                               loop::served_request& request) {
     auto self = registry->self;
+    const auto arrived_at = self->now();
     auto request_info = self->platform_adapter.request(request.message);
     if (self->refusing_requests) {
         co_await refuse(*self, request, request_info.id, "shutting_down", milliseconds(0));
@@ -196,13 +200,11 @@
     auto call = self->platform_adapter.batch(request.message);
     auto access = decide_access(*self, request_info, request.message.path, call.has_value());
     if (access.verdict == access_verdict::no_key && request_info.key_hash) {
-        const auto asked = self->now();
         co_await look_up_configuration(self);
         if (request.gone()) {
             request.abandon();
             co_return;
         }
-        shorten_time_left(request_info, self->now() - asked);
         access = decide_access(*self, request_info, request.message.path, call.has_value());
     }
     const auto* matched_route = find_route(*self->routes, request_info.host, request.message.path);
@@ -216,7 +218,8 @@
         co_await serve_batch_call(registry, request, *call, false);
         co_return;
     }
-    const route request_route = *matched_route;
+    route request_route = *matched_route;
+    shorten_limits(request_info, request_route, self->now() - arrived_at);
     if (request_info.id.empty()) {
         co_await reject(*self, request, request_info.id, "malformed", 400);
         co_return;
