Only ended batches leave unfinished items to a later one

What callers saw: nothing in a test. Cause: a host that handed a batch over remembered its unfinished items as if the batch had ended, and held a later batch's item with the same id for a carried-over one. Change: it asks whether the batch has ended.

--- a/src/front/batch_drive.cpp
+++ b/src/front/batch_drive.cpp
@@ -181,8 +181,11 @@
 /// two batches.
 constexpr std::size_t max_remembered_batches = 16;
 
-/// Remembers the unfinished items of a batch, which may be carried over to a later one.
+/// Remembers the unfinished items of an ended batch, which may be carried over to a later one.
 void remember_unfinished(live_batch& batch) {
+    if (!batch.state.ended) {
+        return; // it goes on, here or at another host
+    }
     auto& remembered = batch.local_host->unfinished_items;
     std::set<std::string, std::less<>> unfinished;
     for (std::size_t index = 0; index < batch.state.items.size(); ++index) {
