--- a/src/front/count_exchange.cpp
+++ b/src/front/count_exchange.cpp
@@ -201,14 +201,9 @@
         co_return;
     }
     const auto newest = window_of(self->usage, unix_now(*self));
+    const auto body = encode_counts(*self, oldest_window(*self), newest);
     for (const auto& peer : hosts | std::views::take(max_zone_hosts_asked)) {
-        transport::http_request message;
-        message.method = "POST";
-        message.path = counts_path;
-        message.headers.push_back({"Host", "peer"});
-        message.body = encode_counts(*self, oldest_window(*self), newest);
-        co_await loop::call(self->connections, peer.address, std::move(message),
-                            loop::after(counts_timeout), counts_connect_timeout);
+        co_await push_counts(self, peer.address, body);
     }
 }
 
