--- a/src/front/host.hpp
+++ b/src/front/host.hpp
@@ -74,6 +74,7 @@
 
 /// Times of day of other hosts, by the address at which they answered.
 using peer_clocks = std::map<transport::endpoint, peer_clock>;
+
 struct live_batch;
 
 /// State of one process, shared by everything that runs on its event loop.
--- a/src/front/item_dispatch.cpp
+++ b/src/front/item_dispatch.cpp
@@ -199,6 +199,20 @@
     return rank.value_or(batch_route->priority);
 }
 
+/// Whether items may be sent now. Logs every change of that.
+bool may_dispatch(live_batch& batch) {
+    const bool held = !may_send_items(batch);
+    if (held != batch.sending_paused) {
+        batch.sending_paused = held;
+        log_event(*batch.local_host, batch_held,
+                  {{"id", batch.state.header.id},
+                   {"held", held},
+                   {"log_age_ms", ms_between(batch.log.confirmed, batch.local_host->now())},
+                   {"entry", batch.state.next_entry_number}});
+    }
+    return !held && !batch.handing_over;
+}
+
 /// A batch with the items that may start, in the order of `startable_items`.
 struct startable_batch {
     live_batch_ptr batch;
@@ -274,20 +288,6 @@
     return requirements;
 }
 
-/// Whether items may be sent now. Logs every change of that.
-bool may_dispatch(live_batch& batch) {
-    const bool held = !may_send_items(batch);
-    if (held != batch.sending_paused) {
-        batch.sending_paused = held;
-        log_event(*batch.local_host, batch_held,
-                  {{"id", batch.state.header.id},
-                   {"held", held},
-                   {"log_age_ms", ms_between(batch.log.confirmed, batch.local_host->now())},
-                   {"entry", batch.state.next_entry_number}});
-    }
-    return !held && !batch.handing_over;
-}
-
 void dispatch_items(host& self, placement_round& round) {
     std::vector<startable_batch> batches;
     for (const auto& batch : self.running_batches) {
