Soak: the lateness of its own loop is not held against hosts

Cause, by its logs: for 0.614 s no host and no process of the soak wrote a line, and no host logged loop_delayed: the soak, which plays callers and targets, read late what was sent in time, and its check allows 0.5 s. Change: it measures its loop's lateness each 20 ms and adds just that to what it allows for time left; without lateness the check is as before, and a test shows that it still fails there.

--- a/soak/internal/day.cpp
+++ b/soak/internal/day.cpp
@@ -322,9 +322,21 @@
     }
 }
 
+namespace {
+
+loop::task<void> watch_own_loop(day& self) {
+    for (;;) {
+        note_beat(self.book, loop::steady_clock::now());
+        co_await loop::pause_for(self.io, beat_interval);
+    }
+}
+
+} // namespace
+
 day_result play(const day_options& options) {
     day self(options);
     set_up(self);
+    loop::asio::co_spawn(self.io, watch_own_loop(self), loop::asio::detached);
     loop::asio::co_spawn(self.io, tend_all(self), loop::asio::detached);
     for (auto& one : self.hosts) {
         loop::asio::co_spawn(self.io, ask_readiness(self, *one), loop::asio::detached);
--- a/soak/internal/promises.cpp
+++ b/soak/internal/promises.cpp
@@ -82,7 +82,8 @@
 }
 
 void judge_time_left(ledger& book, const standins::run_seen& seen, const sent_request& sent) {
-    const auto due = sent.sent + caller_time_left + time_left_slack;
+    const auto due = sent.sent + caller_time_left + time_left_slack +
+                     own_lateness(book, loop::steady_clock::now());
     const bool in_time = seen.time_left && seen.arrived + *seen.time_left <= due;
     if (is_calm(book) && !in_time) {
         note_broken(book, "time left", seen.request + " may run too long at " + seen.target);
@@ -222,6 +223,30 @@
     book.broken.push_back(std::string(promise) + ": " + detail);
 }
 
+void note_beat(ledger& book, deadline now) {
+    auto& lateness = book.lateness;
+    const auto late = std::chrono::duration_cast<milliseconds>(now - lateness.beat) - beat_interval;
+    if (lateness.beat != deadline{} && late >= beat_interval) {
+        lateness.latest = late;
+        lateness.latest_until = now;
+    }
+    lateness.beat = now;
+}
+
+milliseconds own_lateness(const ledger& book, deadline now) {
+    // What was waiting when the loop went on is read within some beats.
+    constexpr auto catch_up_time = beat_interval * 5;
+    const auto& lateness = book.lateness;
+    if (lateness.beat == deadline{}) {
+        return milliseconds(0);
+    }
+    const auto current =
+        std::chrono::duration_cast<milliseconds>(now - lateness.beat) - beat_interval;
+    const auto recent =
+        now - lateness.latest_until <= catch_up_time ? lateness.latest : milliseconds(0);
+    return std::max({current, recent, milliseconds(0)});
+}
+
 bool is_calm(const ledger& book) {
     return book.troubles == 0 && loop::steady_clock::now() - book.calm_since > book.bounds.calm;
 }
--- a/soak/internal/promises.hpp
+++ b/soak/internal/promises.hpp
@@ -53,10 +53,22 @@
     std::set<std::string, std::less<>> listed_items{};
 };
 
+/// How late the soak's own loop is, which plays callers, targets and proxies. What it reads late
+/// was not sent late.
+struct loop_lateness {
+    deadline beat{};         ///< When `note_beat` was last called; zero: never.
+    milliseconds latest{0};  ///< By how much that call was late.
+    deadline latest_until{}; ///< When the loop was last seen to be late.
+};
+
+/// Between two calls of `note_beat`.
+inline constexpr milliseconds beat_interval{20};
+
 /// What callers and targets have seen of the system, and the promises that this breaks. Everything
 /// is judged from outside, by ids.
 struct ledger {
     promise_bounds bounds{};
+    loop_lateness lateness{};
     std::map<std::string, int> ranks{}; ///< Priorities of the client accounts.
     std::vector<std::string> broken{};
     deadline calm_since{};                    ///< The end of the last trouble.
@@ -99,6 +111,12 @@
 /// Whether there has been no trouble for the whole window before now.
 [[nodiscard]] bool is_calm(const ledger& book);
 
+/// Records that the soak's loop runs, each `beat_interval`.
+void note_beat(ledger& book, deadline now);
+
+/// By how much what the soak reads at this moment may have waited for its loop.
+[[nodiscard]] milliseconds own_lateness(const ledger& book, deadline now);
+
 /// An observer of targets that writes into the ledger, which must outlive it.
 [[nodiscard]] standins::target_observer observe(ledger& book);
 
--- a/tests/soak/promises_tests.cpp
+++ b/tests/soak/promises_tests.cpp
@@ -136,6 +136,41 @@
     CHECK(book.broken.size() == 1);
 }
 
+TEST_CASE("a request that the soak reads late is not one with too much time", "[soak]") {
+    // Guards against a promise that seems broken because the soak's own process stood still.
+    ledger book;
+    const auto seen = observe(book);
+    note_sent(book, "look", {run_rule::any, "callers", false});
+    auto run = make_run("look", "target-1", "callers");
+    run.time_left = caller_time_left + 600ms;
+    const auto now = loop::steady_clock::now();
+    SECTION("it stood still until now") {
+        note_beat(book, now - 700ms);
+        seen.ran(run);
+        CHECK(book.broken.empty());
+    }
+    SECTION("it has just gone on") {
+        note_beat(book, now - 700ms);
+        note_beat(book, now);
+        seen.ran(run);
+        CHECK(book.broken.empty());
+    }
+    SECTION("it stood still a while ago") {
+        note_beat(book, now - 1500ms);
+        note_beat(book, now - 800ms);
+        for (auto beat = now - 780ms; beat <= now; beat += beat_interval) {
+            note_beat(book, beat);
+        }
+        seen.ran(run);
+        CHECK(book.broken.size() == 1);
+    }
+    SECTION("it has run all the while") {
+        note_beat(book, now);
+        seen.ran(run);
+        CHECK(book.broken.size() == 1);
+    }
+}
+
 TEST_CASE("the ledger notices a refusal of a request that runs", "[soak]") {
     ledger book;
     const auto seen = observe(book);
