--- a/tests/soak/crash_rig.cpp
+++ b/tests/soak/crash_rig.cpp
@@ -117,6 +117,7 @@
     settings.seeds = {peer_address(rig, 0), peer_address(rig, 1)};
     settings.platform = address(rig, store_group, 0, 7001);
     settings.stable_window = rig_stable_window;
+    settings.duties = rig.duties;
     rig.hosts.push_back(front::start_host(rig.io, front::linked_adapter(), settings));
 }
 
--- a/tests/soak/crash_rig.hpp
+++ b/tests/soak/crash_rig.hpp
@@ -35,6 +35,7 @@
     int network;
     milliseconds restart_time{700}; ///< How long a target is away that a request has crashed.
     standins::crash_form crash = standins::crash_form::closes; ///< Of all targets.
+    std::optional<front::duty_settings> duties{};              ///< Of all hosts.
     loop::io_context io{1};
     standins::store_ptr platform = std::make_shared<standins::store>(io);
     std::vector<std::shared_ptr<front::batch_registry>> hosts{};
