Items that wait after crashes show in the log and in a metric

What operators saw: an item that was held back because targets had crashed under it left no line in the log, and no metric said how many wait. So an item that is refused for good, one that waits out a pause and one that waits for the store looked alike. Change: events item_held and item_released, for the text and for the score of an item, and the gauge cornelloom_held_items. No behaviour changes.

--- a/src/front/batch.hpp
+++ b/src/front/batch.hpp
@@ -36,6 +36,7 @@
     std::vector<std::string> left_targets; ///< Targets that it left because they were slow.
     bool moved_for_deadline = false;       ///< Moved to another target, once, to meet the deadline.
     time_point deferred_since{};  ///< Since when it waits for a faster target; zero: it does not.
+    time_point held_since{};      ///< Since when crashes of its targets delay it; zero: they don't.
     double memory_tokens = 0;     ///< Memory that its run is expected to take at its target.
     std::uint64_t digest = 0;     ///< Of its content; 0: not computed yet.
     bool asks_permission = false; ///< It may crash its targets; see `request_permission`.
--- a/src/front/events.hpp
+++ b/src/front/events.hpp
@@ -75,6 +75,10 @@
 inline constexpr event target_replaced{
     9062, "target_replaced", event_level::warning,
     "a target that accepted a connection was a later start: it had ended"};
+inline constexpr event item_held{9064, "item_held", event_level::info,
+                                 "an item waits because targets crashed under it"};
+inline constexpr event item_released{9065, "item_released", event_level::info,
+                                     "an item that crashes had delayed goes on"};
 inline constexpr event batch_accepted{9030, "batch_accepted", event_level::info,
                                       "a batch was stored and accepted"};
 inline constexpr event batch_refused{9031, "batch_refused", event_level::warning,
--- a/src/front/item_dispatch.cpp
+++ b/src/front/item_dispatch.cpp
@@ -2,6 +2,7 @@
 
 #include "decide/item_order.hpp"
 #include "decide/memory_room.hpp"
+#include "front/item_hold.hpp"
 #include "front/item_run.hpp"
 #include "front/quarantine_store.hpp"
 #include "front/send_permission.hpp"
@@ -75,7 +76,11 @@
         state.asks_permission = true;
         loop::asio::co_spawn(self.io, ask_permission(batch, index), loop::asio::detached);
     }
-    return verdict.permission != decide::send_permission::granted;
+    const bool held = verdict.permission != decide::send_permission::granted;
+    if (held) {
+        hold_item(*batch, index, held_part::text, digest, verdict.delay);
+    }
+    return held;
 }
 
 /// Adds the memory that the item needs, where the configuration states the memory of targets.
@@ -141,6 +146,7 @@
         return;
     }
     state.deferred_since = {};
+    release_item(*batch, index);
     state.phase = item_phase::running;
     // Counted here rather than in run_item(), so that the next item of this burst sees it.
     ++target->running;
--- a/src/front/item_run.cpp
+++ b/src/front/item_run.cpp
@@ -1,5 +1,6 @@
 #include "front/item_run.hpp"
 
+#include "front/item_hold.hpp"
 #include "front/plain_call.hpp"
 
 #include <algorithm>
@@ -450,6 +451,7 @@
         const bool success = outcome.result == plain_outcome::state::answered && status >= 200 &&
                              status < 300 && outcome.answer_info.stamped;
         if (success) {
+            release_item(*batch, index);
             auto result = completed_result(*batch, index);
             result.score = outcome.answer_info.stamp;
             result.scored = true;
@@ -463,6 +465,12 @@
             co_return;
         }
         const bool quarantined = outcome.quarantine.has_value();
+        if (quarantined) {
+            hold_item(*batch, index, held_part::score, digest_of_scoring(*scoring),
+                      outcome.quarantine->retry_delay);
+        } else {
+            release_item(*batch, index);
+        }
         co_await loop::pause_for(self->io,
                                  quarantined ? quarantine_check_interval : scoring_retry_delay);
     }
--- a/src/front/process.cpp
+++ b/src/front/process.cpp
@@ -7,6 +7,7 @@
 #include "front/crash_exchange.hpp"
 #include "front/follower.hpp"
 #include "front/gateway.hpp"
+#include "front/item_hold.hpp"
 #include "front/order_giver.hpp"
 #include "front/quarantine_store.hpp"
 #include "front/slot_exchange.hpp"
@@ -210,6 +211,7 @@
         drop_old_counts(*self);
         check_silent_runs(self);
         expire_crashes(*self);
+        self->metrics.set("cornelloom_held_items", static_cast<double>(count_held_items(*self)));
         record_demand(*self, count_unfinished_items(*registry));
     }
 }
