cornelloomd: a sample under which engines crashed is still owed

What callers saw: cornelloomd gave a sample of a trainer's step up as failed, for good, once two engines had ended under its prompt. Cause: the scheduler refused it as quarantined like a caller's request, and the step took that for a sample that can't be made. Test: 'An owed request that crashes its targets is slowed down, not refused'; before, its sample was refused.

--- a/src/daemon/status.cpp
+++ b/src/daemon/status.cpp
@@ -1,5 +1,7 @@
 #include "daemon/status.hpp"
 
+#include <utility>
+
 namespace cornelloom::daemon {
 
 namespace {
@@ -50,10 +52,12 @@
 }
 
 json queues_json(const operator_services& parts) {
-    const auto counts = parts.requests.with_scheduler(
-        [](auto& scheduler, auto) { return decide::counts(scheduler); });
+    const auto [counts, held_back] = parts.requests.with_scheduler([](auto& scheduler, auto now) {
+        return std::pair(decide::counts(scheduler), decide::held_back_count(scheduler, now));
+    });
     json out{{"in_flight", counts.in_flight},
              {"delayed", counts.delayed},
+             {"held_back", held_back},
              {"requests", counts.requests},
              {"quarantined", counts.quarantined},
              {"targets_leaving", counts.targets_leaving}};
--- a/src/daemon/step_runner.cpp
+++ b/src/daemon/step_runner.cpp
@@ -78,6 +78,7 @@
     request.group_size = step_.groups.at(item.group).samples;
     request.prefix_hash = kernel::hash64(shared_prefix(item.prompt));
     request.digest = kernel::hash64(item.prompt);
+    request.duty = decide::request_duty::result;
     request.minimum_version = step_.newest > step_.bound ? step_.newest - step_.bound : 0;
     return request;
 }
@@ -207,10 +208,6 @@
 // A slot that the scheduler refused stays wanted, and is submitted again when the refusal says so.
 void step_runner::give_back(slot_index slot, const kernel::refusal& why) {
     live_.erase(slot);
-    if (why.reason == kernel::refusal_reason::quarantined) {
-        rollout::fail_slot(step_, slot, kernel::to_string(why.reason));
-        return;
-    }
     rollout::defer_slot(step_, slot,
                         shared_.clock.now() +
                             std::clamp(why.retry_after, shortest_pause, longest_pause));
--- a/src/decide/internal/dispatching.cpp
+++ b/src/decide/internal/dispatching.cpp
@@ -165,10 +165,7 @@
 
 bool dispatch_head(class_pass& pass, const queue_head& item, actions& out) {
     auto& record = record_of(pass.state, item);
-    const bool quarantined =
-        !pass.state.crashes.digests.empty() &&
-        quarantined_for(pass.state.crashes, digest_of(record.work), pass.now) > kernel::duration{};
-    if (quarantined) {
+    if (is_held_back(pass.state, record, pass.now)) {
         return delay_item(pass, record, pass.now + unsuitable_delay);
     }
     const auto found = place(pass.state, record, pass.now);
@@ -284,6 +281,9 @@
     dispatched.kind = kind;
     count_attempt(state, record, dispatched);
     record.active_attempts.push_back(dispatched);
+    if (dispatched.suspect && record.work.duty == request_duty::result) {
+        begin_try(state.crashes, digest_of(record.work), now);
+    }
     remember_holder(*record.dest, record.work.prefix_hash, target_choice.target, now);
     if (kind == dispatch_kind::first) {
         earn(state.retries, state.rules.retry);
--- a/src/decide/internal/faults.cpp
+++ b/src/decide/internal/faults.cpp
@@ -90,6 +90,20 @@
     }
 }
 
+bool is_held_back(const scheduler_state& state, const request_record& record,
+                  kernel::time_point now) {
+    if (state.crashes.digests.empty()) {
+        return false;
+    }
+    const auto digest = digest_of(record.work);
+    if (record.work.duty == request_duty::result) {
+        const auto verdict =
+            judge_send(state.crashes, state.rules.quarantine, digest, record.work.duty, now);
+        return verdict.permission == send_permission::pending;
+    }
+    return quarantined_for(state.crashes, digest, now) > kernel::duration{};
+}
+
 void record_failure(scheduler_state& state, const attempt_state& failed, failure_kind kind,
                     kernel::time_point now, actions& out) {
     auto& load = state.targets[failed.target];
@@ -140,7 +154,8 @@
             continue;
         }
         for (const auto& [id, record] : state.requests) {
-            if (digest_of(record->work) == pending.digest) {
+            if (digest_of(record->work) == pending.digest &&
+                record->work.duty == request_duty::answer) {
                 found.push_back(record.get());
             }
         }
--- a/src/decide/internal/outcomes.cpp
+++ b/src/decide/internal/outcomes.cpp
@@ -265,6 +265,9 @@
         record_failure(state, failed, what.kind, now, out);
         avoid(*record, failed.target);
     }
+    if (failed.suspect && what.kind != failure_kind::crashed) {
+        end_try(state.crashes, digest_of(record->work), now);
+    }
     end_attempt(state, *record, attempt);
     handle_failure(state, *record, what, now, out);
     return out;
--- a/src/decide/internal/state.hpp
+++ b/src/decide/internal/state.hpp
@@ -198,6 +198,9 @@
 
 // Faults (faults.cpp).
 
+/// Whether the request must wait because targets crashed under it.
+[[nodiscard]] bool is_held_back(const scheduler_state& state, const request_record& record,
+                                kernel::time_point now);
 /// Updates the health and limit of the target of a failed attempt, and the crash suspects on it.
 /// The attempt must still be part of its record.
 void record_failure(scheduler_state& state, const attempt_state& failed, failure_kind kind,
--- a/src/decide/scheduler.cpp
+++ b/src/decide/scheduler.cpp
@@ -50,7 +50,8 @@
                             "attempts of earlier hops");
     }
     const auto digest = digest_of(work);
-    if (is_confirmed(state.crashes, state.rules.quarantine, digest, now)) {
+    if (work.duty == request_duty::answer &&
+        is_confirmed(state.crashes, state.rules.quarantine, digest, now)) {
         return make_refusal(work, kernel::refusal_reason::quarantined,
                             quarantined_for(state.crashes, digest, now), "crashed several targets");
     }
@@ -258,6 +259,13 @@
     return std::max(next, now);
 }
 
+std::size_t held_back_count(const scheduler& all, kernel::time_point now) {
+    const auto& state = *all.state;
+    return static_cast<std::size_t>(std::ranges::count_if(state.delayed, [&](const auto& waiting) {
+        return is_held_back(state, *waiting.record, now);
+    }));
+}
+
 scheduler_counts counts(const scheduler& all) {
     const auto& state = *all.state;
     scheduler_counts out;
--- a/src/decide/scheduler.hpp
+++ b/src/decide/scheduler.hpp
@@ -109,6 +109,9 @@
 
 [[nodiscard]] scheduler_counts counts(const scheduler& all);
 
+/// Requests that wait because targets crashed under them.
+[[nodiscard]] std::size_t held_back_count(const scheduler& all, kernel::time_point now);
+
 /// State of one target as seen by this host, for `status` and tests.
 struct target_view {
     kernel::target_id id;
--- a/src/rollout/work.cpp
+++ b/src/rollout/work.cpp
@@ -303,18 +303,4 @@
     }
 }
 
-void fail_slot(step& open, slot_index index, std::string_view reason) {
-    if (index >= open.slots.size()) {
-        return;
-    }
-    auto& at = open.slots[index];
-    if (at.state != slot_state::wanted && at.state != slot_state::running) {
-        return;
-    }
-    internal::give_up_all(open, index, waste_cause::crashed);
-    at.state = slot_state::failed;
-    at.failure = reason;
-    internal::complete_if_done(open);
-}
-
 } // namespace cornelloom::rollout
--- a/src/rollout/work.hpp
+++ b/src/rollout/work.hpp
@@ -91,7 +91,4 @@
 /// Starts a slot again from its prompt, when that is cheaper than resuming.
 void drop_so_far(step& open, slot_index slot, waste_cause cause);
 
-/// The slot cannot be made (its prompt crashes engines, say); the trainer is told why.
-void fail_slot(step& open, slot_index slot, std::string_view reason);
-
 } // namespace cornelloom::rollout
--- a/tests/decide/scheduler_tests.cpp
+++ b/tests/decide/scheduler_tests.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <iterator>
 
 using namespace cornelloom;
 using namespace cornelloom::decide;
@@ -204,6 +205,39 @@
     CHECK(submit(all, later, kernel::time_point{700s}).has_value());
 }
 
+TEST_CASE("An owed request that crashes its targets is slowed down, not refused",
+          "[decide][quarantine][owed]") {
+    // Failure: a sample of a trainer's step under which two engines had ended was given up.
+    auto all = scheduler_with_engines(12);
+    const auto submit_again = [&](int number, kernel::time_point now) {
+        auto work = engine_request("sample-" + std::to_string(number), 3);
+        work.duty = request_duty::result;
+        work.deadline = kernel::time_point{3600s};
+        REQUIRE(submit(all, work, now).has_value());
+    };
+    int submissions = 0;
+    int runs = 0;
+    bool waited = false;
+    submit_again(submissions, {});
+    for (kernel::time_point now{}; now < kernel::time_point{300s}; now += 100ms) {
+        auto todo = tick(all, now);
+        for (const auto& sent : todo.dispatches) {
+            ++runs;
+            const auto after =
+                on_failure(all, sent.request, sent.attempt, {.kind = failure_kind::crashed}, now);
+            std::ranges::copy(after.refusals, std::back_inserter(todo.refusals));
+        }
+        for (const auto& refused : todo.refusals) {
+            CHECK(refused.answer.reason != kernel::refusal_reason::quarantined);
+            submit_again(++submissions, now);
+        }
+        waited = waited || held_back_count(all, now) == 1;
+    }
+    CHECK(waited);
+    CHECK(runs > 10);
+    CHECK(runs <= 10 + 4 * 5);
+}
+
 TEST_CASE("Two digests identified for one crash cancel each other", "[decide][quarantine]") {
     // Hosts A and B each had a suspect on the engine that crashed. A identifies its own suspect and
     // receives B's by gossip. Only one can be the cause, so both remain suspects.
