cornelloomd: a quarantined request is not sent in place of one that is due

What operators saw: nothing yet; found by searching for other ways to targets. Until a quarantine was confirmed, for 2 s, an engine that held the prefix of the request still got it, since the look ahead in the queue didn't ask whether it is held back. Change: it asks. Test: 'A quarantined request is not sent in place of one that is due'.

--- a/src/decide/internal/lookahead.cpp
+++ b/src/decide/internal/lookahead.cpp
@@ -38,6 +38,9 @@
 
 bool can_place(scheduler_state& state, request_record& record, std::uint32_t target,
                kernel::time_point now) {
+    if (is_held_back(state, record, now)) {
+        return false;
+    }
     const auto query = query_of(state, record, now);
     const auto result =
         choose(state.targets, std::span{&target, 1}, query, state.rules, now, state.random);
--- a/tests/decide/scheduler_tests.cpp
+++ b/tests/decide/scheduler_tests.cpp
@@ -238,6 +238,25 @@
     CHECK(runs <= 10 + 4 * 5);
 }
 
+TEST_CASE("A quarantined request is not sent in place of one that is due", "[decide][quarantine]") {
+    // Failure: until its quarantine was confirmed, an engine that held its prefix still got it.
+    auto all = scheduler_with_engines(1);
+    auto first = engine_request("first", 1);
+    first.prefix_hash = 5;
+    const auto warm = submit_all(all, {first}, {});
+    REQUIRE(warm.size() == 1);
+    (void)on_complete(all, warm[0].request, warm[0].attempt, {}, kernel::time_point{1s});
+    on_quarantine(all, {.digest = 3, .remaining = 600s, .crashed_target = 9},
+                  kernel::time_point{2s});
+    auto due = engine_request("due", 2);
+    due.prefix_hash = 6;
+    auto culprit = engine_request("culprit", 3);
+    culprit.prefix_hash = 5;
+    const auto sent = submit_all(all, {due, culprit}, kernel::time_point{2s});
+    REQUIRE(sent.size() == 1);
+    CHECK(sent[0].request == kernel::request_id{"due"});
+}
+
 TEST_CASE("Two digests identified for one crash cancel each other", "[decide][quarantine]") {
     // Hosts A and B each had a suspect on the engine that crashed. A identifies its own suspect and
     // receives B's by gossip. Only one can be the cause, so both remain suspects.
