--- a/src/decide/internal/stragglers.cpp
+++ b/src/decide/internal/stragglers.cpp
@@ -116,6 +116,9 @@
 bool try_hedge(scheduler_state& state, request_record& record, kernel::time_point now,
                actions& out) {
     const auto running = record.active_attempts.front();
+    if (running.suspect) {
+        return false; // it may crash a second target
+    }
     const auto alternative = place_hedge(state, record, running, now);
     if (alternative.outcome != placement_outcome::placed ||
         !attempt_needs_hedge(state, record, running, alternative, now)) {
--- a/tests/decide/scheduler_tests.cpp
+++ b/tests/decide/scheduler_tests.cpp
@@ -257,6 +257,41 @@
     CHECK(sent[0].request == kernel::request_id{"due"});
 }
 
+TEST_CASE("A request that may crash its target is not hedged", "[decide][quarantine]") {
+    // Failure: it was sent to a second target while it still ran on the first one.
+    scheduler all{self, {}, 1};
+    const std::vector targets{service_target("app-1", 4), service_target("app-2", 4),
+                              service_target("app-3", 4)};
+    set_targets(all, targets, std::span{&self, 1}, {});
+    const bool crashes = GENERATE(false, true);
+    kernel::time_point now{};
+    for (int number = 0; number < 20; ++number) {
+        const auto id = "warm-" + std::to_string(number);
+        const auto sent = submit_all(all, {service_request(id.c_str(), true)}, now);
+        REQUIRE(sent.size() == 1);
+        now += 20ms;
+        (void)on_complete(all, sent[0].request, sent[0].attempt, {}, now);
+    }
+    auto work = service_request("slow", true);
+    work.digest = 3;
+    work.deadline = now + 100s;
+    auto sent = submit_all(all, {work}, now);
+    REQUIRE(sent.size() == 1);
+    if (crashes) {
+        (void)on_failure(all, sent[0].request, sent[0].attempt, {.kind = failure_kind::crashed},
+                         now);
+        now += 1s;
+        sent = tick(all, now).dispatches;
+        REQUIRE(sent.size() == 1);
+    }
+    std::size_t hedges = 0;
+    for (int round = 0; round < 20; ++round) {
+        now += 100ms;
+        hedges += tick(all, now).dispatches.size();
+    }
+    CHECK(hedges == (crashes ? 0 : 1));
+}
+
 TEST_CASE("Two digests identified for one crash cancel each other", "[decide][quarantine]") {
     // Hosts A and B each had a suspect on the engine that crashed. A identifies its own suspect and
     // receives B's by gossip. Only one can be the cause, so both remain suspects.
