Without the store, hosts start trial runs one after the other

Ten hosts that got a request which had crashed three targets at the same moment each started the same trial run while the store was silent: 20 trial runs in five waves, more than three retries after the stable window. Cause: a host that could not claim a trial run started it at once, if the request was not identified. Change: the first two hosts of each zone, which are told of crashes at once, start one each after a wait by their place in a common order, unless they hear of another's meanwhile; other hosts leave it to them and refuse with a time to come back. 'requests are served while the store is unavailable ...' passes as it is.

--- a/src/decide/internal/trial_runs.cpp
+++ b/src/decide/internal/trial_runs.cpp
@@ -121,6 +121,17 @@
     }
 }
 
+std::optional<kernel::duration> wait_before_unclaimed_trial(const crash_ledger& ledger,
+                                                            const quarantine_policy& rules,
+                                                            std::uint64_t digest,
+                                                            std::size_t position) {
+    const auto found = ledger.digests.find(digest);
+    if (found == ledger.digests.end() || found->second.identified_by != 0) {
+        return std::nullopt;
+    }
+    return rules.unclaimed_trial_gap * static_cast<std::int64_t>(position);
+}
+
 void begin_trial(crash_ledger& ledger, const quarantine_policy& rules, std::uint64_t digest,
                  kernel::time_point now) {
     auto& record = record_of(ledger, rules, digest);
--- a/src/decide/policy.hpp
+++ b/src/decide/policy.hpp
@@ -111,6 +111,8 @@
     std::uint32_t max_trials = 3;
     /// Time in which the result of a trial run is known on all hosts.
     kernel::duration trial_time = 4s;
+    /// Between trial runs of hosts that can't make sure of one: time in which the next one is told.
+    kernel::duration unclaimed_trial_gap = 150ms;
     /// Until the next trial run after one that reached no target.
     kernel::duration unused_trial_pause = 1s;
     /// Pause of an owed request after it has crashed `crash_threshold` targets; doubled with each
--- a/src/decide/quarantine.hpp
+++ b/src/decide/quarantine.hpp
@@ -113,6 +113,13 @@
 /// Records that its run ended without an answer, but didn't crash the target.
 void end_try(crash_ledger& ledger, std::uint64_t digest, kernel::time_point now);
 
+/// How long a host that can't make sure of a trial run of a caller's request waits for those of
+/// other hosts before it starts one all the same; unset: it starts none. `position`: its place in
+/// an order that all hosts know.
+[[nodiscard]] std::optional<kernel::duration>
+wait_before_unclaimed_trial(const crash_ledger& ledger, const quarantine_policy& rules,
+                            std::uint64_t digest, std::size_t position);
+
 /// Records a trial run of the digest. Only for a host that has made sure that no other one starts
 /// the same trial run.
 void begin_trial(crash_ledger& ledger, const quarantine_policy& rules, std::uint64_t digest,
--- a/src/front/crash_exchange.cpp
+++ b/src/front/crash_exchange.cpp
@@ -21,8 +21,6 @@
 constexpr loop::milliseconds collect_delay{30};
 constexpr loop::milliseconds exchange_timeout{600};
 constexpr loop::milliseconds exchange_connect_timeout{250};
-/// Hosts of each zone that are told at once; the others ask one of them.
-constexpr std::size_t zone_hosts_told = 2;
 /// Records in one message. One target has a few dozen requests in flight, and a message must not
 /// block the receiver.
 constexpr std::size_t max_records_sent = 256;
--- a/src/front/crash_exchange.hpp
+++ b/src/front/crash_exchange.hpp
@@ -22,6 +22,9 @@
 /// URL path under which a host takes what another one knows, and answers with what it knows.
 inline constexpr std::string_view crashes_path = "/crashes";
 
+/// Hosts of each zone that are told at once; the others ask one of them.
+inline constexpr std::size_t zone_hosts_told = 2;
+
 [[nodiscard]] std::string encode_crashes(const decide::shared_crashes& crashes);
 [[nodiscard]] kernel::result<decide::shared_crashes> decode_crashes(std::string_view text);
 
--- a/src/front/send_permission.cpp
+++ b/src/front/send_permission.cpp
@@ -1,8 +1,10 @@
 #include "front/send_permission.hpp"
 
+#include "front/crash_exchange.hpp"
 #include "front/quarantine_store.hpp"
 
 #include <algorithm>
+#include <iterator>
 
 namespace cornelloom::front {
 
@@ -22,10 +24,31 @@
             false};
 }
 
-/// Whether this host may start a trial run without the store: not of an identified request.
-bool may_start_alone(const host& self, std::uint64_t digest) {
-    const auto found = self.crashes.ledger.digests.find(digest);
-    return found != self.crashes.ledger.digests.end() && found->second.identified_by == 0;
+/// How long this host waits before it starts a trial run that the store doesn't grant; unset: it
+/// leaves trial runs to the hosts that are told of others at once. Their order begins with one of
+/// each zone, so that a zone that is cut off serves on.
+std::optional<kernel::duration> wait_before_unclaimed_trial(const host& self,
+                                                            std::uint64_t digest) {
+    const auto own = host_entry_of(self);
+    const auto before = static_cast<std::size_t>(std::ranges::count_if(
+        ranked_zone_hosts(self.settings.zone, self.peers),
+        [&own](const host_entry& other) { return ranks_before(other, own); }));
+    if (before >= zone_hosts_told) {
+        return std::nullopt;
+    }
+    const auto& zones = self.settings.region_of_zone;
+    const auto zone = std::distance(zones.begin(), zones.find(self.settings.zone));
+    const auto position = before * zones.size() + static_cast<std::size_t>(zone);
+    return decide::wait_before_unclaimed_trial(self.crashes.ledger, self.crashes.rules, digest,
+                                               position);
+}
+
+/// Waits until that time; returns whether a trial run was due all the while.
+loop::task<bool> stays_due(std::shared_ptr<host> self, std::uint64_t digest, time_point until) {
+    while (is_trial_due(*self, digest) && self->now() < until) {
+        co_await self->crashes.evidence_changed.wait(to_deadline(*self, until));
+    }
+    co_return is_trial_due(*self, digest);
 }
 
 } // namespace
@@ -41,7 +64,8 @@
         }
         const bool waits = verdict.permission != decide::send_permission::refused;
         if (!waits || self->now() >= give_up_at) {
-            co_return refuse_for(*self, digest, verdict.delay);
+            const bool due = verdict.delay == kernel::duration{};
+            co_return refuse_for(*self, digest, due ? store_unavailable_delay : verdict.delay);
         }
         if (verdict.permission == decide::send_permission::pending) {
             co_await self->crashes.evidence_changed.wait(
@@ -59,9 +83,15 @@
         if (claim == trial_claim::not_due || !is_trial_due(*self, digest)) {
             continue;
         }
-        if (!may_start_alone(*self, digest)) {
+        const auto wait = wait_before_unclaimed_trial(*self, digest);
+        if (!wait) {
             co_return refuse_for(*self, digest, store_unavailable_delay);
         }
+        const auto start_at = self->now() + *wait;
+        if (!co_await stays_due(self, digest, std::min(start_at, give_up_at)) ||
+            self->now() < start_at) {
+            continue;
+        }
         start_trial(*self, digest);
         co_return send_decision{std::nullopt, true};
     }
--- a/tests/decide/quarantine_tests.cpp
+++ b/tests/decide/quarantine_tests.cpp
@@ -423,6 +423,19 @@
     }
 }
 
+TEST_CASE("without the store, hosts start trial runs one after the other", "[decide][quarantine]") {
+    // Failure: each host granted itself the same trial run at the same moment.
+    auto ledger = crashed_together(start);
+    const auto wait = [&](std::size_t position) {
+        return wait_before_unclaimed_trial(ledger, lasting_rules, culprit, position);
+    };
+    CHECK(wait(0) == 0s);
+    CHECK(wait(2) == 2 * lasting_rules.unclaimed_trial_gap);
+    (void)crash(ledger, 4, {culprit}, start + 3s);
+    REQUIRE(crash(ledger, 5, {culprit}, start + 4s) == culprit);
+    CHECK_FALSE(wait(0)); // it is identified
+}
+
 TEST_CASE("crashes that are told late do not name a request", "[decide][quarantine]") {
     // Failure: a host that had started later did not know that many targets ended in that moment.
     crash_ledger a;
--- a/tests/soak/crash_retry_tests.cpp
+++ b/tests/soak/crash_retry_tests.cpp
@@ -53,6 +53,31 @@
           static_cast<std::ptrdiff_t>(hosts));
 }
 
+TEST_CASE("a request that reaches several hosts at once without the store is retried three times "
+          "at most",
+          "[soak][crash][away]") {
+    // Failure: while the store was unavailable, each host granted itself the same trial run.
+    crash_rig rig(51);
+    constexpr std::size_t hosts = 10;
+    start_targets(rig, 24, 0);
+    start_hosts(rig, static_cast<int>(hosts));
+    const auto path = "/look/" + std::string(crashes_targets);
+    std::vector<int> others;
+    play(rig, [&]() -> loop::task<void> {
+        rig.platform->troubles.silent = true;
+        for (int wave = 0; wave < 5; ++wave) {
+            co_await ask_all(rig, path, hosts);
+            co_await loop::pause_for(rig.io, 2 * rig_stable_window);
+        }
+        const auto served = co_await ask_all(rig, "/look/page", hosts);
+        std::ranges::transform(served, std::back_inserter(others),
+                               &transport::http_response::status);
+    });
+    REQUIRE(third_run(rig, crashes_targets));
+    CHECK_FALSE(is_late(rig, crashes_targets));
+    CHECK(std::ranges::count(others, 200) == static_cast<std::ptrdiff_t>(hosts));
+}
+
 TEST_CASE("a request is retried three times at most over all its quarantines", "[soak][crash]") {
     // Failure: at the end of each quarantine every host forgot the request, and it crashed as many
     // targets again.
