--- a/review/harness/harness.cc
+++ b/review/harness/harness.cc
@@ -19,6 +19,9 @@
 /// An answer of the platform's store takes this long.
 constexpr milliseconds store_answer{4};
 constexpr milliseconds ready_interval{100};
+constexpr milliseconds exit_interval{20};
+/// "A process that exits or is killed is restarted after a short delay."
+constexpr milliseconds restart_delay{500};
 
 [[noreturn]] void give_up(const std::string& why) {
     std::cerr << "the case could not run: " << why << '\n';
@@ -28,7 +31,7 @@
 } // namespace
 
 stage::stage(const std::string& record)
-    : store(std::make_shared<standins::store>(io)), record_(record), store_at_(free_endpoint()) {
+    : store(std::make_shared<standins::store>(io)), record_(record), store_at(free_endpoint()) {
     if (::access(daemon_path, X_OK) != 0) {
         give_up(std::string(daemon_path) + " is missing: run the deploy file's build first");
     }
@@ -40,7 +43,7 @@
     }
     folder_ = pattern;
     store->troubles.slow = store_answer;
-    standins::start_store(store, store_at_);
+    standins::start_store(store, store_at);
     this->record(std::string("trouble: ") + (trouble ? "yes" : "no"));
 }
 
@@ -82,12 +85,12 @@
     settings.host = name;
     settings.serves_callers = true;
     settings.zone = zone;
-    settings.region = "malopolska";
-    settings.region_of_zone = {{"krakow-a", "malopolska"}, {"tarnow-a", "malopolska"}};
+    settings.region = regions.at(zone);
+    settings.region_of_zone = regions;
     settings.caller_endpoint = free_endpoint();
     settings.readiness_endpoint = free_endpoint();
     settings.peer_endpoint = free_endpoint();
-    settings.platform = store_at_;
+    settings.platform = store_at;
     settings.cpu_share = 0.25;
     settings.file_descriptors = 4100;
     one->metrics_port = free_endpoint().port;
@@ -141,6 +144,22 @@
     }
 }
 
+loop::task<void> stage::restart(process& one) {
+    send_signal(one, SIGTERM, "SIGTERM");
+    const auto kill_at = loop::after(one.settings.grace_period);
+    bool killed = false;
+    while (::waitpid(one.pid, nullptr, WNOHANG) == 0) {
+        if (!killed && loop::steady_clock::now() >= kill_at) {
+            killed = true;
+            send_signal(one, SIGKILL, "SIGKILL");
+        }
+        co_await loop::pause_for(io, exit_interval);
+    }
+    one.pid = 0;
+    co_await loop::pause_for(io, restart_delay);
+    start(one);
+}
+
 standins::target_ptr stage::add_worker(const std::string& id, const std::string& service,
                                        const std::string& zone, int slots,
                                        std::vector<std::string> models, milliseconds work) {
--- a/review/harness/harness.h
+++ b/review/harness/harness.h
@@ -9,6 +9,7 @@
 #include <filesystem>
 #include <fstream>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -50,6 +51,8 @@
 
     loop::io_context io{1};
     std::shared_ptr<standins::store> store;
+    /// The region of each zone.
+    std::map<std::string, std::string, std::less<>> regions{{"krakow-a", "malopolska"}};
     /// False with `TROUBLE=0`: the case does the same without the disruption.
     bool trouble = true;
 
@@ -74,6 +77,9 @@
     /// Waits for the end of a killed process.
     static void reap(process& one);
 
+    /// Stops the process by SIGTERM, by SIGKILL after `grace-period-s`, and starts it again.
+    loop::task<void> restart(process& one);
+
     /// Adds a worker that listens on a free port and registers itself.
     standins::target_ptr add_worker(const std::string& id, const std::string& service,
                                     const std::string& zone, int slots,
@@ -94,13 +100,15 @@
 
     loop::connection_pool channels{io};
 
+    /// Where the hosts reach the store: itself, or a relay that the case puts in front of it.
+    transport::endpoint store_at;
+
 private:
     loop::steady_clock::time_point started_ = loop::steady_clock::now();
     std::ofstream record_;
     std::filesystem::path folder_;
     std::vector<std::unique_ptr<process>> hosts_;
     std::vector<standins::target_ptr> workers_;
-    transport::endpoint store_at_;
 };
 
 } // namespace review
