Order the cases of the review by gravity

Cause: at most three cases stand, the gravest first. Change: the unreadable entry is case 1, the missing results are case 2, the items of an ended batch are case 3.

--- a/review/2/review_case_2.cc
+++ b/review/2/review_case_2.cc
@@ -1,53 +1,63 @@
-/// Case 2: items of a batch that was ended are sent to workers again.
+/// Case 2: results that a client has read are missing at another host, for good.
 ///
-/// A client submits a batch and ends it; the end is acknowledged. The first host of the region's
-/// other zone is killed. Seconds later the same submission arrives once more, at the second host of
-/// that zone. That host does not know the batch, takes itself for its runner, and sends its items
-/// to workers while it stores the submission, which is how it finds out that the batch exists.
+/// A host that runs batches stands still for some seconds. Meanwhile their clients end them at
+/// another host, which records the ends in the logs of the batches. When the first host goes on, it
+/// appends the results that it had not written yet, after the ends. It shows them to readers; the
+/// other host takes an ended batch for complete and never shows them.
 
 #include "harness/harness.h"
 
 #include <csignal>
+#include <random>
 
 namespace {
 
 using namespace review;
 
 constexpr const char* route_host = "leaf.example";
-/// `cancel-ms` of the installation.
-constexpr double cancel_ms = 3000;
-/// Between two events of an item; the first one comes after this time.
+/// `settle-ms` and `stable-window-ms` of the installation.
+constexpr double settle_ms = 1000;
+constexpr double stable_window_ms = 4000;
+/// Between two events of an item.
 constexpr milliseconds event_pause{40};
-/// The hosts are in another region than the store: 20 ms one way, and 4 ms an answer.
-constexpr milliseconds store_answer{44};
-constexpr std::int64_t events_per_item = 25;
-constexpr int groups = 4;
+constexpr std::int64_t short_item = 5;
+constexpr std::int64_t long_item = 78;
+constexpr int batches = 6;
+constexpr int groups = 2;
 constexpr int items_per_group = 4;
 /// A host that started less than 10 s ago is careful; all hosts run for longer than this.
-constexpr milliseconds settled{13000};
-/// After the ack of the end.
-constexpr double killed_after_ms = 2200;
-constexpr double sent_again_after_ms = 3400;
-constexpr double started_again_after_ms = 5700;
-
-struct run {
-    std::string request;
-    double when_ms = 0;
+constexpr milliseconds settled{12000};
+/// The store answers in 4 ms in the mean.
+constexpr int shortest_answer_ms = 2;
+constexpr int longest_answer_ms = 6;
+/// From the last submission to the freeze: some items have ended, and no result is listed yet.
+constexpr milliseconds frozen_after{900};
+/// How long the host stands still.
+constexpr double frozen_ms = 3200;
+
+/// What became of one batch.
+struct batch_seen {
+    standins::step_plan step;
+    bool accepted = false;
+    bool ended = false;
+    std::size_t read_at_runner = 0; ///< Results that a client has read at the host that ran it.
+    std::size_t read_later = 0;     ///< Results that the other host gives later.
+    bool answered_later = false;
 };
 
-standins::step_plan make_step() {
+standins::step_plan make_step(int number) {
     standins::step_plan step;
-    step.id = "7c41e09b52d6a3f8";
+    step.id = "7c41e09b52d6a3f" + std::to_string(number);
     step.host = route_host;
     step.path = "/notes/";
-    step.model = "m0";
-    step.groups_wanted = 3;
+    step.model = "m" + std::to_string(number % 3);
+    step.groups_wanted = groups;
     for (int group = 0; group < groups; ++group) {
         for (int item = 0; item < items_per_group; ++item) {
-            const auto name = std::to_string(group) + std::to_string(item);
-            step.items.push_back({"e5b2907c14da6f" + name, "g" + std::to_string(group),
-                                  "/notes/3/91c4", events_per_item, "40c8f1a7b3e926" + name,
-                                  "/sync/5e07"});
+            const auto name = std::to_string(number) + std::to_string(group) + std::to_string(item);
+            step.items.push_back({"e5b2907c14da6" + name, "g" + std::to_string(group),
+                                  "/notes/3/91c4", item == 0 ? short_item : long_item,
+                                  "40c8f1a7b3e92" + name, "/sync/5e07"});
         }
     }
     return step;
@@ -79,74 +89,77 @@
 json manifest_services() {
     return {{{"name", "leaf-models"},
              {"connection-limit", 160},
-             {"engine", {{"slots", 16}, {"models", {{{"name", "m0"}}}}}}},
+             {"engine",
+              {{"slots", 16}, {"models", {{{"name", "m0"}}, {{"name", "m1"}}, {{"name", "m2"}}}}}}},
             {{"name", "catalogue-app"}, {"connection-limit", 96}}};
 }
 
-/// Sends the call until it gets `wanted`; false if it does not within some tries.
-loop::task<bool> send_until(stage& play, transport::endpoint where, transport::http_request message,
-                            std::string what, int wanted) {
-    for (int attempt = 0; attempt < 5; ++attempt) {
-        play.record("client sends " + what);
-        const auto outcome = co_await play.call(where, message, milliseconds(4000));
-        play.record("client gets " + std::to_string(loop::status_of(outcome)) + " for " + what);
-        if (loop::status_of(outcome) == wanted) {
-            co_return true;
-        }
-        co_await loop::pause_for(play.io, milliseconds(100));
+/// Lets the time of the store's answers vary.
+loop::task<void> vary_store(stage& play) {
+    std::mt19937 random(std::random_device{}());
+    std::uniform_int_distribution<int> answer(shortest_answer_ms, longest_answer_ms);
+    for (;;) {
+        play.store->troubles.slow = milliseconds(answer(random));
+        co_await loop::pause_for(play.io, std::chrono::microseconds(200));
     }
-    co_return false;
 }
 
-loop::task<void> wait_until(stage& play, double when_ms) {
-    while (play.now_ms() < when_ms) {
-        co_await loop::pause_for(play.io, milliseconds(2));
-    }
+loop::task<bool> submit(stage& play, const process& host, const standins::step_plan& step) {
+    play.record("client submits " + step.id + " at " + host.settings.host);
+    const auto outcome = co_await play.call(host.settings.caller_endpoint,
+                                            standins::submission(step), milliseconds(4000));
+    play.record("client gets " + std::to_string(loop::status_of(outcome)) + " for " + step.id);
+    co_return loop::status_of(outcome) == 202;
+}
+
+loop::task<bool> end_batch(stage& play, const process& host, const standins::step_plan& step) {
+    play.record("client ends " + step.id + " at " + host.settings.host);
+    const auto outcome = co_await play.call(host.settings.caller_endpoint, standins::end_call(step),
+                                            milliseconds(6000));
+    play.record("client gets " + std::to_string(loop::status_of(outcome)) + " for the end of " +
+                step.id);
+    co_return loop::status_of(outcome) == 200;
 }
 
-/// Records how many items workers are still running once they have made an event of each.
-loop::task<void> look_at_work(stage& play, const std::vector<standins::target_ptr>& engines,
-                              int& at_work) {
-    co_await loop::pause_for(play.io, event_pause * 3 / 2);
-    for (const auto& each : engines) {
-        at_work += each->running;
+/// Reads the batch from position 0; nothing if the answer is no page.
+loop::task<std::optional<standins::results_page>> read(stage& play, const process& host,
+                                                       const standins::step_plan& step) {
+    const auto outcome =
+        co_await play.call(host.settings.caller_endpoint,
+                           standins::results_call(step, 0, milliseconds(0)), milliseconds(3000));
+    std::optional<standins::results_page> page;
+    if (loop::status_of(outcome) == 200) {
+        page = standins::read_page(outcome.answer.body);
     }
-    play.record(std::to_string(at_work) + " items are at work, and an event of each has been made");
+    play.record("client reads " + step.id + " from position 0 at " + host.settings.host +
+                ": status " + std::to_string(loop::status_of(outcome)) +
+                (page ? ", " + std::to_string(page->results.size()) + " results" : ""));
+    co_return page;
 }
 
 loop::task<int> run_case(stage& play) {
-    play.store->troubles.slow = store_answer;
-    // Two zones of one region, with two hosts each.
-    auto& a1 = play.add_host("front-krakow-a-1", "krakow-a");
-    auto& a2 = play.add_host("front-krakow-a-2", "krakow-a");
-    auto& b1 = play.add_host("front-tarnow-a-1", "tarnow-a");
-    auto& b2 = play.add_host("front-tarnow-a-2", "tarnow-a");
-    std::vector<run> runs;
-    double acked_ms = 0; ///< When the end was acknowledged.
-    int at_work = 0;     ///< Items of the ended batch that workers had made an event of.
-    bool looked = false;
-    std::vector<standins::target_ptr> engines;
-    for (int number = 1; number <= 2; ++number) {
-        const auto id = "i-engine-" + std::to_string(number);
-        engines.push_back(play.add_worker(id, "leaf-models", number == 1 ? "krakow-a" : "tarnow-a",
-                                          16, {"m0"}, event_pause));
-        engines.back()->observer.ran = [&, id](const standins::run_seen& seen) {
-            runs.push_back({seen.request, play.now_ms()});
-            play.record("worker " + id + " begins to work on item " + seen.request);
-            if (acked_ms > 0 && play.now_ms() > acked_ms + cancel_ms &&
-                !std::exchange(looked, true)) {
-                boost::asio::co_spawn(play.io, look_at_work(play, engines, at_work),
-                                      boost::asio::detached);
-            }
-        };
+    // Three regions with one zone of two hosts each. The first host of a zone runs its batches.
+    play.regions = {
+        {"krakow-a", "malopolska"}, {"gdansk-a", "pomorze"}, {"warszawa-a", "mazowsze"}};
+    std::vector<process*> hosts;
+    for (const auto* zone : {"krakow-a", "gdansk-a", "warszawa-a"}) {
+        for (const auto* number : {"1", "2"}) {
+            hosts.push_back(&play.add_host(std::string("front-") + zone + "-" + number, zone));
+        }
+    }
+    auto& runner = *hosts[0];
+    auto& other = *hosts[1];
+    for (int number = 1; number <= 4; ++number) {
+        play.add_worker("i-engine-" + std::to_string(number), "leaf-models", "krakow-a", 16,
+                        {"m0", "m1", "m2"}, event_pause);
     }
-    const auto app =
-        play.add_worker("i-app-1", "catalogue-app", "krakow-a", 6, {}, milliseconds(25));
+    play.add_worker("i-app-1", "catalogue-app", "krakow-a", 6, {}, milliseconds(25));
     play.write_manifest(3, manifest_routes(), manifest_services());
-    for (auto* each : {&a1, &a2, &b1, &b2}) {
+    boost::asio::co_spawn(play.io, vary_store(play), boost::asio::detached);
+    for (auto* each : hosts) {
         play.start(*each);
     }
-    for (auto* each : {&a1, &a2, &b1, &b2}) {
+    for (auto* each : hosts) {
         const bool ready = co_await play.wait_ready(*each, milliseconds(8000));
         if (!ready) {
             co_return exit_not_run;
@@ -154,50 +167,52 @@
     }
     co_await loop::pause_for(play.io, settled);
 
-    const auto step = make_step();
-    const auto submission = standins::submission(step);
-    const bool accepted = co_await send_until(play, a2.settings.caller_endpoint, submission,
-                                              "the submission to front-krakow-a-2", 202);
-    if (!accepted) {
-        co_return exit_not_run;
-    }
-    co_await loop::pause_for(play.io, milliseconds(200));
-    const bool ended =
-        co_await send_until(play, a2.settings.caller_endpoint, standins::end_call(step),
-                            "the end to front-krakow-a-2", 200);
-    if (!ended) {
-        co_return exit_not_run;
-    }
-    acked_ms = play.now_ms();
-    co_await wait_until(play, acked_ms + killed_after_ms);
+    std::vector<batch_seen> all(batches);
+    for (int number = 0; number < batches; ++number) {
+        all[number].step = make_step(number);
+        all[number].accepted = co_await submit(play, other, all[number].step);
+    }
+    co_await loop::pause_for(play.io, frozen_after);
     if (play.trouble) {
-        play.send_signal(b1, SIGKILL, "SIGKILL");
-        stage::reap(b1);
+        play.send_signal(runner, SIGSTOP, "SIGSTOP");
+    }
+    const double frozen_at = play.now_ms();
+    co_await loop::pause_for(play.io, milliseconds(100));
+    std::vector<loop::task<bool>> ends;
+    for (const auto& each : all) {
+        ends.push_back(end_batch(play, other, each.step));
+    }
+    const auto ended = co_await loop::gather(play.io, std::move(ends));
+    for (int number = 0; number < batches; ++number) {
+        all[number].ended = ended[number];
+    }
+    while (play.now_ms() < frozen_at + frozen_ms) {
+        co_await loop::pause_for(play.io, milliseconds(5));
     }
-    co_await wait_until(play, acked_ms + sent_again_after_ms);
-    co_await send_until(play, b2.settings.caller_endpoint, submission,
-                        "the submission again to front-tarnow-a-2", 202);
-    co_await wait_until(play, acked_ms + started_again_after_ms);
     if (play.trouble) {
-        play.start(b1);
+        play.send_signal(runner, SIGCONT, "SIGCONT");
     }
-    co_await loop::pause_for(play.io, milliseconds(2000));
-
-    int late = 0;
-    double first_ms = 0;
-    for (const auto& each : runs) {
-        if (each.when_ms > acked_ms + cancel_ms) {
-            first_ms = late++ == 0 ? each.when_ms - acked_ms : first_ms;
-        }
+    co_await loop::pause_for(play.io, milliseconds(static_cast<int>(stable_window_ms) + 1000));
+    for (auto& each : all) {
+        const auto page = co_await read(play, runner, each.step);
+        each.read_at_runner = page ? page->results.size() : 0;
     }
-    play.record(std::to_string(late) + " items of the ended batch ran later than cancel-ms after "
-                                       "the ack of its end");
-    if (late > 0) {
-        play.record("UNASKED: the first of them " + std::to_string(static_cast<int>(first_ms)) +
-                    " ms after the ack, from a host that was in touch all the time");
+    // Twice: soon, and at the end.
+    int gone = 0;
+    for (const int wait_ms : {static_cast<int>(settle_ms) + 500, 10000}) {
+        co_await loop::pause_for(play.io, milliseconds(wait_ms));
+        gone = 0;
+        for (auto& each : all) {
+            const auto page = co_await read(play, other, each.step);
+            if (page && page->results.size() < each.read_at_runner) {
+                ++gone;
+                play.record("LOST: " + std::to_string(each.read_at_runner) + " results of " +
+                            each.step.id + " had been read at " + runner.settings.host + "; " +
+                            other.settings.host + " has " + std::to_string(page->results.size()));
+            }
+        }
     }
-    // An item that was taken back before its first event does not count as run here.
-    co_return late > 0 && at_work > 0 ? exit_broken : exit_held;
+    co_return gone > 0 ? exit_broken : exit_held;
 }
 
 } // namespace
