Make the plays of the review independent of chance

Cause: all answers of the store that came at once had the same delay, so that the six batches of a play shared their luck; ports were drawn from the range of outgoing connections. Change: a relay delays each answer by itself; ports are drawn below that range.

--- a/review/2/review_case_2.cc
+++ b/review/2/review_case_2.cc
@@ -6,9 +6,9 @@
 /// other host takes an ended batch for complete and never shows them.
 
 #include "harness/harness.h"
+#include "harness/relay.h"
 
 #include <csignal>
-#include <random>
 
 namespace {
 
@@ -28,8 +28,8 @@
 /// A host that started less than 10 s ago is careful; all hosts run for longer than this.
 constexpr milliseconds settled{12000};
 /// The store answers in 4 ms in the mean.
-constexpr int shortest_answer_ms = 2;
-constexpr int longest_answer_ms = 6;
+constexpr milliseconds shortest_answer{2};
+constexpr milliseconds longest_answer{6};
 /// From the last submission to the freeze: some items have ended, and no result is listed yet.
 constexpr milliseconds frozen_after{900};
 /// How long the host stands still.
@@ -94,16 +94,6 @@
             {{"name", "catalogue-app"}, {"connection-limit", 96}}};
 }
 
-/// Lets the time of the store's answers vary.
-loop::task<void> vary_store(stage& play) {
-    std::mt19937 random(std::random_device{}());
-    std::uniform_int_distribution<int> answer(shortest_answer_ms, longest_answer_ms);
-    for (;;) {
-        play.store->troubles.slow = milliseconds(answer(random));
-        co_await loop::pause_for(play.io, std::chrono::microseconds(200));
-    }
-}
-
 loop::task<bool> submit(stage& play, const process& host, const standins::step_plan& step) {
     play.record("client submits " + step.id + " at " + host.settings.host);
     const auto outcome = co_await play.call(host.settings.caller_endpoint,
@@ -138,6 +128,10 @@
 }
 
 loop::task<int> run_case(stage& play) {
+    const auto relay_at = stage::free_endpoint();
+    play.store->troubles.slow = milliseconds(0);
+    start_relay(play.io, relay_at, play.store_at, {{}, {}, shortest_answer, longest_answer});
+    play.store_at = relay_at;
     // Three regions with one zone of two hosts each. The first host of a zone runs its batches.
     play.regions = {
         {"krakow-a", "malopolska"}, {"gdansk-a", "pomorze"}, {"warszawa-a", "mazowsze"}};
@@ -155,7 +149,6 @@
     }
     play.add_worker("i-app-1", "catalogue-app", "krakow-a", 6, {}, milliseconds(25));
     play.write_manifest(3, manifest_routes(), manifest_services());
-    boost::asio::co_spawn(play.io, vary_store(play), boost::asio::detached);
     for (auto* each : hosts) {
         play.start(*each);
     }
--- a/review/harness/harness.cc
+++ b/review/harness/harness.cc
@@ -6,6 +6,8 @@
 #include <cstring>
 #include <fcntl.h>
 #include <iostream>
+#include <random>
+#include <set>
 #include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -73,10 +75,22 @@
 }
 
 transport::endpoint stage::free_endpoint() {
+    // Below the range from which the system draws the ports of outgoing connections: one of those
+    // might take the port before its process listens there.
     static boost::asio::io_context unused;
-    loop::tcp::acceptor probe(unused,
-                              loop::tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0));
-    return {"127.0.0.1", probe.local_endpoint().port()};
+    static std::mt19937 random(std::random_device{}());
+    static std::set<std::uint16_t> given;
+    std::uniform_int_distribution<int> any_port(12000, 30000);
+    for (;;) {
+        const auto port = static_cast<std::uint16_t>(any_port(random));
+        loop::tcp::acceptor probe(unused);
+        boost::system::error_code failed;
+        failed = probe.open(loop::tcp::v4(), failed);
+        failed = probe.bind({boost::asio::ip::make_address("127.0.0.1"), port}, failed);
+        if (!failed && given.insert(port).second) {
+            return {"127.0.0.1", port};
+        }
+    }
 }
 
 process& stage::add_host(const std::string& name, const std::string& zone) {
--- a/review/harness/relay.cc
+++ b/review/harness/relay.cc
@@ -2,8 +2,10 @@
 
 #include <boost/asio/write.hpp>
 
+#include <algorithm>
 #include <array>
 #include <memory>
+#include <random>
 
 namespace review {
 
@@ -44,7 +46,16 @@
     return 0;
 }
 
-loop::task<void> pump(link_ptr both, bool to_client, std::string placeholder, std::string bytes) {
+/// Microseconds, so that two answers seldom come at once.
+std::chrono::microseconds draw_delay(const relay_plan& plan) {
+    static std::mt19937 random(std::random_device{}());
+    const std::chrono::microseconds shortest = plan.shortest_delay;
+    const std::chrono::microseconds longest = plan.longest_delay;
+    std::uniform_int_distribution<std::int64_t> span(shortest.count(), longest.count());
+    return std::chrono::microseconds(span(random));
+}
+
+loop::task<void> pump(link_ptr both, bool to_client, relay_plan plan) {
     auto& from = to_client ? both->server : both->client;
     auto& to = to_client ? both->client : both->server;
     std::array<char, 16384> space{};
@@ -55,9 +66,14 @@
             asio::buffer(space), asio::redirect_error(asio::use_awaitable, failed));
         pending.append(space.data(), count);
         std::size_t kept = 0;
-        if (to_client) {
-            replace_all(pending, placeholder, bytes);
-            kept = failed ? 0 : possible_start(pending, placeholder);
+        if (to_client && !plan.placeholder.empty()) {
+            replace_all(pending, plan.placeholder, plan.bytes);
+            kept = failed ? 0 : possible_start(pending, plan.placeholder);
+        }
+        if (to_client && plan.longest_delay > loop::milliseconds::zero()) {
+            boost::asio::steady_timer timer(from.get_executor(), draw_delay(plan));
+            boost::system::error_code ignored; // the timer is never cancelled
+            co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
         }
         const auto ready = pending.substr(0, pending.size() - kept);
         pending.erase(0, ready.size());
@@ -71,8 +87,7 @@
     }
 }
 
-loop::task<void> serve(link_ptr both, transport::endpoint server, std::string placeholder,
-                       std::string bytes) {
+loop::task<void> serve(link_ptr both, transport::endpoint server, relay_plan plan) {
     boost::system::error_code failed;
     const loop::tcp::endpoint where(asio::ip::make_address(server.address), server.port);
     co_await both->server.async_connect(where, asio::redirect_error(asio::use_awaitable, failed));
@@ -84,22 +99,20 @@
     ignored = both->client.set_option(loop::tcp::no_delay(true), ignored);
     ignored = both->server.set_option(loop::tcp::no_delay(true), ignored);
     const auto executor = both->client.get_executor();
-    asio::co_spawn(executor, pump(both, false, placeholder, bytes), asio::detached);
-    co_await pump(both, true, placeholder, bytes);
+    asio::co_spawn(executor, pump(both, false, plan), asio::detached);
+    co_await pump(both, true, plan);
 }
 
 loop::task<void> accept_all(std::shared_ptr<loop::tcp::acceptor> acceptor,
-                            transport::endpoint server, std::string placeholder,
-                            std::string bytes) {
+                            transport::endpoint server, relay_plan plan) {
     for (;;) {
         boost::system::error_code failed;
         auto socket =
             co_await acceptor->async_accept(asio::redirect_error(asio::use_awaitable, failed));
         if (!failed) {
-            asio::co_spawn(
-                acceptor->get_executor(),
-                serve(std::make_shared<link>(std::move(socket)), server, placeholder, bytes),
-                asio::detached);
+            asio::co_spawn(acceptor->get_executor(),
+                           serve(std::make_shared<link>(std::move(socket)), server, plan),
+                           asio::detached);
         }
     }
 }
@@ -107,12 +120,10 @@
 } // namespace
 
 void start_relay(loop::io_context& io, const transport::endpoint& where, transport::endpoint server,
-                 std::string placeholder, std::string bytes) {
+                 relay_plan plan) {
     const loop::tcp::endpoint address(asio::ip::make_address(where.address), where.port);
     auto acceptor = std::make_shared<loop::tcp::acceptor>(io, address);
-    asio::co_spawn(io,
-                   accept_all(std::move(acceptor), std::move(server), std::move(placeholder),
-                              std::move(bytes)),
+    asio::co_spawn(io, accept_all(std::move(acceptor), std::move(server), std::move(plan)),
                    asio::detached);
 }
 
