--- a/review/3/review_case_3.cc
+++ b/review/3/review_case_3.cc
@@ -33,7 +33,7 @@
 constexpr milliseconds calm{15000};
 constexpr int batches = 4;
 /// From the ack of a batch's end to its second submission: the first batch, and each further one.
-constexpr double sent_again_after_ms = 3300;
+constexpr double sent_again_after_ms = 3600;
 constexpr double sent_again_step_ms = 900;
 
 struct run {
@@ -151,8 +151,8 @@
     auto& b1 = play.add_host("front-tarnow-a-1", "tarnow-a");
     auto& b2 = play.add_host("front-tarnow-a-2", "tarnow-a");
     std::vector<run> runs;
-    bool sent_again = false; ///< All batches have been ended, and come again.
-    int at_work = 0;         ///< Items of ended batches that workers had made an event of.
+    double last_acked_ms = 0; ///< When the last of the ends was acknowledged; 0: not yet.
+    int at_work = 0;          ///< Items of ended batches that workers had made an event of.
     std::vector<standins::target_ptr> engines;
     for (int number = 1; number <= 2; ++number) {
         const auto id = "i-engine-" + std::to_string(number);
@@ -161,7 +161,8 @@
         engines.back()->observer.ran = [&, id](const standins::run_seen& seen) {
             runs.push_back({seen.request, play.now_ms()});
             play.record("worker " + id + " begins to work on item " + seen.request);
-            if (sent_again) {
+            const bool late = last_acked_ms > 0 && play.now_ms() > last_acked_ms + cancel_ms;
+            if (late) {
                 boost::asio::co_spawn(play.io, look_at_work(play, engines, at_work),
                                       boost::asio::detached);
             }
@@ -210,7 +211,7 @@
         }
         each.acked_ms = play.now_ms();
     }
-    sent_again = true;
+    last_acked_ms = all.back().acked_ms;
     for (int number = 0; number < batches; ++number) {
         const auto& each = all[number];
         co_await wait_until(play,
--- a/review/harness/harness.cc
+++ b/review/harness/harness.cc
@@ -180,7 +180,9 @@
     auto worker = std::make_shared<standins::target>();
     worker->io = &io;
     worker->platform = store;
-    worker->observer.ran = [](const standins::run_seen&) {};
+    worker->observer.ran = [this](const standins::run_seen& seen) {
+        record("worker " + seen.target + " begins to work on " + seen.request);
+    };
     worker->observer.answered = [](const standins::answer_seen&) {};
     worker->observer.ordered = [](const standins::order_seen&) {};
     worker->id = id;
