Append nothing to a batch's log after the entry that ends it

Cause: the end was the last entry for readers and an entry like any other for writers. A write that met it at its number was built anew for the next one. Logs of a run: `log_written` entry 0 with `ends` by the other host, then `batch_over` and 4 ms later `log_written` entry 1 with `results` 2 by the former owner. Change: `append_entry`, through which every writer goes, stops once the batch has ended. The end names its writer as the owner, so that an owner of an earlier version, which appends only to batches it owns, stops, too. After an end without an owner, which an earlier version wrote, results may follow and count; a host asked for the next position reads the log first.

--- a/src/front/batch.cpp
+++ b/src/front/batch.cpp
@@ -105,6 +105,10 @@
     return batch.ended || batch.logged_results.size() == batch.spec.items.size();
 }
 
+bool are_results_final(const batch& batch) {
+    return batch.log_closed || batch.logged_results.size() == batch.spec.items.size();
+}
+
 bool apply_entry(batch& batch, std::uint64_t number, const log_entry& entry) {
     if (number != batch.next_entry_number) {
         return false;
@@ -118,6 +122,7 @@
         apply_failures(batch, id, failures);
     }
     batch.ended = batch.ended || entry.ends;
+    batch.log_closed = batch.log_closed || (entry.ends && !entry.new_owner.empty());
     if (!entry.new_owner.empty()) {
         batch.header.owner = entry.new_owner;
         batch.header.owner_at = entry.new_owner_at;
--- a/src/front/batch.hpp
+++ b/src/front/batch.hpp
@@ -54,8 +54,11 @@
     std::vector<item_result> results; ///< Appended to the batch's results in this order.
     std::map<std::string, partial_text, std::less<>> partials; ///< By item id.
     std::map<std::string, int, std::less<>> failures; ///< Failed attempts so far, by item id.
-    bool ends = false;                                ///< The caller ended the batch.
-    std::string new_owner;                            ///< Empty: the owner does not change.
+    /// The caller ended the batch; no entry may follow. The entry also names its writer as the new
+    /// owner, so that a former owner that runs an earlier version, which would append its results
+    /// after the end, appends nothing.
+    bool ends = false;
+    std::string new_owner; ///< Empty: the owner does not change.
     transport::endpoint new_owner_at;
 };
 
@@ -94,6 +97,7 @@
     std::vector<item_result> unlogged_results; ///< Finished, but not in the log yet.
     std::uint64_t next_entry_number = 0;       ///< Number of the next entry of the log.
     bool ended = false;
+    bool log_closed = false; ///< No host appends another entry to the log.
     time_point submitted{};
     time_point oldest_unlogged_since{}; ///< When the first result that is not in the log finished.
     time_point last_flush{};
@@ -106,6 +110,10 @@
 /// batch.
 [[nodiscard]] bool is_over(const batch& batch);
 
+/// Whether this host knows all results that the batch will ever have. An ended batch may have more:
+/// hosts of an earlier version append results after an end that names no owner.
+[[nodiscard]] bool are_results_final(const batch& batch);
+
 /// Applies entry `number` of the log; returns false if it is not the next entry, for example
 /// because it was applied before.
 ///
--- a/src/front/batch_desk.cpp
+++ b/src/front/batch_desk.cpp
@@ -32,7 +32,9 @@
                                 batch_call call) {
     auto self = batch->local_host;
     const auto deadline = self->now() + call.wait;
-    if (is_outdated(batch->state.logged_results.size(), call.position)) {
+    const auto known = batch->state.logged_results.size();
+    const bool may_have_more = batch->state.ended && !are_results_final(batch->state);
+    if (is_outdated(known, call.position) || (may_have_more && known == call.position)) {
         co_await catch_up(batch);
     }
     while (batch->state.logged_results.size() <= call.position && !is_over(batch->state) &&
@@ -65,15 +67,13 @@
     bool is_ended = batch->state.ended;
     if (!is_ended) {
         const auto build_entry = [](const live_batch& current) -> std::optional<log_entry> {
-            if (current.state.ended) {
-                return std::nullopt;
-            }
-            auto entry =
-                current.owned
-                    ? make_next_entry(current.state, current.local_host->settings.max_value_bytes)
-                    : log_entry{};
+            const auto& settings = current.local_host->settings;
+            auto entry = current.owned ? make_next_entry(current.state, settings.max_value_bytes)
+                                       : log_entry{};
             entry.partials.clear();
             entry.ends = true;
+            entry.new_owner = settings.host;
+            entry.new_owner_at = settings.peer_endpoint;
             return entry;
         };
         co_await append_entry(batch, build_entry, self->now() + entry_append_timeout);
--- a/src/front/batch_log.cpp
+++ b/src/front/batch_log.cpp
@@ -325,6 +325,9 @@
     batch->appending = true;
     auto written = append_outcome::number_taken;
     while (written == append_outcome::number_taken) {
+        if (batch->state.ended) {
+            break;
+        }
         auto entry = build_entry(*batch);
         if (!entry) {
             break;
--- a/src/front/batch_log.hpp
+++ b/src/front/batch_log.hpp
@@ -40,8 +40,9 @@
 /// entry was appended first.
 using entry_builder = std::function<std::optional<log_entry>(const live_batch&)>;
 
-/// Appends an entry to the log, after any entries that other writers append meanwhile. Retries
-/// until `deadline`; false if the entry is not known to be stored by then or is no longer wanted.
+/// Appends an entry to the log, after any entries that other writers append meanwhile, but not
+/// after the entry that ends the batch. Retries until `deadline`; false if the entry is not known
+/// to be stored by then, is no longer wanted, or the batch has ended.
 loop::task<bool> append_entry(live_batch_ptr batch, entry_builder build_entry, time_point deadline);
 
 } // namespace cornelloom::front
