Answer 503 for a position that can't be looked up

Seen by callers: 200 and no result at a position beyond the one that this host knew, while the host could not read the log; the caller had read results there at another host. Cause: `answer_results` read the log for such positions and did not look at whether that succeeded. Change: 503 with a time to come back if the log can't be read. Result: "a read beyond the known results is not answered while the log can't be read" got 200 on, and passes.

--- a/src/front/batch_desk.cpp
+++ b/src/front/batch_desk.cpp
@@ -27,15 +27,28 @@
     co_await request.answer(std::move(response));
 }
 
+/// Whether results that a caller may have read elsewhere could be missing here: at a position
+/// beyond the known ones, or at the next one if other hosts may have appended to the log.
+bool may_miss_results(const live_batch& batch, std::size_t position) {
+    const auto known = batch.state.logged_results.size();
+    if (is_outdated(known, position)) {
+        return true;
+    }
+    return known == position && batch.state.ended && !are_results_final(batch.state);
+}
+
 /// Answers a read of results from memory, after waiting for new ones if the caller asked for that.
 loop::task<void> answer_results(live_batch_ptr batch, loop::served_request& request,
                                 batch_call call) {
     auto self = batch->local_host;
     const auto deadline = self->now() + call.wait;
-    const auto known = batch->state.logged_results.size();
-    const bool may_have_more = batch->state.ended && !are_results_final(batch->state);
-    if (is_outdated(known, call.position) || (may_have_more && known == call.position)) {
-        co_await catch_up(batch);
+    if (may_miss_results(*batch, call.position)) {
+        const bool caught_up = co_await catch_up(batch);
+        if (!caught_up) {
+            co_await refuse(*self, request, batch->state.header.id, "platform_unavailable",
+                            unavailable_retry_delay);
+            co_return;
+        }
     }
     while (batch->state.logged_results.size() <= call.position && !is_over(batch->state) &&
            batch->owned && self->now() < deadline && !request.gone()) {
--- a/tests/soak/batch_log_tests.cpp
+++ b/tests/soak/batch_log_tests.cpp
@@ -146,3 +146,22 @@
         }
     });
 }
+
+TEST_CASE("a read beyond the known results is not answered while the log can't be read",
+          "[batch_log]") {
+    // Guards against a host that denies a result which its caller has read elsewhere.
+    crash_rig rig(68);
+    start_targets(rig, 1, 1);
+    start_hosts(rig, 3);
+    play(rig, [&]() -> loop::task<void> {
+        const auto plan = long_and_short("step");
+        co_await submit(rig, 0, plan);
+        rig.platform->troubles.refusing = true;
+        const auto refused = co_await read_results(rig, 0, plan, 1);
+        CHECK(refused.status == 503);
+        rig.platform->troubles.refusing = false;
+        co_await loop::pause_for(rig.io, 1500ms);
+        const auto read = co_await read_results(rig, 0, plan, 1);
+        CHECK(read.status == 200);
+    });
+}
