Look at the log before a replaced owner denies results

Seen by callers: a former owner that did not know of its replacement answered a read by an empty list for up to 1.7 s, though another host had listed results that were read there. Cause: an owner answers from memory, and reads the log only every 1.5 s, half of the time within which an end must be known. A result must be listed by all hosts within `settle-ms`, 1 s. Change: an owner that would answer with no result reads the log first if it was last known `settle-ms` ago or longer. Result: "an owner that was replaced unawares does not deny results" got an empty list on, and passes. Price: a read of the log for such answers.

--- a/src/front/batch_desk.cpp
+++ b/src/front/batch_desk.cpp
@@ -37,6 +37,14 @@
     return known == position && batch.state.ended && !are_results_final(batch.state);
 }
 
+/// Whether another host may have taken the batch over and listed results that the caller must get
+/// here, too. While the store does not answer, no host can do so.
+bool may_have_lost_batch(const live_batch& batch) {
+    const auto& self = *batch.local_host;
+    return batch.owned && !batch.log.unavailable &&
+           self.now() - batch.log.confirmed >= self.settings.settle_bound;
+}
+
 /// Answers a read of results from memory, after waiting for new ones if the caller asked for that.
 loop::task<void> answer_results(live_batch_ptr batch, loop::served_request& request,
                                 batch_call call) {
@@ -54,6 +62,10 @@
            batch->owned && self->now() < deadline && !request.gone()) {
         co_await batch->changed.wait(to_deadline(*self, deadline));
     }
+    if (batch->state.logged_results.size() <= call.position && !is_over(batch->state) &&
+        may_have_lost_batch(*batch)) {
+        co_await catch_up(batch);
+    }
     co_await answer_json(request, self->platform_adapter.results(batch->state.spec.items.size(),
                                                                  call.position,
                                                                  batch->state.logged_results));
--- a/src/front/types.hpp
+++ b/src/front/types.hpp
@@ -137,7 +137,8 @@
     milliseconds heartbeat_interval{1200}; ///< Interval between heartbeats of a target.
     milliseconds grace_period{8000};       ///< Time from SIGTERM to SIGKILL.
     milliseconds cancel_bound{3000};       ///< Time until an ended batch sends no more items.
-    milliseconds drain_bound{2500};        ///< Time until a draining target gets no more work.
+    milliseconds settle_bound{1000}; ///< Time until a result that was read is listed by all hosts.
+    milliseconds drain_bound{2500};  ///< Time until a draining target gets no more work.
     milliseconds handover_delay{3000}; ///< Minimum time between two holders' orders to one target.
     milliseconds resume_margin{300};   ///< Added to that pause for a holder that was suspended.
     milliseconds stable_window{4000};  ///< Fault-free time until the time bounds hold again.
--- a/tests/soak/batch_log_tests.cpp
+++ b/tests/soak/batch_log_tests.cpp
@@ -165,3 +165,28 @@
         CHECK(read.status == 200);
     });
 }
+
+TEST_CASE("an owner that was replaced unawares does not deny results", "[batch_log]") {
+    // Guards against a former owner that was suspended or cut off and answers reads from memory:
+    // another host has taken the batch over and listed more.
+    crash_rig rig(69);
+    start_targets(rig, 1, 1);
+    start_hosts(rig, 3);
+    play(rig, [&]() -> loop::task<void> {
+        const auto plan = make_plan("step", 2, 400);
+        co_await submit(rig, 0, plan);
+        co_await loop::pause_for(rig.io, 500ms);
+        hold_log_reads(rig, plan);
+        front::log_entry taken;
+        taken.writer = "host-1";
+        taken.nonce = 7;
+        taken.new_owner = "host-1";
+        taken.new_owner_at = rig.hosts[1]->self->settings.peer_endpoint;
+        append_to_stored_log(rig, plan, taken);
+        append_to_stored_log(rig, plan, results_of_earlier_version(plan));
+        co_await loop::pause_for(rig.io, rig.hosts[0]->self->settings.settle_bound);
+        const auto read = co_await read_results(rig, 0, plan, 0);
+        CHECK(read.status == 200);
+        CHECK(read.items == std::vector{plan.items[1].id});
+    });
+}
