Send no item before its batch is stored

Cause: the runner started items while the batch was being stored, on the guess that it is new, as nobody had told it otherwise. A lost announcement, a cut or a late list of hosts give the same; the store alone knows. It starts once the store has created the batch. If the header was written after the runner had answered, the log was empty when the submission arrived; else it reads the log first, as a message may be late. A batch whose log was never read does not start while the store is out of reach. A host that loads a batch that is started there meanwhile keeps one copy of it.

--- a/src/front/batch_desk.cpp
+++ b/src/front/batch_desk.cpp
@@ -84,11 +84,6 @@
 
 loop::task<void> answer_end(live_batch_ptr batch, loop::served_request& request) {
     auto self = batch->local_host;
-    if (!batch->stored) {
-        co_await refuse(*self, request, batch->state.header.id, "not_stored_yet",
-                        no_target_retry_delay);
-        co_return;
-    }
     bool is_ended = batch->state.ended;
     if (!is_ended) {
         const auto build_entry = [](const live_batch& current) -> std::optional<log_entry> {
@@ -185,7 +180,8 @@
     auto loaded = co_await load_batch(registry->self, id);
     if (loaded.batch) {
         loaded.batch->last_used = registry->self->now();
-        registry->batches.emplace(id, loaded.batch);
+        // The batch may have been started here meanwhile.
+        loaded.batch = registry->batches.emplace(id, loaded.batch).first->second;
     }
     registry->loading.erase(id);
     gate->open();
--- a/src/front/batch_desk.hpp
+++ b/src/front/batch_desk.hpp
@@ -10,6 +10,13 @@
 
 namespace cornelloom::front {
 
+/// A submission that this host holds, to run the batch once it is stored.
+struct prepared_batch {
+    batch_header header;
+    batch_spec spec;
+    time_point received{};
+};
+
 /// The batches that this host knows.
 ///
 /// Any host serves calls on any batch. The owner answers from memory. Another host forwards the
@@ -23,6 +30,7 @@
     /// Owners of batches that this host has not loaded, by batch id.
     std::map<std::string, transport::endpoint, std::less<>> owners{};
     std::map<std::string, std::shared_ptr<loop::gate>, std::less<>> loading{};
+    std::map<std::string, prepared_batch, std::less<>> prepared{}; ///< By batch id.
 };
 
 /// Serves a call on a batch, from a caller or (`by_peer`) forwarded by another host.
--- a/src/front/batch_drive.cpp
+++ b/src/front/batch_drive.cpp
@@ -159,8 +159,7 @@
 
 void read_log_if_due(const live_batch_ptr& batch) {
     auto& self = *batch->local_host;
-    if (batch->stored && !batch->reading_log &&
-        is_log_due(batch->log, self.now(), self.settings.cancel_bound)) {
+    if (!batch->reading_log && is_log_due(batch->log, self.now(), self.settings.cancel_bound)) {
         batch->reading_log = true;
         loop::asio::co_spawn(self.io, read_log(batch), loop::asio::detached);
     }
@@ -210,8 +209,7 @@
         read_log_if_due(batch);
         dispatch_items(*self, round);
         const auto flush_due =
-            batch->stored ? next_flush_time(batch->state, default_flush_policy, deadline_of(*batch))
-                          : std::optional<time_point>{};
+            next_flush_time(batch->state, default_flush_policy, deadline_of(*batch));
         if (flush_due && *flush_due <= self->now() && !batch->appending) {
             loop::asio::co_spawn(self->io, flush_log(batch), loop::asio::detached);
         }
--- a/src/front/batch_hand_over.cpp
+++ b/src/front/batch_hand_over.cpp
@@ -63,7 +63,6 @@
 } // namespace
 
 void hand_over_all_batches(const std::shared_ptr<batch_registry>& registry) {
-    drop_unstored(*registry);
     for (const auto& [id, batch] : registry->batches) {
         if (batch->owned && !is_over(batch->state)) {
             loop::asio::co_spawn(registry->self->io, hand_over(registry, batch),
--- a/src/front/batch_log.cpp
+++ b/src/front/batch_log.cpp
@@ -181,21 +181,26 @@
 
 } // namespace
 
-loop::task<store_outcome> store_batch(std::shared_ptr<host> self, batch_header header,
+loop::task<store_outcome> store_parts(std::shared_ptr<host> self,
+                                      std::shared_ptr<batch_header> header,
                                       std::string_view submission, time_point deadline) {
     const auto pieces = split_submission(submission, self->settings.max_value_bytes);
-    header.parts = static_cast<int>(pieces.size());
+    header->parts = static_cast<int>(pieces.size());
     for (std::size_t part = 0; part < pieces.size(); ++part) {
-        const auto created = co_await create_idempotently(
-            self, object_kind::batch_parts, numbered_name(header.id, part), pieces[part], deadline);
+        const auto created =
+            co_await create_idempotently(self, object_kind::batch_parts,
+                                         numbered_name(header->id, part), pieces[part], deadline);
         if (created != store_outcome::none && created != store_outcome::conflict) {
-            // Without the header the batch does not exist, even if this part was stored.
             co_return store_outcome::refused;
         }
     }
-    const auto created = co_await create_idempotently(self, object_kind::batches, header.id,
-                                                      encode_header(header), deadline);
-    co_return created;
+    co_return store_outcome::none;
+}
+
+loop::task<store_outcome> store_header(std::shared_ptr<host> self, batch_header header,
+                                       time_point deadline) {
+    co_return co_await create_idempotently(self, object_kind::batches, header.id,
+                                           encode_header(header), deadline);
 }
 
 loop::task<read_header_result> read_header(std::shared_ptr<host> self, std::string id) {
--- a/src/front/batch_log.hpp
+++ b/src/front/batch_log.hpp
@@ -8,12 +8,18 @@
 
 namespace cornelloom::front {
 
-/// Stores a submission before it is accepted: first its parts, then the header. The batch exists
-/// once the header does. Retries until `deadline`. `conflict` means that the batch was stored
-/// before and counts as success.
-loop::task<store_outcome> store_batch(std::shared_ptr<host> self, batch_header header,
+/// Stores the parts of a submission and sets `header.parts`. Retries until `deadline`. A failure is
+/// `refused`: without its header, the batch does not exist.
+loop::task<store_outcome> store_parts(std::shared_ptr<host> self,
+                                      std::shared_ptr<batch_header> header,
                                       std::string_view submission, time_point deadline);
 
+/// Stores the header, after the parts. The batch exists once it is stored, so it is accepted only
+/// then. Retries until `deadline`. `conflict` means that the batch was stored before and counts as
+/// success.
+loop::task<store_outcome> store_header(std::shared_ptr<host> self, batch_header header,
+                                       time_point deadline);
+
 /// Result of loading a batch.
 struct loaded_batch {
     live_batch_ptr batch{}; ///< Null if it does not exist or could not be read.
--- a/src/front/batch_start.cpp
+++ b/src/front/batch_start.cpp
@@ -17,11 +17,16 @@
 /// A runner that is not told within this time whether the batch is stored reads the store itself.
 constexpr loop::milliseconds store_check_delay{3000};
 
-constexpr std::string_view action_early = "early";   // start: the batch is being stored
-constexpr std::string_view action_run = "run";       // start: the batch is stored, with this owner
-constexpr std::string_view action_stored = "stored"; // the batch that was started early is stored
-constexpr std::string_view action_settle = "settle"; // it was stored before: look up its owner
-constexpr std::string_view action_withdraw = "withdraw"; // stop: the batch could not be stored
+constexpr std::string_view action_prepare = "prepare"; // hold the submission
+/// How earlier versions request what `action_prepare` does. They have started the batch themselves
+/// by then, which is why this version does not send it.
+constexpr std::string_view action_early = "early";
+/// Start: the batch is stored, and its header was written after the runner had answered.
+constexpr std::string_view action_created = "created";
+constexpr std::string_view action_stored = "stored";     // start: the batch is stored
+constexpr std::string_view action_run = "run";           // the same, with the submission
+constexpr std::string_view action_settle = "settle";     // it was stored before: look up its owner
+constexpr std::string_view action_withdraw = "withdraw"; // forget it: it could not be stored
 
 constexpr int status_ok = 200;
 constexpr int status_conflict = 409;
@@ -51,162 +56,155 @@
     }
 }
 
-/// Marks the batch as stored. `log_confirmed`: when this host's copy of the log was known to be
-/// complete.
-void mark_stored(const live_batch_ptr& batch, time_point log_confirmed) {
-    batch->stored = true;
-    batch->log.confirmed = std::max(batch->log.confirmed, log_confirmed);
-    batch->changed.open();
-    loop::asio::co_spawn(batch->local_host->io,
-                         announce_ownership(batch->local_host, batch->state.header.id),
-                         loop::asio::detached);
+/// Starts a stored batch unless this process runs it already. `log_confirmed`: when this host's
+/// copy of the log, which is empty, was known to be complete; zero: never.
+void start_batch(const std::shared_ptr<batch_registry>& registry, prepared_batch submitted,
+                 time_point log_confirmed) {
+    const auto& self = registry->self;
+    const std::string id = submitted.header.id;
+    if (self->stopping || registry->batches.contains(id)) {
+        return;
+    }
+    auto batch = std::make_shared<live_batch>(
+        self,
+        make_batch(std::move(submitted.header), std::move(submitted.spec), submitted.received));
+    batch->log.confirmed = log_confirmed;
+    registry->batches.emplace(id, batch);
+    start_running(batch, {}, "submitted");
+    loop::asio::co_spawn(self->io, announce_ownership(self, id), loop::asio::detached);
 }
 
-void drop_batch(batch_registry& registry, const live_batch_ptr& batch, std::string_view reason) {
+void drop_prepared(batch_registry& registry, const std::string& id, std::string_view reason) {
+    const auto found = registry.prepared.find(id);
+    if (found == registry.prepared.end()) {
+        return;
+    }
     log_event(*registry.self, batch_dropped,
-              {{"id", batch->state.header.id},
+              {{"id", id},
                {"why", reason},
-               {"runs", static_cast<std::uint64_t>(batch->runs.size())},
-               {"age_ms", ms_between(batch->state.submitted, registry.self->now())}});
-    batch->owned = false;
-    stop_runs(*batch);
-    batch->changed.open();
-    registry.batches.erase(batch->state.header.id);
+               {"age_ms", ms_between(found->second.received, registry.self->now())}});
+    registry.prepared.erase(found);
 }
 
-live_batch_ptr find_batch(const batch_registry& registry, std::string_view id) {
-    const auto found = registry.batches.find(id);
-    return found == registry.batches.end() ? nullptr : found->second;
-}
-
-/// Reads the store to find out whether the batch was stored, and with which owner.
-loop::task<void> check_stored(std::shared_ptr<batch_registry> registry, live_batch_ptr batch) {
-    const auto read = co_await read_header(registry->self, batch->state.header.id);
-    if (batch->stored || !batch->owned) {
+/// Reads the store to find out whether a submission that this host holds was stored, and with which
+/// owner.
+loop::task<void> look_up_prepared(std::shared_ptr<batch_registry> registry, std::string id) {
+    const auto read = co_await read_header(registry->self, id);
+    const auto found = registry->prepared.find(id);
+    if (found == registry->prepared.end()) {
         co_return;
     }
     if (read.header && read.header->owner == registry->self->settings.host) {
-        mark_stored(batch, {}); // by an earlier attempt: the caller may have ended it since
+        start_batch(registry, std::move(registry->prepared.extract(found).mapped()), {});
     } else if (read.header) {
-        record_owner(*registry, batch->state.header.id, read.header->owner_at);
-        drop_batch(*registry, batch, "owned by another host");
+        record_owner(*registry, id, read.header->owner_at);
+        drop_prepared(*registry, id, "owned by another host");
     } else if (read.missing) {
-        drop_batch(*registry, batch, "not stored");
+        drop_prepared(*registry, id, "not stored");
     }
 }
 
-loop::task<void> check_until_stored(std::shared_ptr<batch_registry> registry,
-                                    live_batch_ptr batch) {
-    for (;;) {
+loop::task<void> look_up_until_known(std::shared_ptr<batch_registry> registry, std::string id) {
+    while (registry->prepared.contains(id)) {
         co_await loop::pause_for(registry->self->io, store_check_delay);
-        if (batch->stored || !batch->owned) {
-            co_return;
+        if (registry->prepared.contains(id)) {
+            co_await look_up_prepared(registry, id);
         }
-        co_await check_stored(registry, batch);
     }
 }
 
-/// Starts a batch that this process does not know yet.
-live_batch_ptr start_batch(const std::shared_ptr<batch_registry>& registry, batch_header header,
-                           batch_spec spec, bool stored) {
-    const std::string id = header.id;
-    auto batch = std::make_shared<live_batch>(
-        registry->self, make_batch(std::move(header), std::move(spec), registry->self->now()));
-    batch->stored = stored;
-    registry->batches.emplace(id, batch);
-    start_running(batch, {}, stored ? "submitted" : "being stored");
-    return batch;
-}
-
-early_start_conditions get_early_start_conditions(const batch_registry& registry,
-                                                  std::string_view id) {
-    const auto& self = *registry.self;
-    return {registry.batches.contains(id), registry.owners.contains(id), self.stopping,
-            std::chrono::duration_cast<milliseconds>(self.now() - self.started)};
+std::optional<prepared_batch> decode_submission(host& self, const transport::http_request& message,
+                                                const std::string& id) {
+    const auto record = transport::find_header(message.headers, record_header).value_or("");
+    auto header = decode_header(id, nlohmann::json::parse(record, nullptr, false));
+    auto spec =
+        self.platform_adapter.submission(nlohmann::json::parse(message.body, nullptr, false));
+    if (!header || !spec || header.value().owner != self.settings.host) {
+        return std::nullopt;
+    }
+    return prepared_batch{std::move(header.value()), std::move(spec.value()), self.now()};
 }
 
-/// Starts or continues a batch that a peer or this host has received; returns the status.
-int handle_start_call(const std::shared_ptr<batch_registry>& registry,
-                      const transport::http_request& message, const std::string& id, bool stored) {
+/// Holds a submission that a peer or this host has received; returns the status.
+int handle_prepare_call(const std::shared_ptr<batch_registry>& registry,
+                        const transport::http_request& message, const std::string& id) {
     auto& self = *registry->self;
-    const auto known = find_batch(*registry, id);
-    if (known && stored && !known->stored) {
-        mark_stored(known, self.now());
-    }
-    if (known) {
-        return stored || !known->stored ? status_ok : status_conflict;
-    }
-    if (!stored && !may_start_early(get_early_start_conditions(*registry, id))) {
+    if (self.stopping || registry->batches.contains(id) || registry->owners.contains(id)) {
         return status_conflict;
     }
-    const auto record = transport::find_header(message.headers, record_header).value_or("");
-    auto header = decode_header(id, nlohmann::json::parse(record, nullptr, false));
-    auto spec =
-        self.platform_adapter.submission(nlohmann::json::parse(message.body, nullptr, false));
-    if (!header || !spec || header.value().owner != self.settings.host || self.stopping) {
-        return status_unavailable;
+    if (registry->prepared.contains(id)) {
+        return status_ok;
     }
-    const auto batch =
-        start_batch(registry, std::move(header.value()), std::move(spec.value()), stored);
-    if (stored) {
-        mark_stored(batch, self.now());
-    } else {
-        loop::asio::co_spawn(self.io, check_until_stored(registry, batch), loop::asio::detached);
+    auto submitted = decode_submission(self, message, id);
+    if (!submitted) {
+        return status_unavailable;
     }
+    registry->prepared.emplace(id, std::move(*submitted));
+    loop::asio::co_spawn(self.io, look_up_until_known(registry, id), loop::asio::detached);
     return status_ok;
 }
 
-int handle_withdraw_call(batch_registry& registry, const live_batch_ptr& batch) {
-    if (!batch || batch->stored) {
-        return status_conflict;
+/// Starts a stored batch whose submission this host may hold; returns the status. `ordered`: the
+/// header was written after this host had answered that it holds the submission. Otherwise the
+/// batch may have been ended since, which only its log shows.
+int handle_stored_call(const std::shared_ptr<batch_registry>& registry, const std::string& id,
+                       bool ordered) {
+    if (auto held = registry->prepared.extract(id)) {
+        const auto confirmed = ordered ? held.mapped().received : time_point{};
+        start_batch(registry, std::move(held.mapped()), confirmed);
     }
-    const bool nothing_sent = std::ranges::all_of(
-        batch->state.items, [](const item_state& item) { return item.last_target.empty(); });
-    drop_batch(registry, batch, "not stored");
-    return nothing_sent ? status_ok : status_conflict;
+    return registry->batches.contains(id) ? status_ok : status_conflict;
 }
 
-/// A runner's response.
-struct runner_answer {
-    int status = 0;    ///< 0: no response.
-    bool sent = false; ///< The call may have reached it.
-};
+int handle_run_call(const std::shared_ptr<batch_registry>& registry,
+                    const transport::http_request& message, const std::string& id) {
+    if (handle_stored_call(registry, id, false) == status_ok) {
+        return status_ok;
+    }
+    auto submitted = decode_submission(*registry->self, message, id);
+    if (submitted) {
+        start_batch(registry, std::move(*submitted), {});
+    }
+    return registry->batches.contains(id) ? status_ok : status_unavailable;
+}
 
-loop::task<runner_answer> call_runner(std::shared_ptr<batch_registry> registry, batch_header header,
-                                      std::string_view action, std::string submission = {}) {
+/// The response states that no item was sent to a target.
+int handle_withdraw_call(batch_registry& registry, const std::string& id) {
+    drop_prepared(registry, id, "not stored");
+    return registry.batches.contains(id) ? status_conflict : status_ok;
+}
+
+/// Calls the runner; returns the status of its response, 0 if there is none.
+loop::task<int> call_runner(std::shared_ptr<batch_registry> registry, batch_header header,
+                            std::string_view action, std::string submission = {}) {
     auto self = registry->self;
     auto message = make_peer_request(std::string(start_path) + std::string(action), header.id);
     message.headers.push_back({std::string(record_header), encode_header(header)});
     message.body = std::move(submission);
     if (header.owner == self->settings.host) {
         const int status = co_await serve_start_call(registry, std::move(message));
-        co_return runner_answer{status, true};
+        co_return status;
     }
-    auto outcome = co_await loop::call(self->connections, header.owner_at, std::move(message),
-                                       loop::after(runner_timeout), owner_connect_timeout);
+    const auto outcome = co_await loop::call(self->connections, header.owner_at, std::move(message),
+                                             loop::after(runner_timeout), owner_connect_timeout);
     if (outcome.fault != loop::exchange_fault::none) {
         report_unresponsive_owner(*self, header.id, header.owner_at, outcome);
-        co_return runner_answer{0, outcome.sent};
     }
-    co_return runner_answer{outcome.answer.status, true};
+    co_return loop::status_of(outcome);
 }
 
-loop::task<void> send_early_start_call(std::shared_ptr<batch_registry> registry,
-                                       batch_header header, std::string submission,
-                                       early_start_ptr early) {
-    const auto response =
-        co_await call_runner(registry, header, action_early, std::move(submission));
-    using phase = early_start::phase;
-    const bool not_started = response.status == 0 ? !response.sent : response.status != status_ok;
-    early->current_phase = response.status == status_ok ? phase::running
-                           : not_started                ? phase::declined
-                                                        : phase::unknown;
-    early->answered.open();
+loop::task<void> send_submission(std::shared_ptr<batch_registry> registry, batch_header header,
+                                 std::string submission, preparation_ptr prepared) {
+    const int status =
+        co_await call_runner(registry, header, action_prepare, std::move(submission));
+    prepared->current_phase =
+        status == status_ok ? preparation::phase::prepared : preparation::phase::declined;
+    prepared->answered.open();
 }
 
-loop::task<void> wait_for_answer(const early_start_ptr& early) {
-    while (early->current_phase == early_start::phase::requested) {
-        co_await early->answered.wait(loop::after(runner_timeout));
+loop::task<void> wait_for_answer(const preparation_ptr& prepared) {
+    while (prepared->current_phase == preparation::phase::requested) {
+        co_await prepared->answered.wait(loop::after(runner_timeout));
     }
 }
 
@@ -220,40 +218,41 @@
     return first_zone_host(own, self.peers, self.avoided, self.now()).value_or(std::move(own));
 }
 
-early_start_ptr request_early_start(const std::shared_ptr<batch_registry>& registry,
-                                    const batch_header& header, const std::string& submission) {
-    auto early = std::make_shared<early_start>(registry->self->io);
+preparation_ptr prepare_runner(const std::shared_ptr<batch_registry>& registry,
+                               const batch_header& header, const std::string& submission) {
+    auto prepared = std::make_shared<preparation>(registry->self->io);
     // If this host knows the batch or its owner, it has been submitted before.
     if (registry->owners.contains(header.id) || registry->batches.contains(header.id)) {
-        early->current_phase = early_start::phase::declined;
-        return early;
+        prepared->current_phase = preparation::phase::declined;
+        return prepared;
     }
     loop::asio::co_spawn(registry->self->io,
-                         send_early_start_call(registry, header, submission, early),
+                         send_submission(registry, header, submission, prepared),
                          loop::asio::detached);
-    return early;
+    return prepared;
 }
 
 loop::task<void> confirm_start(std::shared_ptr<batch_registry> registry, batch_header header,
-                               std::string submission, early_start_ptr early,
-                               store_outcome stored) {
-    co_await wait_for_answer(early);
-    const bool declined = early->current_phase == early_start::phase::declined;
-    if (stored == store_outcome::conflict) {
-        if (!declined) {
+                               std::string submission, preparation_ptr prepared,
+                               stored_submission stored) {
+    co_await wait_for_answer(prepared);
+    const bool holds_it = prepared->current_phase == preparation::phase::prepared;
+    if (stored.outcome == store_outcome::conflict) {
+        if (holds_it) {
             co_await call_runner(registry, header, action_settle);
         }
         co_return;
     }
     record_owner(*registry, header.id, header.owner_at);
-    if (!declined) {
-        const auto response = co_await call_runner(registry, header, action_stored);
-        if (response.status == status_ok) {
+    if (holds_it) {
+        const auto action = stored.prepared_before ? action_created : action_stored;
+        const int status = co_await call_runner(registry, header, action);
+        if (status == status_ok) {
             co_return;
         }
     }
-    const auto response = co_await call_runner(registry, header, action_run, std::move(submission));
-    if (response.status == status_ok) {
+    const int status = co_await call_runner(registry, header, action_run, std::move(submission));
+    if (status == status_ok) {
         co_return;
     }
     registry->owners.erase(header.id);
@@ -263,50 +262,32 @@
     }
 }
 
-loop::task<early_outcome> withdraw_start(std::shared_ptr<batch_registry> registry,
-                                         batch_header header, early_start_ptr early) {
-    co_await wait_for_answer(early);
-    if (early->current_phase == early_start::phase::declined) {
-        co_return early_outcome::nothing_sent;
+loop::task<void> withdraw_submission(std::shared_ptr<batch_registry> registry, batch_header header,
+                                     preparation_ptr prepared) {
+    co_await wait_for_answer(prepared);
+    if (prepared->current_phase == preparation::phase::prepared) {
+        co_await call_runner(registry, header, action_withdraw);
     }
-    const auto response = co_await call_runner(registry, header, action_withdraw);
-    co_return response.status == status_ok ? early_outcome::nothing_sent
-                                           : early_outcome::may_have_run;
 }
 
 loop::task<int> serve_start_call(std::shared_ptr<batch_registry> registry,
                                  transport::http_request message) {
     const auto action = std::string_view(message.path).substr(start_path.size());
     const std::string id(transport::find_query(message.query, "id").value_or(""));
-    const auto known = find_batch(*registry, id);
-    if (action == action_early || action == action_run) {
-        co_return handle_start_call(registry, message, id, action == action_run);
+    if (action == action_prepare || action == action_early) {
+        co_return handle_prepare_call(registry, message, id);
     }
-    if (action == action_stored) {
-        if (known && !known->stored) {
-            mark_stored(known, registry->self->now());
-        }
-        co_return known ? status_ok : status_conflict;
+    if (action == action_created || action == action_stored) {
+        co_return handle_stored_call(registry, id, action == action_created);
+    }
+    if (action == action_run) {
+        co_return handle_run_call(registry, message, id);
     }
     if (action == action_settle) {
-        if (known && !known->stored) {
-            co_await check_stored(registry, known);
-        }
+        co_await look_up_prepared(registry, id);
         co_return status_ok;
     }
-    co_return action == action_withdraw ? handle_withdraw_call(*registry, known) : 404;
-}
-
-void drop_unstored(batch_registry& registry) {
-    std::vector<live_batch_ptr> unstored;
-    for (const auto& [id, batch] : registry.batches) {
-        if (!batch->stored) {
-            unstored.push_back(batch);
-        }
-    }
-    for (const auto& batch : unstored) {
-        drop_batch(registry, batch, "shutting down");
-    }
+    co_return action == action_withdraw ? handle_withdraw_call(*registry, id) : 404;
 }
 
 } // namespace cornelloom::front
--- a/src/front/events.hpp
+++ b/src/front/events.hpp
@@ -104,7 +104,7 @@
     9040, "read_forwarded_failed", event_level::info,
     "the owner of a batch did not answer a forwarded read"};
 inline constexpr event batch_dropped{9041, "batch_dropped", event_level::warning,
-                                     "a batch that started before it was stored is dropped"};
+                                     "a submission that was held until it is stored is dropped"};
 inline constexpr event batch_loaded{9043, "batch_loaded", event_level::info,
                                     "a batch was loaded from the store"};
 inline constexpr event batch_caller_left{
--- a/src/front/item_dispatch.cpp
+++ b/src/front/item_dispatch.cpp
@@ -204,10 +204,13 @@
     const bool held = !may_send_items(batch);
     if (held != batch.sending_paused) {
         batch.sending_paused = held;
+        const bool was_read = batch.log.confirmed != time_point{};
+        const auto age_from = was_read ? batch.log.confirmed : batch.state.submitted;
         log_event(*batch.local_host, batch_held,
                   {{"id", batch.state.header.id},
                    {"held", held},
-                   {"log_age_ms", ms_between(batch.log.confirmed, batch.local_host->now())},
+                   {"log_read", was_read},
+                   {"log_age_ms", ms_between(age_from, batch.local_host->now())},
                    {"entry", batch.state.next_entry_number}});
     }
     return !held && !batch.handing_over;
--- a/src/front/live_batch.cpp
+++ b/src/front/live_batch.cpp
@@ -21,9 +21,8 @@
 }
 
 bool may_send_items(const live_batch& batch) {
-    // A batch that is not stored yet can't have been ended.
-    return !batch.stored || may_send_items(batch.log, batch.local_host->now(),
-                                           batch.local_host->settings.cancel_bound);
+    return may_send_items(batch.log, batch.local_host->now(),
+                          batch.local_host->settings.cancel_bound);
 }
 
 time_point deadline_of(const live_batch& batch) {
--- a/src/front/live_batch.hpp
+++ b/src/front/live_batch.hpp
@@ -34,7 +34,6 @@
     batch state;
     loop::gate changed;        ///< Opened when results are added, runs end or the owner changes.
     bool owned = false;        ///< This process runs its items.
-    bool stored = true;        ///< False after an early start, until the batch is stored.
     bool handing_over = false; ///< The runs are stopped, to continue on another host.
     bool appending = false;    ///< An entry of its log is being written.
     std::map<std::size_t, item_run> runs{};                               ///< By the item's index.
--- a/src/front/log_knowledge.cpp
+++ b/src/front/log_knowledge.cpp
@@ -21,7 +21,9 @@
 bool may_send_items(const log_knowledge& log, time_point now, milliseconds cancel) {
     const bool unanswered =
         log.requested_at != time_point{} && now - log.requested_at > max_store_latency;
-    return log.unavailable || unanswered || now - log.confirmed < cancel - target_latency;
+    const bool was_read = log.confirmed != time_point{};
+    return (was_read && (log.unavailable || unanswered)) ||
+           now - log.confirmed < cancel - target_latency;
 }
 
 } // namespace cornelloom::front
--- a/src/front/log_knowledge.hpp
+++ b/src/front/log_knowledge.hpp
@@ -23,7 +23,7 @@
 [[nodiscard]] bool is_log_due(const log_knowledge& log, time_point now, milliseconds cancel);
 
 /// Whether items may be sent to targets. While the store does not answer, no host can accept the
-/// end of a batch either, so the batch goes on.
+/// end of a batch either, so a batch whose log was known goes on.
 [[nodiscard]] bool may_send_items(const log_knowledge& log, time_point now, milliseconds cancel);
 
 } // namespace cornelloom::front
--- /dev/null
+++ b/src/front/submission_answer.cpp
@@ -0,0 +1,34 @@
+#include "front/submission_answer.hpp"
+
+#include <algorithm>
+
+namespace cornelloom::front {
+
+namespace {
+
+constexpr milliseconds default_storage_timeout{6000};
+/// Reserved to send the response before the caller's timeout.
+constexpr milliseconds response_margin{250};
+
+} // namespace
+
+submission_answer choose_submission_answer(store_outcome stored) {
+    switch (stored) {
+    case store_outcome::none:
+    case store_outcome::conflict:
+        return submission_answer::accept;
+    case store_outcome::refused:
+        return submission_answer::refuse;
+    default:
+        return submission_answer::fail;
+    }
+}
+
+milliseconds storage_timeout(std::optional<milliseconds> caller_timeout) {
+    if (!caller_timeout) {
+        return default_storage_timeout;
+    }
+    return std::max(*caller_timeout - response_margin, milliseconds(0));
+}
+
+} // namespace cornelloom::front
--- /dev/null
+++ b/src/front/submission_answer.hpp
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "front/store_client.hpp"
+#include "front/types.hpp"
+
+namespace cornelloom::front {
+
+/// What the caller of a submission is told. No item is sent before the batch is stored.
+enum class submission_answer {
+    accept,
+    refuse, ///< The batch does not exist and never will.
+    fail,   ///< The batch may exist, now or later.
+};
+
+[[nodiscard]] submission_answer choose_submission_answer(store_outcome stored);
+
+/// How long to retry storing a submission: as long as its caller waits, because the caller's next
+/// attempt would depend on the same store. A few seconds if the caller sets no timeout.
+[[nodiscard]] milliseconds storage_timeout(std::optional<milliseconds> caller_timeout);
+
+} // namespace cornelloom::front
--- a/tests/front/log_knowledge_tests.cpp
+++ b/tests/front/log_knowledge_tests.cpp
@@ -33,6 +33,12 @@
     }
 }
 
+TEST_CASE("a batch whose log was never read waits for the store", "[front][log]") {
+    // Guards against items of a batch that was ended before this host was told to start it.
+    CHECK_FALSE(may_send_items({{}, true}, now, cancel));
+    CHECK_FALSE(may_send_items({{}, false, now - 1s}, now, cancel));
+}
+
 TEST_CASE("the log is read again well before items are held back", "[front][log]") {
     CHECK(is_log_due({now - 1500ms, false}, now, cancel));
     CHECK_FALSE(is_log_due({now - 1s, false}, now, cancel));
