Bound the memory that answers without end take

Seen by callers: a server that never ends its answer, be it in a head, a chunk head or extension, a trailer or the body, made a host grow by gigabytes within seconds; hosts are killed above 110 to 512 MB. Cause: the parser's limits count neither chunk extensions nor trailers, and the buffer before it had no maximum. 64 MiB were allowed for the body of each answer, however many came at once. An event of an item was kept until it ended. Change: the buffer of an exchange is bounded. Bodies that are kept count towards the memory for answers, a quarter of that of the process, half of it for one answer. An event may have 1 MiB, a text as much as an object of the store. The fault `too_large` names it in `attempt_failed` and `item_run_ended`, with the target.

--- a/src/front/crash_watch.cpp
+++ b/src/front/crash_watch.cpp
@@ -266,6 +266,7 @@
     case loop::exchange_fault::none:
     case loop::exchange_fault::not_connected:
     case loop::exchange_fault::garbled:
+    case loop::exchange_fault::too_large:
         return run_end::unknown;
     }
     return run_end::unknown;
--- a/src/front/host.cpp
+++ b/src/front/host.cpp
@@ -17,12 +17,26 @@
     return *found;
 }
 
+namespace {
+
+/// Answers that are being read may take a quarter of the memory of the process.
+constexpr std::size_t answer_memory_divisor = 4;
+/// Answers of the largest size for which there is room.
+constexpr std::size_t answers_in_memory = 2;
+
+} // namespace
+
 host::host(loop::io_context& loop, const adapter& platform, host_settings loaded_settings)
     : io(loop), platform_adapter(platform), settings(std::move(loaded_settings)), connections(loop),
       store(connections, settings.platform),
       random(kernel::hash64(settings.host) ^ static_cast<std::uint64_t>(clock.wall_now().unix_ms)),
       startup_changed(loop), caches(loop), lead(loop), crashes(loop) {
     crashes.rules = default_quarantine_rules();
+    if (settings.memory_bytes > 0) {
+        connections.memory->max_total_bytes = settings.memory_bytes / answer_memory_divisor;
+        connections.memory->max_answer_bytes =
+            connections.memory->max_total_bytes / answers_in_memory;
+    }
     if (settings.duties) {
         usage.window_length = settings.duties->usage_window;
         demand.window_length = settings.duties->usage_window;
--- a/src/front/item_run.cpp
+++ b/src/front/item_run.cpp
@@ -26,6 +26,11 @@
 /// earlier.
 constexpr milliseconds near_deadline_window{2000};
 
+/// A longer text can't be written to the log.
+std::size_t max_text_bytes(const live_batch& batch) {
+    return batch.local_host->settings.max_value_bytes;
+}
+
 enum class run_outcome { complete, retry, failed, unprocessable };
 
 struct run_result {
@@ -112,6 +117,10 @@
         }
         buffer += chunk;
         const auto events = batch->local_host->platform_adapter.events(buffer);
+        if (buffer.size() > max_event_bytes || !exchange->reserve(chunk.size())) {
+            co_return run_result{run_outcome::retry,
+                                 std::string(to_string(loop::exchange_fault::too_large))};
+        }
         const double gap_ms = ms_between(run.last_event, batch->local_host->now()) /
                               static_cast<double>(std::max<std::size_t>(events.size(), 1));
         for (const auto& event : events) {
@@ -124,6 +133,11 @@
             if (!append_event(*batch, index, event, version)) {
                 co_return run_result{run_outcome::retry, "event out of order"};
             }
+            if (item.output.text.size() > max_text_bytes(*batch)) {
+                item.output = {};
+                co_return run_result{run_outcome::retry,
+                                     std::string(to_string(loop::exchange_fault::too_large))};
+            }
             record_event(*batch, run, gap_ms);
         }
         if (run.events > 0) {
--- a/src/front/plain_call.cpp
+++ b/src/front/plain_call.cpp
@@ -120,7 +120,7 @@
     }
     transport::http_response answer;
     if (fault == loop::exchange_fault::none) {
-        fault = co_await exchange->read_rest(deadline, answer.body, loop::answer_bytes_most);
+        fault = co_await exchange->read_rest(deadline, answer.body);
     }
     if (fault != loop::exchange_fault::none) {
         result.reason = to_string(fault);
--- a/src/front/stream_call.cpp
+++ b/src/front/stream_call.cpp
@@ -67,6 +67,10 @@
         // Forwards only complete events, because a resumed stream starts at an event boundary.
         pending += chunk;
         auto complete_events = take_complete_events(pending);
+        if (pending.size() > max_event_bytes) {
+            record_fault(stream, loop::exchange_fault::too_large);
+            co_return stream_end::broken_off;
+        }
         co_await stream.request->piece(complete_events);
         for (const auto& event : stream.self->platform_adapter.events(complete_events)) {
             stream.last_event = std::max(stream.last_event, event.id);
--- a/src/front/types.hpp
+++ b/src/front/types.hpp
@@ -147,7 +147,8 @@
     std::optional<milliseconds> revocation_bound;
     std::optional<duty_settings> duties;
     int file_descriptors = 1024;
-    double cpu_share = 1; ///< CPU share, in cores.
+    std::size_t memory_bytes = 0; ///< Of a process; 0: unknown.
+    double cpu_share = 1;         ///< CPU share, in cores.
 };
 
 /// The request that computes the score of a sample.
@@ -199,6 +200,9 @@
 };
 
 /// One event of an answer stream.
+/// Largest event of a stream that is kept until it is complete, in bytes.
+inline constexpr std::size_t max_event_bytes = std::size_t{1} << 20U;
+
 struct stream_event {
     std::int64_t id = 0;
     std::string data;
--- a/src/loop/connection_pool.hpp
+++ b/src/loop/connection_pool.hpp
@@ -49,6 +49,13 @@
     std::vector<opening_cause> lost; ///< Why connections were closed, the latest last; bounded.
 };
 
+/// Memory for answers that are being read. A server may send bytes without end.
+struct answer_memory {
+    std::size_t max_answer_bytes = std::numeric_limits<std::size_t>::max(); ///< Of one of them.
+    std::size_t max_total_bytes = std::numeric_limits<std::size_t>::max();  ///< Of all of them.
+    std::size_t total_bytes = 0;
+};
+
 /// Connections kept open between exchanges, by server.
 struct connection_pool {
     explicit connection_pool(io_context& loop) : io(&loop) {}
@@ -56,6 +63,7 @@
     io_context* io;
     /// Shared with the exchanges, which may outlive the pool.
     std::map<transport::endpoint, std::shared_ptr<server_connections>> servers{};
+    std::shared_ptr<answer_memory> memory = std::make_shared<answer_memory>();
     /// Called for each new connection.
     std::function<void(const transport::endpoint&, opening_cause)> on_open =
         [](const transport::endpoint&, opening_cause) {};
--- a/src/loop/exchange.cpp
+++ b/src/loop/exchange.cpp
@@ -31,6 +31,12 @@
 /// Longer bodies are written beside the reading of the answer.
 constexpr std::size_t inline_body_bytes = 16384;
 constexpr std::uint32_t header_bytes_most = 64U * 1024;
+/// Largest body of an answer, kept in memory or not.
+constexpr std::size_t body_bytes_most = std::size_t{64} << 20U;
+/// Largest part of an answer that is kept unparsed: a head, or the framing between two pieces of a
+/// body, and one read beyond it. The limits of the parser count neither chunk extensions nor
+/// trailers.
+constexpr std::size_t max_buffered_bytes = 2 * header_bytes_most;
 
 void tune(tcp::socket& socket) {
     boost::system::error_code ignored; // tuning only: without it the connection still works
@@ -93,6 +99,8 @@
         return "broken";
     case exchange_fault::garbled:
         return "garbled";
+    case exchange_fault::too_large:
+        return "too_large";
     case exchange_fault::timed_out:
         return "timed_out";
     case exchange_fault::aborted:
@@ -103,7 +111,8 @@
 
 exchange::exchange(connection_pool& pool, transport::endpoint server)
     : pool_(&pool), server_(std::move(server)),
-      stream_(std::make_shared<beast::tcp_stream>(*pool.io)) {
+      stream_(std::make_shared<beast::tcp_stream>(*pool.io)), memory_(pool.memory),
+      buffer_(max_buffered_bytes) {
     auto& connections = pool.servers[server_];
     if (!connections) {
         connections = std::make_shared<server_connections>();
@@ -114,6 +123,23 @@
 
 exchange::~exchange() {
     close(opening_cause::failed);
+    release_memory();
+}
+
+bool exchange::reserve(std::size_t bytes) {
+    if (bytes > memory_->max_answer_bytes - std::min(memory_->max_answer_bytes, reserved_bytes_) ||
+        bytes >
+            memory_->max_total_bytes - std::min(memory_->max_total_bytes, memory_->total_bytes)) {
+        return false;
+    }
+    reserved_bytes_ += bytes;
+    memory_->total_bytes += bytes;
+    return true;
+}
+
+void exchange::release_memory() {
+    memory_->total_bytes -= reserved_bytes_;
+    reserved_bytes_ = 0;
 }
 
 exchange_fault exchange::fault_of(const boost::system::error_code& ec) const {
@@ -123,6 +149,10 @@
     if (ec == beast::error::timeout) {
         return exchange_fault::timed_out;
     }
+    if (ec == http::error::header_limit || ec == http::error::body_limit ||
+        ec == http::error::buffer_overflow) {
+        return exchange_fault::too_large;
+    }
     const auto& category = http::make_error_code(http::error::bad_version).category();
     const bool ended = ec == http::error::partial_message || ec == http::error::end_of_stream;
     if (ec.category() == category && !ended) {
@@ -174,7 +204,7 @@
 task<exchange_fault> exchange::send(const transport::http_request& request, deadline until) {
     auto message = std::make_shared<request_message>(encode(request));
     parser_.emplace();
-    parser_->body_limit(answer_bytes_most);
+    parser_->body_limit(body_bytes_most);
     parser_->header_limit(header_bytes_most);
     parser_->skip(request.method == "HEAD");
     stream_->expires_at(until);
@@ -227,10 +257,10 @@
         if (fault != exchange_fault::none) {
             co_return fault;
         }
-        body += piece;
-        if (body.size() > limit) {
-            co_return exchange_fault::garbled;
+        if (body.size() + piece.size() > limit || !reserve(piece.size())) {
+            co_return note(exchange_fault::too_large);
         }
+        body += piece;
     }
     co_return exchange_fault::none;
 }
@@ -296,7 +326,7 @@
         out.fault = co_await one.read_head(until);
     }
     if (out.fault == exchange_fault::none) {
-        out.fault = co_await one.read_rest(until, out.answer.body, answer_bytes_most);
+        out.fault = co_await one.read_rest(until, out.answer.body);
     }
     if (out.fault == exchange_fault::none) {
         out.answer.status = one.status();
--- a/src/loop/exchange.hpp
+++ b/src/loop/exchange.hpp
@@ -8,6 +8,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include <limits>
 #include <memory>
 #include <optional>
 #include <string>
@@ -22,15 +23,13 @@
     not_connected, ///< No connection, so nothing was sent.
     broken,        ///< The connection ended early: what was sent may have run.
     garbled,       ///< What came back is not an answer to this request.
+    too_large,     ///< More came back than an answer may have, in its head, framing or body.
     timed_out,     ///< The deadline of the step passed.
     aborted,       ///< This side gave it up.
 };
 
 [[nodiscard]] std::string_view to_string(exchange_fault fault);
 
-/// Largest body of an answer that is read, in bytes.
-inline constexpr std::size_t answer_bytes_most = std::size_t{64} << 20U;
-
 /// One request and its answer on one connection. At most one step runs at a time; `abort` may be
 /// called at any moment and ends the running step.
 class exchange {
@@ -51,8 +50,13 @@
     /// The next bytes of the body; none once the body is complete.
     task<exchange_fault> read_piece(deadline until, std::string& piece);
 
-    /// What is left of the body, at most `limit` bytes.
-    task<exchange_fault> read_rest(deadline until, std::string& body, std::size_t limit);
+    /// What is left of the body, at most `limit` bytes and what the pool's `answer_memory` allows.
+    task<exchange_fault> read_rest(deadline until, std::string& body,
+                                   std::size_t limit = std::numeric_limits<std::size_t>::max());
+
+    /// Reserves memory of the pool for bytes of the answer that are kept, until the exchange ends.
+    /// False if there is none left.
+    [[nodiscard]] bool reserve(std::size_t bytes);
 
     [[nodiscard]] int status() const;
 
@@ -73,6 +77,7 @@
 private:
     task<exchange_fault> connect(deadline until, bool reuse);
     exchange_fault note(exchange_fault fault);
+    void release_memory();
     void close(opening_cause cause);
     [[nodiscard]] exchange_fault fault_of(const boost::system::error_code& ec) const;
 
@@ -80,7 +85,9 @@
     transport::endpoint server_;
     std::shared_ptr<server_connections> connections_;  ///< All connections to the server.
     std::shared_ptr<boost::beast::tcp_stream> stream_; ///< Shared with a write in the background.
-    boost::beast::flat_buffer buffer_;
+    std::shared_ptr<answer_memory> memory_;            ///< Of the pool.
+    std::size_t reserved_bytes_ = 0;                   ///< Of that memory.
+    boost::beast::flat_buffer buffer_; ///< Bounded: a head or framing may come without end.
     std::optional<boost::beast::http::response_parser<boost::beast::http::string_body>> parser_;
     std::vector<transport::http_header> headers_;
     std::shared_ptr<bool> body_written_ = std::make_shared<bool>(true);
--- /dev/null
+++ b/tests/loop/endless_bytes_tests.cpp
@@ -0,0 +1,160 @@
+#include "loop/loop.hpp"
+
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+
+#include <catch2/catch.hpp>
+
+#include <functional>
+#include <string>
+
+using namespace cornelloom;
+using namespace cornelloom::loop;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::size_t kibibyte = 1024;
+constexpr std::size_t mebibyte = 1024 * kibibyte;
+/// What a sender gets rid of beyond what the receiver keeps: buffers of the kernel on both sides.
+constexpr std::size_t kernel_buffers = 8 * mebibyte;
+constexpr milliseconds tick{5};
+
+/// Bytes that follow each other until the receiver closes the connection.
+struct endless_bytes {
+    std::string start;
+    std::string repeated;
+};
+
+/// Writes until the connection is closed; counts what was written.
+task<void> write_without_end(tcp::socket& socket, endless_bytes bytes, std::size_t& sent) {
+    std::string block = bytes.repeated;
+    while (block.size() < 16 * kibibyte) {
+        block += bytes.repeated;
+    }
+    boost::system::error_code ec;
+    sent += co_await asio::async_write(socket, asio::buffer(bytes.start),
+                                       asio::redirect_error(asio::use_awaitable, ec));
+    while (!ec) {
+        sent += co_await asio::async_write(socket, asio::buffer(block),
+                                           asio::redirect_error(asio::use_awaitable, ec));
+    }
+}
+
+/// Answers each request by bytes without end.
+struct endless_server {
+    endless_server(io_context& io, endless_bytes bytes)
+        : acceptor(io, tcp::endpoint(tcp::v4(), 0)) {
+        asio::co_spawn(io, accept(std::move(bytes)), asio::detached);
+    }
+
+    task<void> accept(endless_bytes bytes) {
+        for (;;) {
+            tcp::socket socket = co_await acceptor.async_accept(asio::use_awaitable);
+            asio::co_spawn(acceptor.get_executor(), serve(std::move(socket), bytes),
+                           asio::detached);
+        }
+    }
+
+    task<void> serve(tcp::socket socket, endless_bytes bytes) {
+        std::string request;
+        boost::system::error_code ec;
+        co_await asio::async_read_until(socket, asio::dynamic_buffer(request), "\r\n\r\n",
+                                        asio::redirect_error(asio::use_awaitable, ec));
+        co_await write_without_end(socket, std::move(bytes), sent);
+    }
+
+    [[nodiscard]] transport::endpoint where() const {
+        return {"127.0.0.1", acceptor.local_endpoint().port()};
+    }
+
+    tcp::acceptor acceptor;
+    std::size_t sent = 0;
+};
+
+/// Counts how often a timer fires while the loop is busy with something else.
+task<void> count_ticks(io_context& io, int& ticks) {
+    for (;;) {
+        co_await pause_for(io, tick);
+        ++ticks;
+    }
+}
+
+void run(io_context& io, std::function<task<void>()> body) {
+    std::exception_ptr failure;
+    asio::co_spawn(io, std::move(body), [&](const std::exception_ptr& fault) {
+        failure = fault;
+        io.stop();
+    });
+    io.run_for(10s);
+    const bool ended = io.stopped();
+    REQUIRE(ended);
+    if (failure) {
+        std::rethrow_exception(failure);
+    }
+}
+
+transport::http_request get() {
+    transport::http_request out;
+    out.headers.push_back({"Host", "h"});
+    return out;
+}
+
+const std::string chunked_head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+const std::string letters(kibibyte, 'a');
+
+} // namespace
+
+TEST_CASE("an answer without end is given up before it fills the memory",
+          "[loop][exchange][endless]") {
+    // Guards against a host that is killed for its memory because a server never ends a part of
+    // its answer.
+    const auto bytes = GENERATE(
+        as<endless_bytes>{}, endless_bytes{"", letters}, endless_bytes{"HTTP/1.1 200 ", letters},
+        endless_bytes{"HTTP/1.1 200 OK\r\nA: ", letters},
+        endless_bytes{"HTTP/1.1 200 OK\r\n", "A: " + letters + "\r\n"},
+        endless_bytes{"HTTP/1.1 200 OK\r\n\r\n", letters},
+        endless_bytes{chunked_head, "400\r\n" + letters + "\r\n"}, endless_bytes{chunked_head, "0"},
+        endless_bytes{chunked_head + "1;", letters},
+        endless_bytes{chunked_head + "1;a=\"", letters},
+        endless_bytes{chunked_head + "0\r\nA: ", letters},
+        endless_bytes{chunked_head + "0\r\n", "A: " + letters + "\r\n"});
+    CAPTURE(bytes.start, bytes.repeated.substr(0, 8));
+    io_context io(1);
+    endless_server server(io, bytes);
+    connection_pool pool(io);
+    pool.memory->max_answer_bytes = mebibyte;
+    run(io, [&]() -> task<void> {
+        const auto outcome = co_await call(pool, server.where(), get(), after(5s), 500ms);
+        CHECK((outcome.fault == exchange_fault::too_large ||
+               outcome.fault == exchange_fault::garbled));
+        CHECK(server.sent < mebibyte + kernel_buffers);
+        CHECK(pool.memory->total_bytes == 0);
+    });
+}
+
+TEST_CASE("answers that come at once share the memory for answers", "[loop][exchange][endless]") {
+    // Guards against many answers that are each within their limit.
+    io_context io(1);
+    endless_server server(io, {"HTTP/1.1 200 OK\r\n\r\n", letters});
+    connection_pool pool(io);
+    pool.memory->max_answer_bytes = 64 * mebibyte;
+    pool.memory->max_total_bytes = 4 * mebibyte;
+    int ticks = 0;
+    asio::co_spawn(io, count_ticks(io, ticks), asio::detached);
+    run(io, [&]() -> task<void> {
+        std::vector<task<call_outcome>> calls;
+        for (int each = 0; each < 8; ++each) {
+            calls.push_back(call(pool, server.where(), get(), after(5s), 500ms));
+        }
+        const auto started = steady_clock::now();
+        const auto outcomes = co_await gather(io, std::move(calls));
+        const auto took = steady_clock::now() - started;
+        for (const auto& outcome : outcomes) {
+            CHECK(outcome.fault == exchange_fault::too_large);
+        }
+        CHECK(server.sent < 8 * kernel_buffers + 4 * mebibyte);
+        CHECK(pool.memory->total_bytes == 0);
+        CHECK(ticks >= took / tick / 4);
+    });
+}
