Refuse requests to the front whose framing has no end

Seen by callers: one connection with a chunk extension without end made a host grow by as much as was sent, and nothing closed it. Change: the buffer is bounded by the limit of the header and one read. The bytes of a body with its framing are bounded by six times the limit of the body, what chunks of one byte take.

--- a/src/loop/listener.cpp
+++ b/src/loop/listener.cpp
@@ -29,6 +29,10 @@
 constexpr std::size_t linger_bytes = 1U << 20U;
 /// Space for one read of a request's head.
 constexpr std::size_t read_bytes = 4096;
+/// Largest part of a request that is read at a time.
+constexpr std::size_t max_read_bytes = 65536;
+/// A chunk of one byte takes six: its size, the byte, and two line ends.
+constexpr std::size_t max_framed_bytes_per_byte = 6;
 /// Accepting again after the process ran out of descriptors.
 constexpr milliseconds accept_pause{50};
 
@@ -193,7 +197,10 @@
         co_return !ec;
     }
 
+    /// Reads a request. The limits of the parser count neither chunk extensions nor trailers, so
+    /// the buffer and the bytes of the body with its framing are bounded, too.
     task<boost::system::error_code> read(request_parser& parser, const caller_limits& limits) {
+        buffer.max_size(std::max(limits.header_bytes + max_read_bytes, buffer.size()));
         parser.header_limit(static_cast<std::uint32_t>(
             std::min<std::size_t>(limits.header_bytes, std::numeric_limits<std::uint32_t>::max())));
         parser.body_limit(limits.body_bytes);
@@ -209,10 +216,16 @@
             co_await asio::async_write(stream, asio::buffer(go_on),
                                        asio::redirect_error(asio::use_awaitable, ec));
         }
+        const auto framed_bytes_most =
+            limits.header_bytes + limits.body_bytes * max_framed_bytes_per_byte;
+        std::size_t framed_bytes = 0;
         while (!ec && !parser.is_done()) {
             stream.expires_after(limits.idle_time);
-            co_await http::async_read_some(stream, buffer, parser,
-                                           asio::redirect_error(asio::use_awaitable, ec));
+            framed_bytes += co_await http::async_read_some(
+                stream, buffer, parser, asio::redirect_error(asio::use_awaitable, ec));
+            if (!ec && framed_bytes > framed_bytes_most) {
+                ec = http::make_error_code(http::error::body_limit);
+            }
         }
         co_return ec;
     }
--- a/tests/loop/endless_bytes_tests.cpp
+++ b/tests/loop/endless_bytes_tests.cpp
@@ -101,6 +101,8 @@
 }
 
 const std::string chunked_head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+const std::string chunked_request =
+    "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
 const std::string letters(kibibyte, 'a');
 
 } // namespace
@@ -158,3 +160,44 @@
         CHECK(ticks >= took / tick / 4);
     });
 }
+
+TEST_CASE("a request without end is refused before it fills the memory",
+          "[loop][listener][endless]") {
+    // Guards against a client that has a host killed for its memory by one request.
+    const auto bytes = GENERATE(
+        as<endless_bytes>{}, endless_bytes{"", letters}, endless_bytes{"POST /", letters},
+        endless_bytes{"POST /a HTTP/1.1\r\nHost: h\r\nA: ", letters},
+        endless_bytes{chunked_request, "400\r\n" + letters + "\r\n"},
+        endless_bytes{chunked_request, "0"}, endless_bytes{chunked_request + "1;", letters},
+        endless_bytes{chunked_request, "1;" + letters + "\r\na\r\n"},
+        endless_bytes{chunked_request + "0\r\nA: ", letters},
+        endless_bytes{chunked_request + "0\r\n", "A: " + letters + "\r\n"});
+    CAPTURE(bytes.start, bytes.repeated.substr(0, 8));
+    io_context io(1);
+    auto server = std::make_shared<listener>();
+    server->io = &io;
+    server->limits = [] {
+        caller_limits limits;
+        limits.header_bytes = 16 * kibibyte;
+        limits.body_bytes = 64 * kibibyte;
+        return limits;
+    };
+    int served = 0;
+    server->handler = [&served](served_request&) -> task<void> {
+        ++served;
+        co_return;
+    };
+    const auto probe = std::make_unique<tcp::acceptor>(io, tcp::endpoint(tcp::v4(), 0));
+    const transport::endpoint where{"127.0.0.1", probe->local_endpoint().port()};
+    probe->close();
+    start_listening(server, where);
+    run(io, [&]() -> task<void> {
+        tcp::socket socket(io);
+        co_await socket.async_connect(
+            tcp::endpoint(asio::ip::make_address(where.address), where.port), asio::use_awaitable);
+        std::size_t sent = 0;
+        co_await write_without_end(socket, bytes, sent);
+        CHECK(sent < mebibyte + kernel_buffers);
+        CHECK(served == 0);
+    });
+}
