Bound the buffers of cornelloomd's server and client

Cause: no maximum for the buffer before the parser. Change: a header and one read at the server, twice the limit of a header at the client; `too_large` for a head or framing beyond it. Interim answers without end last no longer than their call, before and after.

--- a/src/transport/internal/http_session.cpp
+++ b/src/transport/internal/http_session.cpp
@@ -26,6 +26,9 @@
 /// with unread bytes resets the connection, and the caller may lose the refusal with it.
 constexpr std::chrono::seconds drain_timeout{2};
 constexpr std::size_t max_drained_bytes = 1U << 20U;
+/// Largest part of a request that is read at a time. The buffer has room for it beside a header:
+/// the limits of the parser count neither chunk extensions nor trailers.
+constexpr std::size_t max_read_bytes = 64U << 10U;
 
 http_request to_request(http::request<http::string_body>&& raw) {
     http_request request;
@@ -111,7 +114,8 @@
 
 http_session::http_session(boost::asio::ip::tcp::socket socket, session_context& context)
     : stream_(std::move(socket), context.tls ? &*context.tls : nullptr),
-      timer_(stream_.get_executor()), context_(context) {
+      timer_(stream_.get_executor()), context_(context),
+      buffer_(context.limits.max_header_bytes + max_read_bytes) {
     context_.session_count.fetch_add(1);
     const std::lock_guard lock(context_.mutex);
     context_.sessions.insert(this);
--- a/src/transport/internal/http_transaction.cpp
+++ b/src/transport/internal/http_transaction.cpp
@@ -18,6 +18,16 @@
 
 constexpr std::uint32_t max_reply_header_bytes = 64U << 10U;
 constexpr std::size_t stream_piece_bytes = 16U << 10U;
+/// Largest part of an answer that is kept unparsed: a header, or the framing between two pieces of
+/// a body, and one read beyond it. The limits of the parser count neither chunk extensions nor
+/// trailers.
+constexpr std::size_t max_buffered_bytes = 2 * max_reply_header_bytes;
+
+bool is_too_large(const boost::system::error_code& outcome) {
+    return outcome == beast::http::error::body_limit ||
+           outcome == beast::http::error::header_limit ||
+           outcome == beast::http::error::buffer_overflow;
+}
 
 /// Reads the header of the final reply, passing over interim ones (100 to 199 but 101).
 template <class Parser>
@@ -32,7 +42,7 @@
         const auto outcome = exchange.run([&](auto handler) {
             beast::http::async_read_header(exchange.socket(), buffer, *parser, handler);
         });
-        if (outcome == beast::http::error::body_limit) {
+        if (is_too_large(outcome)) {
             return kernel::error{kernel::error_code::too_large, "the answer passes the limit"};
         }
         if (outcome) {
@@ -68,7 +78,7 @@
         if (outcome == beast::http::error::need_buffer) {
             outcome = {};
         }
-        if (outcome == beast::http::error::body_limit) {
+        if (is_too_large(outcome)) {
             return kernel::error{kernel::error_code::too_large, "the answer passes the limit"};
         }
         if (outcome) {
@@ -143,7 +153,7 @@
                                        const call_options& options, bool keep_alive) {
     exchange.set_reusable(false);
     BOOST_OUTCOME_TRY(send(exchange, to, request, keep_alive));
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer(max_buffered_bytes);
     std::optional<beast::http::response_parser<beast::http::buffer_body>> parser;
     BOOST_OUTCOME_TRY(read_header(exchange, buffer, parser, request, options.max_body_bytes));
     http_response response = internal::read_head(parser->get().base());
--- a/tests/transport/raw_socket.hpp
+++ b/tests/transport/raw_socket.hpp
@@ -32,6 +32,8 @@
         boost::asio::write(socket_, boost::asio::buffer(bytes), ignored);
     }
 
+    [[nodiscard]] tcp::socket& socket() { return socket_; }
+
     void end_sending() { socket_.shutdown(tcp::socket::shutdown_send); }
 
     /// Everything until the other side closes.
