Store a batch's header and parts at once, and answer the runner's message before parsing it

Cause: the parts were written before the header, each a round trip to the store, and the runner answered only after it had parsed the submission. Change: header and parts are written at the same time; the batch is accepted once all are stored, and one without all parts may exist but is never reported as not run. The runner answers at once and parses afterwards; the header waits up to 60 ms for it, so that the runner need not read the log.

--- a/src/front/batch_desk.hpp
+++ b/src/front/batch_desk.hpp
@@ -6,15 +6,23 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace cornelloom::front {
 
-/// A submission that this host holds, to run the batch once it is stored.
-struct prepared_batch {
+/// A batch to run, as it was submitted.
+struct submitted_batch {
     batch_header header;
     batch_spec spec;
+};
+
+/// A submission that this host holds, to run the batch once it is stored.
+struct prepared_batch {
+    transport::http_request message; ///< As it came from the host that stores it.
     time_point received{};
+    /// Decoded only after the message was answered, since the header of the batch waits for that.
+    std::optional<submitted_batch> decoded{};
 };
 
 /// The batches that this host knows.
--- a/src/front/batch_log.cpp
+++ b/src/front/batch_log.cpp
@@ -181,20 +181,20 @@
 
 } // namespace
 
-loop::task<store_outcome> store_parts(std::shared_ptr<host> self,
-                                      std::shared_ptr<batch_header> header,
-                                      std::string_view submission, time_point deadline) {
-    const auto pieces = split_submission(submission, self->settings.max_value_bytes);
-    header->parts = static_cast<int>(pieces.size());
-    for (std::size_t part = 0; part < pieces.size(); ++part) {
-        const auto created =
-            co_await create_idempotently(self, object_kind::batch_parts,
-                                         numbered_name(header->id, part), pieces[part], deadline);
-        if (created != store_outcome::none && created != store_outcome::conflict) {
-            co_return store_outcome::refused;
-        }
+loop::task<store_outcome> store_parts(std::shared_ptr<host> self, std::string id,
+                                      std::vector<std::string> parts, time_point deadline) {
+    std::vector<loop::task<store_outcome>> calls;
+    calls.reserve(parts.size());
+    for (std::size_t number = 0; number < parts.size(); ++number) {
+        calls.push_back(create_idempotently(self, object_kind::batch_parts,
+                                            numbered_name(id, number), std::move(parts[number]),
+                                            deadline));
     }
-    co_return store_outcome::none;
+    const auto created = co_await loop::gather(self->io, std::move(calls));
+    const bool all_stored = std::ranges::all_of(created, [](store_outcome outcome) {
+        return outcome == store_outcome::none || outcome == store_outcome::conflict;
+    });
+    co_return all_stored ? store_outcome::none : store_outcome::unknown;
 }
 
 loop::task<store_outcome> store_header(std::shared_ptr<host> self, batch_header header,
--- a/src/front/batch_log.hpp
+++ b/src/front/batch_log.hpp
@@ -8,14 +8,13 @@
 
 namespace cornelloom::front {
 
-/// Stores the parts of a submission and sets `header.parts`. Retries until `deadline`. A failure is
-/// `refused`: without its header, the batch does not exist.
-loop::task<store_outcome> store_parts(std::shared_ptr<host> self,
-                                      std::shared_ptr<batch_header> header,
-                                      std::string_view submission, time_point deadline);
-
-/// Stores the header, after the parts. The batch exists once it is stored, so it is accepted only
-/// then. Retries until `deadline`. `conflict` means that the batch was stored before and counts as
+/// Stores the parts of a submission, all at once. Retries until `deadline`. `unknown` if a part is
+/// not known to be stored by then.
+loop::task<store_outcome> store_parts(std::shared_ptr<host> self, std::string id,
+                                      std::vector<std::string> parts, time_point deadline);
+
+/// Stores the header; the batch exists from then on. It is accepted once its parts are stored, too.
+/// Retries until `deadline`. `conflict` means that the batch was stored before and counts as
 /// success.
 loop::task<store_outcome> store_header(std::shared_ptr<host> self, batch_header header,
                                        time_point deadline);
--- a/src/front/batch_start.cpp
+++ b/src/front/batch_start.cpp
@@ -56,18 +56,34 @@
     }
 }
 
+std::optional<submitted_batch>
+decode_submission(const host& self, const transport::http_request& message, const std::string& id) {
+    const auto record = transport::find_header(message.headers, record_header).value_or("");
+    auto header = decode_header(id, nlohmann::json::parse(record, nullptr, false));
+    auto spec =
+        self.platform_adapter.submission(nlohmann::json::parse(message.body, nullptr, false));
+    if (!header || !spec || header.value().owner != self.settings.host) {
+        return std::nullopt;
+    }
+    return submitted_batch{std::move(header.value()), std::move(spec.value())};
+}
+
 /// Starts a stored batch unless this process runs it already. `log_confirmed`: when this host's
 /// copy of the log, which is empty, was known to be complete; zero: never.
-void start_batch(const std::shared_ptr<batch_registry>& registry, prepared_batch submitted,
-                 time_point log_confirmed) {
+void start_batch(const std::shared_ptr<batch_registry>& registry, const std::string& id,
+                 prepared_batch submission, time_point log_confirmed) {
     const auto& self = registry->self;
-    const std::string id = submitted.header.id;
     if (self->stopping || registry->batches.contains(id)) {
         return;
     }
+    auto submitted = submission.decoded ? std::move(submission.decoded)
+                                        : decode_submission(*self, submission.message, id);
+    if (!submitted) {
+        return;
+    }
     auto batch = std::make_shared<live_batch>(
         self,
-        make_batch(std::move(submitted.header), std::move(submitted.spec), submitted.received));
+        make_batch(std::move(submitted->header), std::move(submitted->spec), submission.received));
     batch->log.confirmed = log_confirmed;
     registry->batches.emplace(id, batch);
     start_running(batch, {}, "submitted");
@@ -95,7 +111,7 @@
         co_return;
     }
     if (read.header && read.header->owner == registry->self->settings.host) {
-        start_batch(registry, std::move(registry->prepared.extract(found).mapped()), {});
+        start_batch(registry, id, std::move(registry->prepared.extract(found).mapped()), {});
     } else if (read.header) {
         record_owner(*registry, id, read.header->owner_at);
         drop_prepared(*registry, id, "owned by another host");
@@ -104,7 +120,12 @@
     }
 }
 
-loop::task<void> look_up_until_known(std::shared_ptr<batch_registry> registry, std::string id) {
+/// Decodes a submission that this host holds, and asks the store for the batch until it is known.
+loop::task<void> follow_prepared(std::shared_ptr<batch_registry> registry, std::string id) {
+    co_await loop::pause_for(registry->self->io, loop::milliseconds(0));
+    if (const auto found = registry->prepared.find(id); found != registry->prepared.end()) {
+        found->second.decoded = decode_submission(*registry->self, found->second.message, id);
+    }
     while (registry->prepared.contains(id)) {
         co_await loop::pause_for(registry->self->io, store_check_delay);
         if (registry->prepared.contains(id)) {
@@ -113,21 +134,9 @@
     }
 }
 
-std::optional<prepared_batch> decode_submission(host& self, const transport::http_request& message,
-                                                const std::string& id) {
-    const auto record = transport::find_header(message.headers, record_header).value_or("");
-    auto header = decode_header(id, nlohmann::json::parse(record, nullptr, false));
-    auto spec =
-        self.platform_adapter.submission(nlohmann::json::parse(message.body, nullptr, false));
-    if (!header || !spec || header.value().owner != self.settings.host) {
-        return std::nullopt;
-    }
-    return prepared_batch{std::move(header.value()), std::move(spec.value()), self.now()};
-}
-
 /// Holds a submission that a peer or this host has received; returns the status.
 int handle_prepare_call(const std::shared_ptr<batch_registry>& registry,
-                        const transport::http_request& message, const std::string& id) {
+                        transport::http_request message, const std::string& id) {
     auto& self = *registry->self;
     if (self.stopping || registry->batches.contains(id) || registry->owners.contains(id)) {
         return status_conflict;
@@ -135,12 +144,8 @@
     if (registry->prepared.contains(id)) {
         return status_ok;
     }
-    auto submitted = decode_submission(self, message, id);
-    if (!submitted) {
-        return status_unavailable;
-    }
-    registry->prepared.emplace(id, std::move(*submitted));
-    loop::asio::co_spawn(self.io, look_up_until_known(registry, id), loop::asio::detached);
+    registry->prepared.emplace(id, prepared_batch{std::move(message), self.now()});
+    loop::asio::co_spawn(self.io, follow_prepared(registry, id), loop::asio::detached);
     return status_ok;
 }
 
@@ -151,20 +156,17 @@
                        bool ordered) {
     if (auto held = registry->prepared.extract(id)) {
         const auto confirmed = ordered ? held.mapped().received : time_point{};
-        start_batch(registry, std::move(held.mapped()), confirmed);
+        start_batch(registry, id, std::move(held.mapped()), confirmed);
     }
     return registry->batches.contains(id) ? status_ok : status_conflict;
 }
 
 int handle_run_call(const std::shared_ptr<batch_registry>& registry,
-                    const transport::http_request& message, const std::string& id) {
+                    transport::http_request message, const std::string& id) {
     if (handle_stored_call(registry, id, false) == status_ok) {
         return status_ok;
     }
-    auto submitted = decode_submission(*registry->self, message, id);
-    if (submitted) {
-        start_batch(registry, std::move(*submitted), {});
-    }
+    start_batch(registry, id, prepared_batch{std::move(message), registry->self->now()}, {});
     return registry->batches.contains(id) ? status_ok : status_unavailable;
 }
 
@@ -275,13 +277,13 @@
     const auto action = std::string_view(message.path).substr(start_path.size());
     const std::string id(transport::find_query(message.query, "id").value_or(""));
     if (action == action_prepare || action == action_early) {
-        co_return handle_prepare_call(registry, message, id);
+        co_return handle_prepare_call(registry, std::move(message), id);
     }
     if (action == action_created || action == action_stored) {
         co_return handle_stored_call(registry, id, action == action_created);
     }
     if (action == action_run) {
-        co_return handle_run_call(registry, message, id);
+        co_return handle_run_call(registry, std::move(message), id);
     }
     if (action == action_settle) {
         co_await look_up_prepared(registry, id);
--- a/src/front/batch_submit.cpp
+++ b/src/front/batch_submit.cpp
@@ -3,7 +3,9 @@
 #include "front/answers.hpp"
 #include "front/batch_log.hpp"
 #include "front/batch_start.hpp"
+#include "front/records.hpp"
 #include "front/submission_answer.hpp"
+#include "loop/gather.hpp"
 
 namespace cornelloom::front {
 
@@ -43,17 +45,27 @@
     }
 }
 
-/// Stores the submission while the runner parses it.
-loop::task<stored_submission> store_submission(std::shared_ptr<host> self,
-                                               std::shared_ptr<batch_header> header,
+/// How long the header waits for the runner, several round trips within a zone. A runner that has
+/// answered before the header is written need not read the log of the batch before it starts.
+constexpr milliseconds max_preparation_wait{60};
+
+/// Stores the header and the parts at the same time, since each write may take a round trip between
+/// regions.
+loop::task<stored_submission> store_submission(std::shared_ptr<host> self, batch_header header,
                                                std::string_view submission,
                                                preparation_ptr prepared, time_point deadline) {
-    stored_submission out;
-    out.outcome = co_await store_parts(self, header, submission, deadline);
-    if (out.outcome == store_outcome::none) {
-        out.prepared_before = prepared->current_phase == preparation::phase::prepared;
-        out.outcome = co_await store_header(self, *header, deadline);
+    if (prepared->current_phase == preparation::phase::requested) {
+        co_await prepared->answered.wait(loop::after(max_preparation_wait));
     }
+    stored_submission out;
+    out.prepared_before = prepared->current_phase == preparation::phase::prepared;
+    auto parts = split_submission(submission, self->settings.max_value_bytes);
+    header.parts = static_cast<int>(parts.size());
+    std::vector<loop::task<store_outcome>> calls;
+    calls.push_back(store_parts(self, header.id, std::move(parts), deadline));
+    calls.push_back(store_header(self, header, deadline));
+    const auto outcomes = co_await loop::gather(self->io, std::move(calls));
+    out.outcome = combine_outcomes(outcomes[0] == store_outcome::none, outcomes[1]);
     co_return out;
 }
 
@@ -71,20 +83,19 @@
         co_return;
     }
     const auto received = self->now();
-    const auto header = std::make_shared<batch_header>(
-        make_header(*self, caller, request.message.path, std::move(account)));
-    const auto prepared = prepare_runner(registry, *header, submission);
+    const auto header = make_header(*self, caller, request.message.path, std::move(account));
+    const auto prepared = prepare_runner(registry, header, submission);
     const auto deadline = received + storage_timeout(caller.time_left);
     const auto stored = co_await store_submission(self, header, submission, prepared, deadline);
     if (choose_submission_answer(stored.outcome) != submission_answer::accept) {
-        co_await answer_not_stored(registry, request, *header, prepared, stored.outcome);
+        co_await answer_not_stored(registry, request, header, prepared, stored.outcome);
         co_return;
     }
     log_event(*self, batch_accepted,
               {{"id", caller.id},
-               {"account", header->account},
+               {"account", header.account},
                {"again", stored.outcome == store_outcome::conflict},
-               {"owner", header->owner},
+               {"owner", header.owner},
                {"prepared", stored.prepared_before},
                {"items", static_cast<std::uint64_t>(spec.value().items.size())},
                {"oldest_version", spec.value().oldest_version},
@@ -92,7 +103,7 @@
                {"bytes", static_cast<std::uint64_t>(submission.size())},
                {"ms", ms_between(received, self->now())}});
     loop::asio::co_spawn(self->io,
-                         confirm_start(registry, *header, std::move(submission), prepared, stored),
+                         confirm_start(registry, header, std::move(submission), prepared, stored),
                          loop::asio::detached);
     co_await answer_status(request, 202);
 }
--- a/src/front/submission_answer.cpp
+++ b/src/front/submission_answer.cpp
@@ -12,6 +12,11 @@
 
 } // namespace
 
+store_outcome combine_outcomes(bool parts_stored, store_outcome header) {
+    const bool accepted = header == store_outcome::none || header == store_outcome::conflict;
+    return accepted && !parts_stored ? store_outcome::unknown : header;
+}
+
 submission_answer choose_submission_answer(store_outcome stored) {
     switch (stored) {
     case store_outcome::none:
--- a/src/front/submission_answer.hpp
+++ b/src/front/submission_answer.hpp
@@ -12,6 +12,10 @@
     fail,   ///< The batch may exist, now or later.
 };
 
+/// The outcome of storing a submission, from those of its parts and its header. Without the header,
+/// the batch does not exist; without a part, it is not accepted, though it may exist.
+[[nodiscard]] store_outcome combine_outcomes(bool parts_stored, store_outcome header);
+
 [[nodiscard]] submission_answer choose_submission_answer(store_outcome stored);
 
 /// How long to retry storing a submission: as long as its caller waits, because the caller's next
--- a/tests/front/submission_answer_tests.cpp
+++ b/tests/front/submission_answer_tests.cpp
@@ -19,6 +19,20 @@
     CHECK(choose_submission_answer(store_outcome::conflict) == submission_answer::accept);
 }
 
+TEST_CASE("a batch is accepted only with all its parts", "[front][submission]") {
+    // Guards against an accepted batch that no host can load, and against "not run" for one that
+    // exists.
+    const auto answer = [](bool parts_stored, store_outcome header) {
+        return choose_submission_answer(combine_outcomes(parts_stored, header));
+    };
+    CHECK(answer(true, store_outcome::none) == submission_answer::accept);
+    CHECK(answer(true, store_outcome::conflict) == submission_answer::accept);
+    CHECK(answer(false, store_outcome::none) == submission_answer::fail);
+    CHECK(answer(false, store_outcome::conflict) == submission_answer::fail);
+    CHECK(answer(false, store_outcome::refused) == submission_answer::refuse);
+    CHECK(answer(false, store_outcome::unknown) == submission_answer::fail);
+}
+
 TEST_CASE("storing a submission is retried for as long as its caller waits",
           "[front][submission][store]") {
     // Guards against a refusal after three quick attempts, half a second before the store recovers.
