Widen two sizes before they are multiplied

Seen by the linter only: a product of 32 bits was widened to a size, and a vector in a test grew without a reserve. Change: as the linter asks. No change of behaviour.

--- a/src/loop/exchange.cpp
+++ b/src/loop/exchange.cpp
@@ -36,7 +36,7 @@
 /// Largest part of an answer that is kept unparsed: a head, or the framing between two pieces of a
 /// body, and one read beyond it. The limits of the parser count neither chunk extensions nor
 /// trailers.
-constexpr std::size_t max_buffered_bytes = 2 * header_bytes_most;
+constexpr std::size_t max_buffered_bytes = std::size_t{2} * header_bytes_most;
 
 void tune(tcp::socket& socket) {
     boost::system::error_code ignored; // tuning only: without it the connection still works
--- a/src/transport/internal/http_transaction.cpp
+++ b/src/transport/internal/http_transaction.cpp
@@ -21,7 +21,7 @@
 /// Largest part of an answer that is kept unparsed: a header, or the framing between two pieces of
 /// a body, and one read beyond it. The limits of the parser count neither chunk extensions nor
 /// trailers.
-constexpr std::size_t max_buffered_bytes = 2 * max_reply_header_bytes;
+constexpr std::size_t max_buffered_bytes = std::size_t{2} * max_reply_header_bytes;
 
 bool is_too_large(const boost::system::error_code& outcome) {
     return outcome == beast::http::error::body_limit ||
--- a/tests/loop/endless_bytes_tests.cpp
+++ b/tests/loop/endless_bytes_tests.cpp
@@ -145,8 +145,10 @@
     int ticks = 0;
     asio::co_spawn(io, count_ticks(io, ticks), asio::detached);
     run(io, [&]() -> task<void> {
+        constexpr std::size_t call_count = 8;
         std::vector<task<call_outcome>> calls;
-        for (int each = 0; each < 8; ++each) {
+        calls.reserve(call_count);
+        while (calls.size() < call_count) {
             calls.push_back(call(pool, server.where(), get(), after(5s), 500ms));
         }
         const auto started = steady_clock::now();
@@ -155,7 +157,7 @@
         for (const auto& outcome : outcomes) {
             CHECK(outcome.fault == exchange_fault::too_large);
         }
-        CHECK(server.sent < 8 * kernel_buffers + 4 * mebibyte);
+        CHECK(server.sent < call_count * kernel_buffers + 4 * mebibyte);
         CHECK(pool.memory->total_bytes == 0);
         CHECK(ticks >= took / tick / 4);
     });
