--- a/tests/transport/endless_bytes_tests.cpp
+++ b/tests/transport/endless_bytes_tests.cpp
@@ -5,6 +5,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <atomic>
 #include <optional>
 #include <string>
 
@@ -109,8 +110,8 @@
     CAPTURE(bytes.start, bytes.repeated.substr(0, 8));
     http_server_limits limits;
     limits.max_body_bytes = 64 * kibibyte;
-    int served = 0;
-    http_server server(
+    std::atomic<int> served = 0;
+    const http_server server(
         {"127.0.0.1", 0},
         [&served](const http_request&) {
             ++served;
