Find a batch that was started while it was loaded

Seen in reading, not by callers: a host that read the store for a batch just before it was stored answered 404 or 503, or got a second copy, though it had started the batch meanwhile. Change: what is known after the load counts, also if the load found nothing. Result: "a batch that is started while the store is read for it is found" fails with the change taken out, and passes.

--- a/src/front/batch_desk.cpp
+++ b/src/front/batch_desk.cpp
@@ -180,8 +180,12 @@
     auto loaded = co_await load_batch(registry->self, id);
     if (loaded.batch) {
         loaded.batch->last_used = registry->self->now();
-        // The batch may have been started here meanwhile.
-        loaded.batch = registry->batches.emplace(id, loaded.batch).first->second;
+        registry->batches.emplace(id, loaded.batch);
+    }
+    // The batch may have been stored and started here while it was read.
+    const auto started = registry->batches.find(id);
+    if (started != registry->batches.end()) {
+        loaded = {started->second, false};
     }
     registry->loading.erase(id);
     gate->open();
--- a/tests/soak/batch_start_tests.cpp
+++ b/tests/soak/batch_start_tests.cpp
@@ -195,3 +195,32 @@
         co_await wait_for_runs(rig, plan);
     });
 }
+
+TEST_CASE("a batch that is started while the store is read for it is found", "[batch_start]") {
+    // Guards against 404 for an accepted batch, and against two copies of it on one host.
+    crash_rig rig(71);
+    start_targets(rig, 1, 2);
+    start_hosts(rig, 3);
+    play(rig, [&]() -> loop::task<void> {
+        const auto plan = make_plan("step", 4, 100);
+        const auto& registry = rig.hosts[owner_host];
+        rig.platform->troubles.slow = 300ms;
+        front::loaded_batch loaded;
+        loop::gate read(rig.io);
+        bool ended = false;
+        const auto load = [&]() -> loop::task<void> {
+            loaded = co_await front::get_batch(registry, plan.id);
+            ended = true;
+            read.open();
+        };
+        loop::asio::co_spawn(rig.io, load, loop::asio::detached);
+        co_await loop::pause_for(rig.io, 50ms);
+        const int status = co_await send_start_call(rig, "run", plan, owner_host);
+        CHECK(status == 200);
+        while (!ended) {
+            co_await read.wait(loop::after(2s));
+        }
+        CHECK_FALSE(loaded.missing);
+        CHECK(loaded.batch == known_batch(rig, owner_host, plan));
+    });
+}
