Log where a host reads its objects, and how old they may be

The record of the incident tells neither who fed the host that was behind, nor since when, nor how old its configuration was. Three events, and a gauge and a counter, tell it for configuration and targets: copy_source_changed, copy_overdue, copy_confirmed; configuration_taken has the source and the age. Feeders state from when their data are for every kind, as the time since the request arrived, and not of a response that is only a part. No decision depends on it yet.

--- a/src/front/events.hpp
+++ b/src/front/events.hpp
@@ -36,6 +36,14 @@
 inline constexpr event feeder_lost{
     9017, "feeder_lost", event_level::info,
     "a host that relays store changes does not answer or can't reach the store"};
+inline constexpr event copy_source_changed{
+    9066, "copy_source_changed", event_level::info,
+    "the objects of a kind are read from the store, through a peer or from another feeder"};
+inline constexpr event copy_overdue{
+    9067, "copy_overdue", event_level::warning,
+    "the objects of a kind were not confirmed as current for longer than their bound"};
+inline constexpr event copy_confirmed{9068, "copy_confirmed", event_level::info,
+                                      "overdue objects of a kind are confirmed as current"};
 inline constexpr event object_unreadable{9013, "object_unreadable", event_level::warning,
                                          "an invalid object in the platform's store is ignored"};
 inline constexpr event target_changed{9014, "target_changed", event_level::info,
--- a/src/front/feed.cpp
+++ b/src/front/feed.cpp
@@ -15,6 +15,8 @@
 /// How long a host watches the store after it got a request that it could not serve: as long as
 /// the host that asked avoids it.
 constexpr milliseconds watch_after_unserved_poll = feeder_avoidance_time;
+/// Response header with the time from when the data are, in milliseconds after the request arrived.
+constexpr std::string_view as_of_header = "Cornelloom-As-Of-Ms";
 /// Steps of changes that a feeder keeps for each kind. A host that asks for older ones gets the
 /// names of all objects and the objects that changed.
 constexpr std::size_t max_history_steps = 256;
@@ -43,6 +45,7 @@
         }
         if (!out.changes.empty() &&
             out.changes.size() + step.changes.size() > max_response_changes) {
+            out.partial = true;
             return out;
         }
         out.changes.insert(out.changes.end(), step.changes.begin(), step.changes.end());
@@ -107,16 +110,15 @@
            });
 }
 
-std::string encode_updates(const host& self, object_kind kind, feed_cache& cache,
-                           std::uint64_t since) {
-    if (kind != object_kind::configuration) {
-        return encode_updates_once(cache, since);
-    }
-    auto updates = updates_since(cache, since);
-    if (self.configuration_confirmed_at != time_point{}) {
-        updates.age = configuration_age(self);
+/// From when this host's copy is, as a time of `boot_now`; not known of a configuration that it
+/// could not parse.
+std::optional<time_point> copy_time(const host& self, object_kind kind) {
+    const auto found = self.copies.find(kind);
+    const bool unreadable = kind == object_kind::configuration && !self.configuration_valid;
+    if (unreadable || found == self.copies.end() || found->second.confirmed_at == time_point{}) {
+        return std::nullopt;
     }
-    return encode_feed_response(updates);
+    return found->second.confirmed_at;
 }
 
 } // namespace
@@ -226,6 +228,16 @@
     poll_request.body = encode_own_counts(self);
 }
 
+void state_as_of(transport::http_response& response, milliseconds since_arrival) {
+    response.headers.push_back({std::string(as_of_header), std::to_string(since_arrival.count())});
+}
+
+std::optional<milliseconds> stated_as_of(const std::vector<transport::http_header>& headers) {
+    const auto text = transport::find_header(headers, as_of_header).value_or("");
+    const auto stated = kernel::parse_integer<std::int64_t>(text);
+    return stated ? std::optional(milliseconds(*stated)) : std::nullopt;
+}
+
 std::string encode_feed_response(const feed_response& response) {
     json changes = json::array();
     for (const auto& change : response.changes) {
@@ -238,8 +250,8 @@
     if (response.names) {
         out["names"] = *response.names;
     }
-    if (response.age) {
-        out["age_ms"] = response.age->count();
+    if (response.partial) {
+        out["partial"] = true;
     }
     return out.dump(-1, ' ', false, json::error_handler_t::replace);
 }
@@ -260,9 +272,7 @@
         if (value.contains("names")) {
             out.names = value["names"].get<std::vector<std::string>>();
         }
-        if (value.contains("age_ms")) {
-            out.age = milliseconds(value["age_ms"].get<std::int64_t>());
-        }
+        out.partial = value.value("partial", false);
         return out;
     } catch (const json::exception& fault) {
         return kernel::error{kernel::error_code::invalid_input, fault.what()};
@@ -274,13 +284,15 @@
         const auto text = transport::find_query(request.message.query, name).value_or("");
         return kernel::parse_integer<std::uint64_t>(text).value_or(0);
     };
+    const auto arrived = self->clock.boot_now();
     const auto kind = parse_number("kind");
     if (kind > static_cast<std::uint64_t>(object_kind::order_lease)) {
         co_await request.answer({404, {}, {}});
         co_return;
     }
     merge_counts(*self, request.message.body);
-    auto& cache = self->caches[static_cast<object_kind>(kind)];
+    const auto requested = static_cast<object_kind>(kind);
+    auto& cache = self->caches[requested];
     const auto since = parse_number("at");
     const auto hold_deadline = loop::after(feed_poll_wait);
     while (can_serve(*self, cache) && !has_updates(cache, since) &&
@@ -297,7 +309,10 @@
     transport::http_response response{status_stale, {}, {}};
     if (can_serve(*self, cache)) {
         response.status = 200;
-        response.body = encode_updates(*self, static_cast<object_kind>(kind), cache, since);
+        response.body = encode_updates_once(cache, since);
+        if (const auto as_of = copy_time(*self, requested)) {
+            state_as_of(response, std::chrono::floor<milliseconds>(*as_of - arrived));
+        }
     }
     co_await request.answer(std::move(response));
 }
--- a/src/front/feed.hpp
+++ b/src/front/feed.hpp
@@ -65,10 +65,17 @@
     /// Names of all existing objects; any other object is deleted. If absent, `changes` contains
     /// the deletions.
     std::optional<std::vector<std::string>> names{};
-    /// Upper bound on the age of the data; absent if the feeder does not know it.
-    std::optional<milliseconds> age{};
+    bool partial = false; ///< More changes follow, from `at` on.
 };
 
+/// States in a response from when the data are, as the time since the request arrived; negative:
+/// from before it arrived.
+void state_as_of(transport::http_response& response, milliseconds since_arrival);
+/// What a response states; `nullopt` if the feeder does not know it. The time since the request was
+/// sent is at least as long, so both hosts need no common clock.
+[[nodiscard]] std::optional<milliseconds>
+stated_as_of(const std::vector<transport::http_header>& headers);
+
 /// The updates for a host that is current up to revision `since`. A large update is split: the host
 /// requests the rest from the `at` of the response.
 [[nodiscard]] feed_response updates_since(const feed_cache& cache, std::uint64_t since);
--- a/src/front/follower.cpp
+++ b/src/front/follower.cpp
@@ -255,11 +255,16 @@
     self.startup_changed.open();
     self.metrics.set("cornelloom_configuration_generation",
                      static_cast<double>(self.routes->config.version));
+    const auto& copy = self.copies[object_kind::configuration];
     log_event(self, configuration_taken,
               {{"version", self.routes->config.version},
                {"before", known},
                {"revision", object.revision},
-               {"routes", static_cast<std::uint64_t>(self.routes->config.routes.size())}});
+               {"routes", static_cast<std::uint64_t>(self.routes->config.routes.size())},
+               {"source", to_string(copy.source)},
+               {"feeder", copy.feeder},
+               {"age_ms",
+                copy_age(self, object_kind::configuration).value_or(milliseconds(-1)).count()}});
 }
 
 void start_platform_watches(const std::shared_ptr<host>& self) {
--- a/src/front/host.cpp
+++ b/src/front/host.cpp
@@ -48,13 +48,6 @@
                        std::uniform_real_distribution<>()(self.random));
 }
 
-void record_confirmed(host& self, object_kind kind, time_point when) {
-    if (kind == object_kind::configuration && self.configuration_valid) {
-        self.configuration_confirmed_at = std::max(self.configuration_confirmed_at, when);
-        self.startup_changed.open();
-    }
-}
-
 namespace {
 
 /// Answers that took longer say little about the time at the peer.
--- a/src/front/host.hpp
+++ b/src/front/host.hpp
@@ -4,6 +4,7 @@
 #include "decide/move_budget.hpp"
 #include "decide/wall_clock_guard.hpp"
 #include "front/adapter.hpp"
+#include "front/copies.hpp"
 #include "front/crash_watch.hpp"
 #include "front/events.hpp"
 #include "front/feeder_choice.hpp"
@@ -104,6 +105,7 @@
     time_point configuration_confirmed_at{};
     bool configuration_valid = true; ///< False if the newest version could not be parsed.
     feed_caches caches;
+    copy_states copies{}; ///< Of what this host reads from the store or a feeder.
     avoided_feeders avoided{};
     leadership lead;
     std::shared_ptr<loop::gate> key_lookup{}; ///< Opened when the current lookup ends; or null.
@@ -156,10 +158,6 @@
     return {self.routes != nullptr && confirmed, self.targets_listed, self.store_failed};
 }
 
-/// Records that this host's objects of the kind were the newest in the store at `when`, a time of
-/// `boot_now`.
-void record_confirmed(host& self, object_kind kind, time_point when);
-
 /// Name under which this process counts requests; it differs after each start.
 [[nodiscard]] std::string counter_name(const host& self);
 
--- a/src/front/process.cpp
+++ b/src/front/process.cpp
@@ -228,6 +228,7 @@
         drop_old_counts(*self);
         check_silent_runs(self);
         expire_crashes(*self);
+        report_copies(*self);
         self->metrics.set("cornelloom_held_items", static_cast<double>(count_held_items(*self)));
         record_demand(*self, count_unfinished_items(*registry));
     }
--- a/src/front/watch.cpp
+++ b/src/front/watch.cpp
@@ -47,10 +47,19 @@
     }
 }
 
+copy_source source_of(const store_response& response) {
+    return response.relayed ? copy_source::relay : copy_source::store;
+}
+
+/// All objects of a kind.
+struct object_list : object_page {
+    copy_source source = copy_source::none;
+};
+
 /// Reads all objects of a kind, page by page; false if a call failed or a page was unreadable. The
 /// pages may miss changes made since the first one, so `out.at` is the revision of the first page.
 loop::task<bool> read_all_pages(std::shared_ptr<host> self, watched_kind_ptr watched,
-                                bool may_be_stale, object_page& out) {
+                                bool may_be_stale, object_list& out) {
     std::string after;
     for (bool more = true; more;) {
         auto response = co_await call_store(
@@ -66,6 +75,7 @@
             co_return false;
         }
         out.at = out.at == 0 ? page.value().at : out.at;
+        out.source = source_of(response);
         std::ranges::move(page.value().items, std::back_inserter(out.items));
         more = page.value().has_more && !out.items.empty();
         after = out.items.empty() ? std::string() : out.items.back().name;
@@ -84,12 +94,13 @@
 }
 
 loop::task<bool> list_and_cache(std::shared_ptr<host> self, watched_kind_ptr watched) {
-    object_page all;
+    object_list all;
     const auto requested_at = self->clock.boot_now();
     const bool complete = co_await read_all_pages(self, watched, false, all);
     if (!complete) {
         co_return false;
     }
+    record_source(*self, watched->kind, all.source);
     cache_list(*self, watched->kind, all.items, all.at);
     watched->known_names.clear();
     for (const auto& object : all.items) {
@@ -138,6 +149,7 @@
         watched->at = 0;
         co_return true;
     }
+    record_source(*self, watched->kind, source_of(response));
     watched->at = std::max(watched->at, changes.value().at);
     cache_changes(*self, watched->kind, changes.value().changes, watched->at);
     if (!changes.value().changes.empty()) {
@@ -208,10 +220,12 @@
         co_return true;
     }
     auto& feeder_response = decoded.value();
+    record_source(*self, watched->kind, copy_source::feeder, feeder.name);
     apply_feed_response(*watched, feeder_response);
     watched->at = std::max(watched->at, feeder_response.at);
-    if (feeder_response.age) {
-        record_confirmed(*self, watched->kind, requested_at - *feeder_response.age);
+    const auto as_of = stated_as_of(outcome.answer.headers);
+    if (as_of && !feeder_response.partial) {
+        record_confirmed(*self, watched->kind, requested_at + *as_of);
     }
     co_return true;
 }
@@ -270,12 +284,13 @@
 
 loop::task<void> list_once(std::shared_ptr<host> self, watched_kind watched, bool may_be_stale) {
     auto shared = std::make_shared<watched_kind>(std::move(watched));
-    object_page all;
+    object_list all;
     const auto requested_at = self->clock.boot_now();
     const bool complete = co_await read_all_pages(self, shared, may_be_stale, all);
     if (!complete) {
         co_return;
     }
+    record_source(*self, shared->kind, all.source);
     shared->on_list(all.items);
     if (!may_be_stale) {
         record_confirmed(*self, shared->kind, requested_at);
--- a/tests/front/feed_tests.cpp
+++ b/tests/front/feed_tests.cpp
@@ -77,6 +77,7 @@
         const auto updates = updates_since(cache, since);
         REQUIRE(updates.at > since);
         CHECK(updates.changes.size() <= 500);
+        CHECK(updates.partial == (updates.at < cache.at));
         CHECK(updates.changes.front().object.revision == since + 1);
         received += updates.changes.size();
         since = updates.at;
@@ -113,17 +114,27 @@
     CHECK(deletions[0].object.name == "x");
 }
 
+TEST_CASE("a feed response states from when its data are", "[front][feed]") {
+    cornelloom::transport::http_response response;
+    CHECK_FALSE(stated_as_of(response.headers));
+    const auto as_of = GENERATE(-1250ms, 0ms, 900ms);
+    state_as_of(response, as_of);
+    CHECK(stated_as_of(response.headers) == as_of);
+    response.headers.back().value = "12s";
+    CHECK_FALSE(stated_as_of(response.headers));
+}
+
 TEST_CASE("a feed response is decoded as it was encoded", "[front][feed]") {
     feed_response sent;
     sent.at = 41;
     sent.changes = {{object_at("c", 41), false}};
     sent.names = {"a", "c"};
-    sent.age = 1250ms;
+    sent.partial = true;
     const auto decoded = decode_feed_response(encode_feed_response(sent));
     REQUIRE(decoded);
     CHECK(decoded.value().at == 41);
     CHECK(decoded.value().names == sent.names);
-    CHECK(decoded.value().age == sent.age);
+    CHECK(decoded.value().partial);
     CHECK_FALSE(decode_feed_response("{\"at\":1}"));
     CHECK_FALSE(decode_feed_response(R"({"at":1,"changes":[],"names":7})"));
 }
