--- a/cmake/cornelloom_targets.cmake
+++ b/cmake/cornelloom_targets.cmake
@@ -122,14 +122,18 @@
         if(name STREQUAL soak)
             # An object library comes along only when it is named.
             target_link_libraries(test_soak PRIVATE cornelloom_platform)
+            target_compile_definitions(test_soak PRIVATE
+                CORNELLOOM_FRONTD="$<TARGET_FILE:cornelloom_frontd>")
+            add_dependencies(test_soak cornelloom_frontd)
         endif()
         if(TARGET cornelloom_${name}_fake)
             target_link_libraries(test_${name} PRIVATE cornelloom_${name}_fake)
         endif()
         if(name STREQUAL soak)
-            # Tests in real time; these two parts take about as long.
+            # Tests in real time; these parts take about as long.
             add_test(NAME soak_ends COMMAND test_soak "[ends]")
-            add_test(NAME soak COMMAND test_soak "~[ends]")
+            add_test(NAME soak_age COMMAND test_soak "[age]")
+            add_test(NAME soak COMMAND test_soak "~[ends]~[age]")
         else()
             add_test(NAME ${name} COMMAND test_${name})
         endif()
