Bound the age of the configuration and the targets that a host acts on

Callers saw a request run by the older service after a new configuration had been acknowledged for longer than its bound, and requests reach targets that had left.

Cause: no host bounded the age of its own copy. A poll whose answer was lost was waited for as long as stable window and apply bound together, though these don't add up, and at a host that was fed nothing at all was added up: the reader's dead poll, one time-out for each feeder that failed, a list, a back-off and calls through two peers, one after the other. A feeder served its copy as long as the store had answered any call of it.

Now each host knows from when its copy is, through every way it came, and reads the store itself, on a new connection, when nobody has confirmed it in time (age_plan). So what failed before, and how often, doesn't matter. A read without an answer shows a disturbance after its start; the next one follows within one stable window of it, so an outage costs each host one call in that time. Feeders serve by the age of the copy itself, and answer a poll when the copy is newer, not only when it has changed. A removal of a target is no longer deferred beyond the time at which the drain bound holds again.

--- a/src/front/copies.cpp
+++ b/src/front/copies.cpp
@@ -1,5 +1,6 @@
 #include "front/copies.hpp"
 
+#include "front/age_plan.hpp"
 #include "front/host.hpp"
 
 #include <algorithm>
@@ -86,22 +87,9 @@
                                                     found->second.confirmed_at);
 }
 
-std::optional<milliseconds> overdue_age(object_kind kind, const host_settings& settings) {
-    switch (kind) {
-    case object_kind::configuration:
-        return settings.stable_window + settings.config_apply_bound;
-    case object_kind::targets:
-        return settings.stable_window + settings.drain_bound;
-    default:
-        return std::nullopt;
-    }
-}
-
 void report_copies(host& self) {
     for (const auto kind : bounded_kinds) {
-        if (const auto bound = overdue_age(kind, self.settings)) {
-            report_overdue(self, kind, self.copies[kind], *bound);
-        }
+        report_overdue(self, kind, self.copies[kind], plan_age(kind, self.settings).bound);
         if (const auto age = copy_age(self, kind)) {
             const std::array labels{kernel::label{"kind", to_string(kind)}};
             self.metrics.set("cornelloom_copy_age_seconds",
--- a/src/front/copies.hpp
+++ b/src/front/copies.hpp
@@ -33,6 +33,9 @@
     /// The copy lacked no change that the store had accepted by then, as a time of `boot_now`;
     /// zero: never confirmed.
     time_point confirmed_at{};
+    /// Not before this time does the host read the store itself because its copy is old: it has
+    /// just started, or its last such read had no answer. A time of `boot_now`.
+    time_point next_read_at{};
     bool overdue = false; ///< It was reported as overdue, and has not been confirmed since.
 };
 
@@ -48,10 +51,6 @@
 /// Upper bound of the age of this host's copy; `nullopt` if it was never confirmed.
 [[nodiscard]] std::optional<milliseconds> copy_age(const host& self, object_kind kind);
 
-/// Age from which a copy of the kind is reported as overdue; `nullopt`: no bound depends on it.
-[[nodiscard]] std::optional<milliseconds> overdue_age(object_kind kind,
-                                                      const host_settings& settings);
-
 /// Logs the copies that have become overdue, or were confirmed again, and sets their metrics.
 void report_copies(host& self);
 
--- a/src/front/events.hpp
+++ b/src/front/events.hpp
@@ -44,6 +44,9 @@
     "the objects of a kind were not confirmed as current for longer than their bound"};
 inline constexpr event copy_confirmed{9068, "copy_confirmed", event_level::info,
                                       "overdue objects of a kind are confirmed as current"};
+inline constexpr event old_copy_read{
+    9069, "old_copy_read", event_level::info,
+    "the objects of a kind were read from the store, since nobody had confirmed them in time"};
 inline constexpr event object_unreadable{9013, "object_unreadable", event_level::warning,
                                          "an invalid object in the platform's store is ignored"};
 inline constexpr event target_changed{9014, "target_changed", event_level::info,
--- a/src/front/feed.cpp
+++ b/src/front/feed.cpp
@@ -1,5 +1,6 @@
 #include "front/feed.hpp"
 
+#include "front/age_plan.hpp"
 #include "front/count_exchange.hpp"
 
 #include "kernel/number.hpp"
@@ -90,15 +91,20 @@
     return usable[self.salt % usable.size()];
 }
 
-/// When this host's data becomes stale without another direct response of the store. Responses
-/// relayed by a peer don't count: the watches on the direct path may hang at the same time.
-loop::deadline fresh_until(const host& self) {
-    return self.store.paths.last_direct_response + max_feed_staleness;
+/// Until when this host may serve the kind unless its copy is confirmed again. No bound depends on
+/// the age of the list of hosts, so that is served while the host follows the configuration.
+loop::deadline servable_until(host& self, object_kind kind) {
+    const auto judged = kind == object_kind::hosts ? object_kind::configuration : kind;
+    const auto until = servable_until(self.copies[judged], plan_age(judged, self.settings));
+    return loop::steady_clock::now() +
+           std::chrono::duration_cast<loop::steady_clock::duration>(until - self.clock.boot_now());
 }
 
-/// Whether this host may serve a kind now: it watches the kind itself and its data is fresh.
-bool can_serve(const host& self, const feed_cache& cache) {
-    return cache.at != 0 && cache.watching && fresh_until(self) >= loop::steady_clock::now();
+/// Whether this host may serve a kind now: it watches the kind itself and its copy is not too old.
+bool can_serve(host& self, object_kind kind) {
+    const auto& cache = self.caches[kind];
+    return cache.at != 0 && cache.watching &&
+           servable_until(self, kind) >= loop::steady_clock::now();
 }
 
 /// Whether there are updates for a host that is current up to revision `since`.
@@ -215,10 +221,14 @@
     return out;
 }
 
-transport::http_request make_feed_request(object_kind kind, std::uint64_t since) {
+transport::http_request make_feed_request(object_kind kind, std::uint64_t since,
+                                          std::optional<milliseconds> age) {
     transport::http_request out;
     out.path = feed_path;
     out.query = "kind=" + std::to_string(static_cast<int>(kind)) + "&at=" + std::to_string(since);
+    if (age) {
+        out.query += "&age=" + std::to_string(age->count());
+    }
     out.headers.push_back({"Host", "peer"});
     return out;
 }
@@ -280,12 +290,12 @@
 }
 
 loop::task<void> serve_feed(std::shared_ptr<host> self, loop::served_request& request) {
-    const auto parse_number = [&request](std::string_view name) {
+    const auto find_number = [&request](std::string_view name) {
         const auto text = transport::find_query(request.message.query, name).value_or("");
-        return kernel::parse_integer<std::uint64_t>(text).value_or(0);
+        return kernel::parse_integer<std::uint64_t>(text);
     };
     const auto arrived = self->clock.boot_now();
-    const auto kind = parse_number("kind");
+    const auto kind = find_number("kind").value_or(0);
     if (kind > static_cast<std::uint64_t>(object_kind::order_lease)) {
         co_await request.answer({404, {}, {}});
         co_return;
@@ -293,21 +303,26 @@
     merge_counts(*self, request.message.body);
     const auto requested = static_cast<object_kind>(kind);
     auto& cache = self->caches[requested];
-    const auto since = parse_number("at");
+    const auto since = find_number("at").value_or(0);
     const auto hold_deadline = loop::after(feed_poll_wait);
-    while (can_serve(*self, cache) && !has_updates(cache, since) &&
+    const auto& copy = self->copies[requested];
+    const auto stated_age = find_number("age");
+    const auto known_as_of = stated_age ? arrived - milliseconds(*stated_age) : copy.confirmed_at;
+    // A host is told when this host's copy is confirmed again, not only of changes.
+    while (can_serve(*self, requested) && !has_updates(cache, since) &&
+           copy.confirmed_at <= known_as_of + min_age_gain &&
            loop::steady_clock::now() < hold_deadline) {
-        co_await cache.changed.wait(std::min(hold_deadline, fresh_until(*self)));
+        co_await cache.changed.wait(std::min(hold_deadline, servable_until(*self, requested)));
     }
     // When many hosts start, or lose their feeder, at the same time, they all poll this one before
     // it has its first list. Refusing them would send them all to one host after another.
-    while (!can_serve(*self, cache) && (!cache.watching || cache.at == 0) &&
+    while (!can_serve(*self, requested) && (!cache.watching || cache.at == 0) &&
            loop::steady_clock::now() < hold_deadline) {
         cache.last_unserved_poll = self->now();
         co_await cache.changed.wait(hold_deadline);
     }
     transport::http_response response{status_stale, {}, {}};
-    if (can_serve(*self, cache)) {
+    if (can_serve(*self, requested)) {
         response.status = 200;
         response.body = encode_updates_once(cache, since);
         if (const auto as_of = copy_time(*self, requested)) {
--- a/src/front/feed.hpp
+++ b/src/front/feed.hpp
@@ -17,12 +17,8 @@
 /// store charges for every call, long polls included. So one host of each zone, the feeder, watches
 /// the store, and the others poll it over connections inside the zone. The feeder is the host
 /// with the largest CPU share; among equals, the first by name. It is no single point of failure:
-/// when it does not respond, or has lost its connection to the store, the next host in this order
-/// starts to watch on the first request, and the others switch to it.
-
-/// A feeder that has had no response from the store for longer than this serves no updates. Twice
-/// the usual time between two of its calls, and well below the shortest freshness bound, 2.5 s.
-inline constexpr milliseconds max_feed_staleness{1700};
+/// when it does not respond, or its own copy is too old, the next host in this order starts to
+/// watch on the first request, and the others switch to it.
 
 /// Timeout of a request for the full list. A feeder needs up to this long to send a thousand or
 /// more targets to dozens of hosts, and hosts that time out midway would all request it again.
@@ -51,8 +47,14 @@
 /// URL path of feed requests.
 inline constexpr std::string_view feed_path = "/feed";
 
-/// Builds a request for the changes after revision `since`; 0 requests the full list.
-[[nodiscard]] transport::http_request make_feed_request(object_kind kind, std::uint64_t since);
+/// A feeder answers a poll without changes at once when its copy is newer than that of the host
+/// that asks by more than this: the time that the request was under way also makes it newer.
+inline constexpr milliseconds min_age_gain{100};
+
+/// Builds a request for the changes after revision `since`; 0 requests the full list. `age`: of
+/// this host's copy.
+[[nodiscard]] transport::http_request make_feed_request(object_kind kind, std::uint64_t since,
+                                                        std::optional<milliseconds> age = {});
 
 /// Attaches this process's request counts. Feeders hold the counts of their zone, so the counts of
 /// a killed process are not lost and need no separate call.
--- a/src/front/follower.cpp
+++ b/src/front/follower.cpp
@@ -81,7 +81,7 @@
         loop::steady_clock::now() - self.store.paths.last_direct_failure);
     if (are_expired_entries(static_cast<std::size_t>(deleted_count), since_failure,
                             self.settings.stable_window)) {
-        record_platform_return(self.targets, self.now());
+        defer_removals(self);
     }
     const auto previous_count = self.targets.by_id.size();
     for (const auto& change : changes) {
--- a/src/front/host.hpp
+++ b/src/front/host.hpp
@@ -92,6 +92,7 @@
     std::mt19937_64 random;
     std::uint64_t salt = random();
 
+    time_point started_at = clock.boot_now();    ///< A time of `boot_now`.
     bool targets_listed = false;                 ///< The list was read since the start.
     bool store_failed = false;                   ///< A call got no answer since the start.
     loop::gate startup_changed;                  ///< Opened when `startup_state_of` changes.
--- a/src/front/store_client.cpp
+++ b/src/front/store_client.cpp
@@ -1,5 +1,7 @@
 #include "front/store_client.hpp"
 
+#include <algorithm>
+
 namespace cornelloom::front {
 
 namespace {
@@ -48,24 +50,27 @@
 }
 
 loop::task<store_response> call_directly(store_client& client, store_request request,
-                                         loop::milliseconds timeout, path_choice choice) {
+                                         loop::milliseconds timeout, path_choice choice,
+                                         loop::deadline until) {
     // On a connection that has gone silent, a long poll can't be told from one without changes.
     const auto use =
-        choice == path_choice::single ? loop::connection_use::fresh : loop::connection_use::any;
+        choice == path_choice::any ? loop::connection_use::any : loop::connection_use::fresh;
+    const auto started = loop::steady_clock::now();
     auto outcome = co_await loop::call(*client.connections, client.address, request.message,
-                                       loop::after(timeout), connect_timeout, use);
+                                       std::min(loop::after(timeout), until), connect_timeout, use);
     auto response = to_store_response(std::move(outcome));
     client.count_call(request, to_string(response.fault));
     if (store_responded(response.fault)) {
         record_response(client.paths, false, loop::steady_clock::now());
     } else {
         record_failure(client.paths, false, loop::steady_clock::now());
+        client.paths.last_failure_started = std::max(client.paths.last_failure_started, started);
     }
     co_return response;
 }
 
 loop::task<store_response> call_through_peers(store_client& client, store_request request,
-                                              loop::milliseconds timeout) {
+                                              loop::milliseconds timeout, loop::deadline until) {
     auto& message = request.message;
     message.path.insert(0, relay_path);
     message.headers.push_back({std::string(timeout_header), std::to_string(timeout.count())});
@@ -76,9 +81,12 @@
     peers.resize(std::min(peers.size(), max_peers_tried));
     store_response peer_response{store_outcome::refused, {}, true};
     for (const auto& peer : peers) {
+        if (loop::steady_clock::now() >= until) {
+            break;
+        }
+        const auto peer_until = std::min(loop::after(timeout + relay_timeout_margin), until);
         auto outcome =
-            co_await loop::call(*client.connections, peer, message,
-                                loop::after(timeout + relay_timeout_margin), connect_timeout);
+            co_await loop::call(*client.connections, peer, message, peer_until, connect_timeout);
         peer_response = to_store_response(std::move(outcome));
         peer_response.relayed = true;
         client.count_call(request, "by_peer");
@@ -121,20 +129,25 @@
 }
 
 loop::task<store_response> call_store(store_client& client, store_request request,
-                                      loop::milliseconds timeout, path_choice choice) {
+                                      loop::milliseconds timeout, path_choice choice,
+                                      loop::deadline until) {
+    if (choice == path_choice::direct) {
+        co_return co_await call_directly(client, std::move(request), timeout, choice, until);
+    }
     const auto plan =
         plan_paths(client.paths, choice == path_choice::single, loop::steady_clock::now());
     if (plan.direct_first) {
-        auto response = co_await call_directly(client, request, timeout, choice);
+        auto response = co_await call_directly(client, request, timeout, choice, until);
         const bool repeatable =
             request.message.method == "GET" || response.fault == store_outcome::refused;
         if (store_responded(response.fault) || !repeatable || !plan.peers) {
             co_return response;
         }
     }
-    auto response = co_await call_through_peers(client, request, timeout);
-    if (plan.direct_last && response.fault == store_outcome::refused) {
-        response = co_await call_directly(client, std::move(request), timeout, choice);
+    auto response = co_await call_through_peers(client, request, timeout, until);
+    const bool time_left = loop::steady_clock::now() < until;
+    if (plan.direct_last && response.fault == store_outcome::refused && time_left) {
+        response = co_await call_directly(client, std::move(request), timeout, choice, until);
     }
     co_return response;
 }
--- a/src/front/store_client.hpp
+++ b/src/front/store_client.hpp
@@ -61,13 +61,16 @@
     /// For long polls: either the direct path or, while that is closed, a peer; never both. Uses a
     /// new connection.
     single,
+    /// The direct path on a new connection, also while it is closed.
+    direct,
 };
 
 /// Calls the store, directly or through a peer. `timeout` is the time that the store may take on
-/// each attempt.
+/// each attempt; no attempt goes on after `until`.
 loop::task<store_response> call_store(store_client& client, store_request request,
                                       loop::milliseconds timeout = store_call_timeout,
-                                      path_choice choice = path_choice::any);
+                                      path_choice choice = path_choice::any,
+                                      loop::deadline until = loop::deadline::max());
 
 /// URL path prefix of calls that a host relays to the store for its peers.
 inline constexpr std::string_view relay_path = "/relay";
--- a/src/front/store_ways.cpp
+++ b/src/front/store_ways.cpp
@@ -32,7 +32,6 @@
         paths.peers_retry_at = {};
     } else {
         paths.direct_retry_at = {};
-        paths.last_direct_response = now;
     }
     paths.consecutive_failures = 0;
 }
--- a/src/front/store_ways.hpp
+++ b/src/front/store_ways.hpp
@@ -7,11 +7,12 @@
 /// State of this host's two paths to the platform's store: direct, and relayed by a peer. The store
 /// may reject this host while it serves others, or reject all hosts.
 struct store_paths {
-    loop::deadline direct_retry_at{};      ///< When the direct path may be tried again.
-    loop::deadline peers_retry_at{};       ///< When the path through peers may be tried again.
-    loop::deadline last_direct_response{}; ///< When the store last responded on the direct path.
+    loop::deadline direct_retry_at{}; ///< When the direct path may be tried again.
+    loop::deadline peers_retry_at{};  ///< When the path through peers may be tried again.
     loop::deadline
-        last_direct_failure{};       ///< When a direct call last got no response from the store.
+        last_direct_failure{}; ///< When a direct call last got no response from the store.
+    /// When the latest such call was sent: the store or the path to it was disturbed after that.
+    loop::deadline last_failure_started{};
     loop::deadline last_increment{}; ///< When `failures` was last incremented.
     int consecutive_failures = 0;    ///< Consecutive direct failures; see `retry_delay`.
 };
--- a/src/front/targets.cpp
+++ b/src/front/targets.cpp
@@ -116,8 +116,8 @@
     std::ranges::for_each(missing, [&](const std::string& id) { remove_target(table, id, now); });
 }
 
-void record_platform_return(target_table& table, time_point now) {
-    table.defer_removals_until = now + removal_grace_period;
+void record_platform_return(target_table& table, time_point now, time_point limit) {
+    table.defer_removals_until = std::min(now + removal_grace_period, limit);
 }
 
 bool are_expired_entries(std::size_t vanished, milliseconds since_trouble,
--- a/src/front/targets.hpp
+++ b/src/front/targets.hpp
@@ -56,6 +56,8 @@
 /// How long removals are deferred after a platform outage. The platform lists running targets again
 /// within 2 s; the rest allows for the propagation of the update.
 inline constexpr milliseconds removal_grace_period{2250};
+/// A deferred removal is carried out at most this long after it is due.
+inline constexpr milliseconds removal_check_time{500};
 
 /// Backoff after a failed request, doubled for each consecutive failure. At least a round trip
 /// between regions; a crashed process needs seconds to restart.
@@ -71,8 +73,9 @@
 void remove_target(target_table& table, std::string_view id, time_point now);
 /// Replaces the content of the table by a complete list.
 void replace_targets(target_table& table, std::vector<target_entry> all, time_point now);
-/// Records that the platform is reachable again after an outage.
-void record_platform_return(target_table& table, time_point now);
+/// Records that the platform is reachable again after an outage. Removals are deferred for the
+/// grace period, but not beyond `limit`.
+void record_platform_return(target_table& table, time_point now, time_point limit);
 /// Whether entries that were removed together expired because heartbeats could not be stored,
 /// rather than being removed by their targets. `since_trouble`: time since a call to the store last
 /// failed; `stable_window`: after this time without failures, removals take effect at once.
--- a/src/front/watch.cpp
+++ b/src/front/watch.cpp
@@ -1,25 +1,23 @@
 #include "front/watch.hpp"
 
+#include "front/age_plan.hpp"
 #include "front/feed.hpp"
 
 #include <algorithm>
+#include <array>
 #include <iterator>
 
 namespace cornelloom::front {
 
 namespace {
 
-/// Bounds of a long poll at the store. Each poll costs as much as any other call, so a longer wait
-/// is cheaper.
-constexpr loop::milliseconds max_watch_wait{20000};
-constexpr loop::milliseconds min_watch_wait{1000};
 /// Wait of a long poll that a peer relays: short, since the peer may lose its connection as well.
-constexpr loop::milliseconds relayed_watch_wait{2000};
+constexpr milliseconds relayed_poll_wait{2000};
 /// The timeout of a long poll at the store exceeds its wait by this.
-constexpr loop::milliseconds watch_timeout_margin{1500};
-/// Time to recover from a lost long poll: a backoff delay, a list, and the distribution of the
-/// changes to the hosts of the zone.
-constexpr loop::milliseconds watch_recovery_time{1000};
+constexpr milliseconds poll_timeout_margin{1500};
+/// Part of the interval between two reads of an old copy that is random, since hosts begin
+/// together.
+constexpr double read_interval_jitter = 0.25;
 /// The timeout of a poll at a feeder exceeds its wait by this: a round trip within the zone and
 /// the feeder's scheduling delay on a small CPU share.
 constexpr loop::milliseconds feed_timeout_margin{500};
@@ -43,10 +41,32 @@
         self, lost ? platform_lost : platform_back,
         {{"watch", to_string(watched.kind)}, {"at", watched.at}, {"fault", to_string(fault)}});
     if (!lost && watched.kind == object_kind::targets) {
-        record_platform_return(self.targets, self.now());
+        defer_removals(self);
     }
 }
 
+age_plan plan_of(const host& self, const watched_kind& watched) {
+    return plan_age(watched.kind, self.settings);
+}
+
+/// Converts a time of `boot_now` to a deadline for socket operations.
+loop::deadline boot_deadline(const host& self, time_point when) {
+    return loop::steady_clock::now() +
+           std::chrono::duration_cast<loop::steady_clock::duration>(when - self.clock.boot_now());
+}
+
+/// When this host has to read the kind itself unless its copy is confirmed before.
+loop::deadline read_deadline(host& self, const watched_kind& watched) {
+    return boot_deadline(self, read_due(self.copies[watched.kind], plan_of(self, watched)));
+}
+
+/// How a list is read.
+struct list_options {
+    bool may_be_stale = false;
+    path_choice path = path_choice::any;
+    loop::deadline until = loop::deadline::max(); ///< No call goes on after this.
+};
+
 copy_source source_of(const store_response& response) {
     return response.relayed ? copy_source::relay : copy_source::store;
 }
@@ -59,11 +79,12 @@
 /// Reads all objects of a kind, page by page; false if a call failed or a page was unreadable. The
 /// pages may miss changes made since the first one, so `out.at` is the revision of the first page.
 loop::task<bool> read_all_pages(std::shared_ptr<host> self, watched_kind_ptr watched,
-                                bool may_be_stale, object_list& out) {
+                                list_options options, object_list& out) {
     std::string after;
     for (bool more = true; more;) {
         auto response = co_await call_store(
-            self->store, self->platform_adapter.list(watched->kind, after, may_be_stale));
+            self->store, self->platform_adapter.list(watched->kind, after, options.may_be_stale),
+            store_call_timeout, options.path, options.until);
         record_store_contact(*self, *watched, response.fault);
         if (response.fault != store_outcome::none) {
             co_return false;
@@ -93,10 +114,11 @@
     }
 }
 
-loop::task<bool> list_and_cache(std::shared_ptr<host> self, watched_kind_ptr watched) {
+loop::task<bool> list_and_cache(std::shared_ptr<host> self, watched_kind_ptr watched,
+                                list_options options) {
     object_list all;
     const auto requested_at = self->clock.boot_now();
-    const bool complete = co_await read_all_pages(self, watched, false, all);
+    const bool complete = co_await read_all_pages(self, watched, options, all);
     if (!complete) {
         co_return false;
     }
@@ -112,15 +134,56 @@
     co_return true;
 }
 
+/// Reads the kind from the store itself, since nobody has confirmed the copy in time.
+loop::task<bool> read_old_copy(std::shared_ptr<host> self, watched_kind_ptr watched) {
+    const auto plan = plan_of(*self, *watched);
+    const auto kind = watched->kind;
+    auto& copy = self->copies[kind];
+    const double jitter = read_interval_jitter * std::uniform_real_distribution<>()(self->random);
+    copy.next_read_at = self->clock.boot_now() +
+                        std::chrono::duration_cast<milliseconds>(plan.read_interval * (1 - jitter));
+    const auto age = copy_age(*self, kind).value_or(milliseconds(-1));
+    const auto source = copy.source;
+    const auto feeder = copy.feeder;
+    const bool read = co_await list_and_cache(
+        self, watched, {false, path_choice::direct, loop::after(plan.read_timeout)});
+    if (read) {
+        copy.next_read_at = {};
+    }
+    log_event(*self, old_copy_read,
+              {{"watch", to_string(kind)},
+               {"read", read},
+               {"age_ms", age.count()},
+               {"source", to_string(source)},
+               {"feeder", feeder}});
+    const std::array labels{kernel::label{"kind", to_string(kind)},
+                            kernel::label{"outcome", read ? "read" : "unavailable"}};
+    self->metrics.count("cornelloom_old_copy_reads_total", labels);
+    co_return read;
+}
+
+/// Waits before the next poll, so that it carries several changes, as long as the age of the copy
+/// allows.
+loop::task<void> delay_next_poll(std::shared_ptr<host> self, watched_kind_ptr watched) {
+    const auto plan = plan_of(*self, *watched);
+    const auto latest = servable_until(self->copies[watched->kind], plan) - plan.answer_time;
+    const auto room = std::chrono::duration_cast<milliseconds>(latest - self->clock.boot_now());
+    co_await loop::pause_for(
+        self->io, std::clamp(room, milliseconds(0), std::max(watched->delay(), milliseconds(0))));
+}
+
 loop::task<bool> poll_store(std::shared_ptr<host> self, watched_kind_ptr watched) {
-    const auto plan = plan_paths(self->store.paths, true, loop::steady_clock::now());
-    const auto wait =
-        plan.direct_first ? watch_wait(watched->kind, self->settings) : relayed_watch_wait;
-    const auto poll_started = loop::steady_clock::now();
-    const auto current_as_of = self->clock.boot_now();
+    const auto plan = plan_of(*self, *watched);
+    const auto sent = self->clock.boot_now();
+    const auto longest = next_poll_wait(self->copies[watched->kind], plan, sent);
+    if (!longest) {
+        co_return co_await read_old_copy(self, watched);
+    }
+    const auto paths = plan_paths(self->store.paths, true, loop::steady_clock::now());
+    const auto wait = paths.direct_first ? *longest : std::min(*longest, relayed_poll_wait);
     auto response = co_await call_store(
         self->store, self->platform_adapter.watch(watched->kind, watched->at, wait),
-        wait + watch_timeout_margin, path_choice::single);
+        wait + poll_timeout_margin, path_choice::single, read_deadline(*self, *watched));
     record_store_contact(*self, *watched, response.fault);
     if (response.fault == store_outcome::history_gone || response.fault == store_outcome::invalid ||
         response.fault == store_outcome::not_found) {
@@ -140,8 +203,8 @@
         watched->at = 0;
         co_return false;
     }
-    const bool early = loop::steady_clock::now() < poll_started + wait * 9 / 10;
-    if (changes.value().changes.empty() && early) {
+    const auto answered = self->clock.boot_now();
+    if (changes.value().changes.empty() && answered < sent + wait * 9 / 10) {
         log_event(*self, watch_cut,
                   {{"watch", to_string(watched->kind)},
                    {"at", watched->at},
@@ -156,9 +219,11 @@
         update_known_names(*watched, changes.value().changes);
         watched->on_changes(changes.value().changes);
     }
-    record_confirmed(*self, watched->kind, current_as_of);
-    if (!changes.value().changes.empty()) {
-        co_await loop::pause_for(self->io, watched->delay());
+    const bool unchanged = changes.value().changes.empty();
+    record_confirmed(*self, watched->kind,
+                     unchanged ? confirmed_by_poll(sent, answered, wait, plan) : sent);
+    if (!unchanged) {
+        co_await delay_next_poll(self, watched);
     }
     co_return true;
 }
@@ -188,10 +253,11 @@
 
 /// Requests the full list or changes from a feeder. A feeder that fails is avoided.
 loop::task<bool> poll_feeder(std::shared_ptr<host> self, watched_kind_ptr watched,
-                             host_entry feeder) {
+                             host_entry feeder, time_point until) {
     // Revisions are assigned by the store, so `at` stays valid when the feeder changes.
     const auto requested_at = self->clock.boot_now();
-    auto poll_request = make_feed_request(watched->kind, watched->at);
+    auto poll_request =
+        make_feed_request(watched->kind, watched->at, copy_age(*self, watched->kind));
     const auto count_changes = self->usage.changes + self->demand.changes;
     const bool sends_counts =
         watched->kind == object_kind::configuration &&
@@ -202,7 +268,8 @@
     const auto timeout =
         watched->at == 0 ? feed_list_timeout : feed_poll_wait + feed_timeout_margin;
     auto outcome = co_await loop::call(self->connections, feeder.address, std::move(poll_request),
-                                       loop::after(timeout), feed_connect_timeout);
+                                       std::min(loop::after(timeout), boot_deadline(*self, until)),
+                                       feed_connect_timeout);
     if (sends_counts && outcome.fault == loop::exchange_fault::none) {
         watched->counts_sent_to = feeder.name;
         watched->counts_sent = count_changes;
@@ -226,6 +293,7 @@
     const auto as_of = stated_as_of(outcome.answer.headers);
     if (as_of && !feeder_response.partial) {
         record_confirmed(*self, watched->kind, requested_at + *as_of);
+        record_store_contact(*self, *watched, store_outcome::none);
     }
     co_return true;
 }
@@ -235,12 +303,18 @@
     auto& cache = self->caches[watched->kind];
     const auto feeder = watched->is_needed ? std::nullopt : choose_feeder(*self, watched->kind);
     cache.watching = !feeder && !watched->is_needed;
+    const auto until = feeder_poll_until(self->copies[watched->kind], plan_of(*self, *watched),
+                                         self->clock.boot_now());
+    if (!until) {
+        co_return co_await read_old_copy(self, watched);
+    }
     if (feeder) {
-        co_return co_await poll_feeder(self, watched, *feeder);
+        co_return co_await poll_feeder(self, watched, *feeder, *until);
     }
     // A feeder must serve complete data, so its cache starts from a list that it read itself.
     if (watched->at == 0 || cache.at != watched->at) {
-        co_return co_await list_and_cache(self, watched);
+        co_return co_await list_and_cache(
+            self, watched, {false, path_choice::any, read_deadline(*self, *watched)});
     }
     co_return co_await poll_store(self, watched);
 }
@@ -249,32 +323,30 @@
     for (;;) {
         if (watched->is_needed && !watched->is_needed()) {
             watched->at = 0;
+            self->copies.erase(watched->kind);
             co_await loop::pause_for(self->io, need_check_interval);
             continue;
         }
+        auto& copy = self->copies[watched->kind];
+        if (copy.confirmed_at == time_point{} && copy.next_read_at == time_point{}) {
+            const auto since = watched->is_needed ? self->clock.boot_now() : self->started_at;
+            copy.next_read_at = since + plan_of(*self, *watched).read_interval;
+        }
         const bool succeeded = co_await update_once(self, watched);
         if (!succeeded) {
-            co_await loop::pause_for(self->io, store_retry_delay(*self, max_store_delay));
+            const auto delay = loop::after(store_retry_delay(*self, max_store_delay));
+            co_await loop::pause_until(self->io, std::min(delay, read_deadline(*self, *watched)));
         }
     }
 }
 
 } // namespace
 
-loop::milliseconds watch_wait(object_kind kind, const host_settings& settings) {
-    if (kind == object_kind::hosts) {
-        return max_watch_wait; // no bound depends on how soon a peer is known
-    }
-    const auto shortest_bound =
-        settings.stable_window + std::min(settings.config_apply_bound, settings.drain_bound);
-    const auto usual_wait = std::clamp(shortest_bound - watch_timeout_margin - watch_recovery_time,
-                                       min_watch_wait, max_watch_wait);
-    if (kind == object_kind::configuration && settings.revocation_bound) {
-        // A configuration passes through two hosts, each with a wait of its own; a quarter of the
-        // bound is left for their delays.
-        return std::clamp(*settings.revocation_bound / 4, min_watch_wait, usual_wait);
-    }
-    return usual_wait;
+void defer_removals(host& self) {
+    const auto disturbed_ago = loop::steady_clock::now() - self.store.paths.last_failure_started;
+    record_platform_return(self.targets, self.now(),
+                           self.now() - disturbed_ago + self.settings.stable_window -
+                               removal_check_time);
 }
 
 void start_watch(const std::shared_ptr<host>& self, watched_kind watched) {
@@ -286,7 +358,8 @@
     auto shared = std::make_shared<watched_kind>(std::move(watched));
     object_list all;
     const auto requested_at = self->clock.boot_now();
-    const bool complete = co_await read_all_pages(self, shared, may_be_stale, all);
+    const bool complete = co_await read_all_pages(
+        self, shared, {may_be_stale, path_choice::any, loop::after(store_call_timeout)}, all);
     if (!complete) {
         co_return;
     }
--- a/src/front/watch.hpp
+++ b/src/front/watch.hpp
@@ -38,21 +38,16 @@
     return loop::milliseconds{0};
 }
 
-/// How long the store may hold a long poll for changes of this kind.
-///
-/// Guards against a poll whose response is lost while its connection stays open and silent.
-/// Keep-alive probes succeed and no other call has to fail, so this host goes on with stale data:
-/// it refuses requests for new routes and sends work to targets that have left. Such a poll must
-/// time out, and the kind be listed again, before the time bounds apply again after the outage that
-/// lost the response. With strict revocation, every host must also confirm that its configuration
-/// is current well within the revocation bound.
-[[nodiscard]] loop::milliseconds watch_wait(object_kind kind, const host_settings& settings);
+/// Defers the removal of targets because the platform's store is back: it may lack those whose
+/// entries expired meanwhile. The deferral ends before the drain bound holds again, one stable
+/// window after the last call that had no answer.
+void defer_removals(host& self);
 
 /// Keeps the kind up to date until the event loop ends.
 void start_watch(const std::shared_ptr<host>& self, watched_kind watched);
 
 /// Lists the kind once. With `may_be_stale`, a replica of the store may serve the list, which may
-/// then be seconds old but costs a tenth.
+/// then be seconds old but costs a tenth. Gives up after one call's time: the watch lists again.
 loop::task<void> list_once(std::shared_ptr<host> self, watched_kind watched, bool may_be_stale);
 
 } // namespace cornelloom::front
--- a/src/loop/task.hpp
+++ b/src/loop/task.hpp
@@ -35,6 +35,12 @@
 }
 
 /// Suspends the calling coroutine.
+/// Waits until that time; returns at once if it has passed.
+inline task<void> pause_until(io_context& io, deadline until) {
+    asio::steady_timer timer(io, until);
+    co_await timer.async_wait(asio::use_awaitable);
+}
+
 inline task<void> pause_for(io_context& io, steady_clock::duration span) {
     asio::steady_timer timer(io, span);
     boost::system::error_code ignored; // the timer is never cancelled
--- a/tests/front/store_ways_tests.cpp
+++ b/tests/front/store_ways_tests.cpp
@@ -88,11 +88,12 @@
 }
 
 TEST_CASE("a relayed response does not show that the direct path works", "[front][store][cut]") {
-    // Guards against a feeder that is cut off from the store, gets a response through a peer and
-    // keeps serving its zone the stale data of its silent watches.
+    // Guards against a host that is cut off from the store, gets a response through a peer and
+    // waits on the silent direct path again.
     store_paths paths;
     record_response(paths, false, start);
     record_failure(paths, false, start + 1s);
-    record_response(paths, true, start + 2s);
-    CHECK(paths.last_direct_response == start);
+    record_response(paths, true, start + 1500ms);
+    CHECK_FALSE(plan_paths(paths, true, start + 1600ms).direct_first);
+    CHECK(plan_paths(paths, true, start + 2s).direct_first);
 }
--- a/tests/front/targets_tests.cpp
+++ b/tests/front/targets_tests.cpp
@@ -95,7 +95,7 @@
     // targets disappear from the list and return within two seconds; dropping them would reject all
     // requests until then.
     auto table = make_table(3);
-    record_platform_return(table, now);
+    record_platform_return(table, now, now + 10s);
     replace_targets(table, {entry("target-1")}, now);
     CHECK(table.by_id.size() == 3);
     SECTION("a target that is listed again stays") {
@@ -115,6 +115,19 @@
     }
 }
 
+TEST_CASE("a removal is not deferred until the drain bound holds again",
+          "[front][targets][drain]") {
+    // Guards against requests for a target that left while a host was cut off, which the grace
+    // period after its return would keep.
+    auto table = make_table(3);
+    record_platform_return(table, now, now + 1s);
+    remove_target(table, "target-1", now);
+    remove_expired_targets(table, now + 500ms);
+    CHECK(table.by_id.contains("target-1"));
+    remove_expired_targets(table, now + 1s);
+    CHECK_FALSE(table.by_id.contains("target-1"));
+}
+
 TEST_CASE("targets that are removed together by scaling down are dropped at once",
           "[front][targets]") {
     // Guards against sending items to stopped targets. Three targets were drained within one
