Learn of changes that the store's watches did not report

A host kept an older configuration for good, and its zone with it. When the store's watches hear nothing for a while, a poll that ends meanwhile states a revision beyond the changes that it did not report, and the next poll asked from there. A poll that ended early was noticed, one that ended by itself was not.

An answer without changes no longer moves the revision from which a host asks, so the next poll gets the changes, or learns that the history is gone and lists. A list is passed on as the changes that it brings, so that the hosts of the zone learn of them, too, and don't get the names of all objects each time.

--- a/src/front/feed.cpp
+++ b/src/front/feed.cpp
@@ -127,6 +127,18 @@
     return found->second.confirmed_at;
 }
 
+/// Adds a step to the history, which brings hosts from the revision before to that of the cache.
+void append_step(feed_cache& cache, std::vector<object_change> changes) {
+    if (changes.empty()) {
+        return;
+    }
+    cache.history.push_back({cache.at, std::move(changes)});
+    if (cache.history.size() > max_history_steps) {
+        cache.history_start = cache.history.front().at;
+        cache.history.pop_front();
+    }
+}
+
 } // namespace
 
 std::optional<host_entry> choose_feeder(host& self, object_kind kind) {
@@ -149,14 +161,16 @@
 void cache_list(host& self, object_kind kind, const std::vector<stored_object>& all,
                 std::uint64_t as_of) {
     auto& cache = self.caches[kind];
-    cache.objects.clear();
+    std::map<std::string, stored_object, std::less<>> listed;
     for (const auto& object : all) {
-        cache.objects.emplace(object.name, object);
+        listed.emplace(object.name, object);
+    }
+    if (cache.at == 0) {
+        cache.history_start = as_of;
     }
-    // A host at a revision before this list may have missed a deletion.
-    cache.history.clear();
-    cache.history_start = as_of;
-    cache.at = as_of;
+    cache.at = std::max(cache.at, as_of);
+    append_step(cache, find_differences(cache.objects, listed));
+    cache.objects = std::move(listed);
     cache.changed.open();
 }
 
@@ -165,9 +179,6 @@
     auto& cache = self.caches[kind];
     cache.at = std::max(cache.at, as_of);
     cache.changed.open();
-    if (changes.empty()) {
-        return;
-    }
     for (const auto& change : changes) {
         if (change.deleted) {
             cache.objects.erase(change.object.name);
@@ -175,11 +186,7 @@
             cache.objects.insert_or_assign(change.object.name, change.object);
         }
     }
-    cache.history.push_back({cache.at, changes});
-    if (cache.history.size() > max_history_steps) {
-        cache.history_start = cache.history.front().at;
-        cache.history.pop_front();
-    }
+    append_step(cache, changes);
 }
 
 feed_response updates_since(const feed_cache& cache, std::uint64_t since) {
@@ -206,6 +213,24 @@
         .first->second;
 }
 
+std::vector<object_change>
+find_differences(const std::map<std::string, stored_object, std::less<>>& known,
+                 const std::map<std::string, stored_object, std::less<>>& listed) {
+    std::vector<object_change> out;
+    for (const auto& [name, object] : listed) {
+        const auto before = known.find(name);
+        if (before == known.end() || before->second.revision != object.revision) {
+            out.push_back({object, false});
+        }
+    }
+    for (const auto& [name, object] : known) {
+        if (!listed.contains(name)) {
+            out.push_back({object, true});
+        }
+    }
+    return out;
+}
+
 std::vector<object_change> find_deletions(const std::set<std::string, std::less<>>& known,
                                           const std::vector<std::string>& names) {
     const std::set<std::string_view> existing(names.begin(), names.end());
--- a/src/front/feed.hpp
+++ b/src/front/feed.hpp
@@ -34,7 +34,8 @@
 /// Whether this host watches the store itself for at least one kind of objects.
 [[nodiscard]] bool watches_store(const host& self);
 
-/// Replaces the cached objects of one kind by a full list, read at revision `as_of`.
+/// Replaces the cached objects of one kind by a full list, read at revision `as_of`. Hosts that are
+/// at an earlier revision get what the list changed.
 void cache_list(host& self, object_kind kind, const std::vector<stored_object>& all,
                 std::uint64_t as_of);
 /// Applies changes up to revision `as_of` to the cached objects of one kind.
@@ -87,6 +88,11 @@
 /// changes or updates for another revision are encoded.
 [[nodiscard]] const std::string& encode_updates_once(feed_cache& cache, std::uint64_t since);
 
+/// The changes that make the known objects those that were listed.
+[[nodiscard]] std::vector<object_change>
+find_differences(const std::map<std::string, stored_object, std::less<>>& known,
+                 const std::map<std::string, stored_object, std::less<>>& listed);
+
 /// Deletions for all known objects that are not among `names`.
 [[nodiscard]] std::vector<object_change>
 find_deletions(const std::set<std::string, std::less<>>& known,
--- a/src/front/watch.cpp
+++ b/src/front/watch.cpp
@@ -213,13 +213,15 @@
         co_return true;
     }
     record_source(*self, watched->kind, source_of(response));
-    watched->at = std::max(watched->at, changes.value().at);
+    const bool unchanged = changes.value().changes.empty();
+    if (!unchanged) {
+        watched->at = std::max(watched->at, changes.value().at);
+    }
     cache_changes(*self, watched->kind, changes.value().changes, watched->at);
     if (!changes.value().changes.empty()) {
         update_known_names(*watched, changes.value().changes);
         watched->on_changes(changes.value().changes);
     }
-    const bool unchanged = changes.value().changes.empty();
     record_confirmed(*self, watched->kind,
                      unchanged ? confirmed_by_poll(sent, answered, wait, plan) : sent);
     if (!unchanged) {
--- a/src/front/watch.hpp
+++ b/src/front/watch.hpp
@@ -25,7 +25,9 @@
     /// kind is always needed and comes from a feeder if there is one.
     std::function<bool()> is_needed{};
     std::set<std::string, std::less<>> known_names{}; ///< Names of the objects known to this host.
-    /// Store revision up to which this host is current; 0: the kind must be listed first.
+    /// Store revision from which changes are requested; 0: the kind must be listed first. An answer
+    /// without changes does not move it: a store whose watches hear nothing for a while states a
+    /// revision beyond the changes that it did not report.
     std::uint64_t at = 0;
     bool store_lost = false; ///< The last call to the store got no response from it.
     /// The feeder that last received this host's counts, and the change number of those counts.
--- a/tests/front/feed_tests.cpp
+++ b/tests/front/feed_tests.cpp
@@ -96,6 +96,22 @@
     }
 }
 
+TEST_CASE("a new list reaches the hosts of a zone as changes", "[front][feed][large]") {
+    // Guards against a feeder that sends the names of all objects to each host after every list,
+    // and against a change or a deletion that only the list shows.
+    const std::map<std::string, stored_object, std::less<>> known{
+        {"a", object_at("a", 10)}, {"b", object_at("b", 35)}, {"c", object_at("c", 41)}};
+    const std::map<std::string, stored_object, std::less<>> listed{
+        {"a", object_at("a", 10)}, {"b", object_at("b", 50)}, {"d", object_at("d", 51)}};
+    const auto differences = find_differences(known, listed);
+    REQUIRE(differences.size() == 3);
+    CHECK(differences[0].object.revision == 50);
+    CHECK(differences[1].object.name == "d");
+    CHECK(differences[2].object.name == "c");
+    CHECK(differences[2].deleted);
+    CHECK(find_differences(known, known).empty());
+}
+
 TEST_CASE("a cached response is not served once there are newer changes", "[front][feed]") {
     // Guards against hosts that stay behind, or poll in a loop, because of an outdated response.
     cornelloom::loop::io_context io(1);
--- a/tests/soak/copy_age_tests.cpp
+++ b/tests/soak/copy_age_tests.cpp
@@ -120,6 +120,29 @@
     }
 }
 
+TEST_CASE("hosts learn of a change that the store's watches did not report", "[soak][age][deaf]") {
+    // Guards against a poll that ends without the change and states a revision beyond it.
+    const bool forgotten = GENERATE(false, true);
+    process_rig rig(85);
+    start_processes(rig, 3);
+    loop::deadline outage_end;
+    play(rig, [&]() -> loop::task<void> {
+        rig.platform->troubles.deaf = true;
+        co_await loop::pause_for(rig.io, 100ms);
+        route_to(rig, 2, "new");
+        co_await loop::pause_for(rig.io, 2500ms); // polls end meanwhile
+        if (forgotten) {
+            standins::forget_history(*rig.platform);
+        }
+        rig.platform->troubles.deaf = false;
+        outage_end = loop::steady_clock::now();
+        co_await loop::pause_for(rig.io, aftermath);
+    });
+    for (std::size_t host = 0; host < rig.hosts.size(); ++host) {
+        check_current(rig, host, outage_end + rig.stable_window);
+    }
+}
+
 TEST_CASE("hosts act on a new configuration within the bound while their feeders are suspended",
           "[soak][age][feeder]") {
     // Guards against time-outs of one feeder after the other that add up beyond the bound.
