cornelloomd: notice a lost watch within seconds

A host of cornelloomd that watches the configuration waited 35 s for an answer that was lost, and all hosts of its zone with it, though a configuration is in force within seconds: the watch took 30 s and its client 5 s more, and pauses grew to 10 s. Each was chosen by itself, and their sum with no bound.

configuration_bound states the bound, 10 s, and the parts are chosen to add up to less: a watch of 5 s, 2 s for its answer, pauses of 2 s at most. Two hosts of a zone watch, so ten zones make 4 calls a second in place of 0.7.

--- a/src/coord/configuration_follow.hpp
+++ b/src/coord/configuration_follow.hpp
@@ -9,18 +9,24 @@
 
 namespace cornelloom::coord {
 
+/// A set that was accepted is in force on every host within this time, counted from the end of a
+/// disturbance of the platform if there was one.
+inline constexpr kernel::duration configuration_bound = std::chrono::seconds{10};
+
 struct follow_settings {
     kernel::host_id self;
     bool peers_expected = false; ///< Other hosts are known from the settings or the host list.
     /// A host that expects peers but hears none waits this long before the platform alone decides.
     kernel::duration boot_wait = std::chrono::seconds{3};
-    kernel::duration watch_timeout = std::chrono::seconds{30};
+    /// A watcher learns of a lost answer only when its watch is over. This, `watch_answer_time`, a
+    /// pause and a list add up to less than `configuration_bound`.
+    kernel::duration watch_timeout = std::chrono::seconds{5};
     /// Every host reads the head this often, in case gossip failed it: about 1.3 reads a second
     /// at 370 hosts.
     kernel::duration poll_every = std::chrono::minutes{5};
     /// A lower head is an alarm only if it is still lower after this time: reads may be stale.
     kernel::duration regress_confirm = std::chrono::seconds{5};
-    backoff_settings retry{};
+    backoff_settings retry{.longest = std::chrono::seconds{2}};
 };
 
 /// What gossip tells of the newest configuration that a host has in force.
--- a/src/coord/platform.hpp
+++ b/src/coord/platform.hpp
@@ -49,6 +49,9 @@
     kernel::duration timeout{};
 };
 
+/// A watch that has no answer this long after its timeout is lost.
+inline constexpr kernel::duration watch_answer_time = std::chrono::seconds{2};
+
 struct list_hosts {};
 
 using platform_operation =
--- a/src/transport/platform_client.cpp
+++ b/src/transport/platform_client.cpp
@@ -10,13 +10,10 @@
 
 namespace {
 
-/// Room for the platform to end a watch by itself, and for the answer's way.
-constexpr std::chrono::seconds watch_slack{5};
-
 kernel::duration timeout_of(const coord::platform_operation& operation,
                             kernel::duration call_timeout) {
     const auto* watch = std::get_if<coord::watch_objects>(&operation);
-    return watch == nullptr ? call_timeout : watch->timeout + watch_slack;
+    return watch == nullptr ? call_timeout : watch->timeout + coord::watch_answer_time;
 }
 
 } // namespace
--- a/tests/coord/configuration_tests.cpp
+++ b/tests/coord/configuration_tests.cpp
@@ -266,3 +266,50 @@
         }
     }));
 }
+
+TEST_CASE("a set is in force within the bound though the answer to a watch is lost",
+          "[coord][configuration][age]") {
+    // Guards against a watcher that waits half a minute for an answer that can't come.
+    configuration_rig rig;
+    REQUIRE(rig.apply({"a", 0, 0, set_of("a")}).status == apply_status::in_force);
+    auto host = rig.host("watcher");
+    std::optional<std::uint64_t> watch;
+    const auto send = [&](const follow_event& event) {
+        auto calls = step(host, event, rig.clock.now()).calls;
+        while (!calls.empty()) {
+            const auto call = std::move(calls.front());
+            calls.erase(calls.begin());
+            if (std::holds_alternative<watch_objects>(call.operation)) {
+                watch = call.token;
+                continue;
+            }
+            const platform_answer answer{call.token, rig.answer(call.operation)};
+            std::ranges::move(step(host, answer, rig.clock.now()).calls, std::back_inserter(calls));
+        }
+    };
+    send(watch_duty{true});
+    REQUIRE(host.in_force.generation == 1);
+    REQUIRE(watch);
+    // The client gives the lost watch up.
+    REQUIRE(rig.apply({"b", 1, 1, set_of("b")}).status == apply_status::in_force);
+    const auto lost_at = rig.clock.now();
+    rig.clock.advance(host.settings.watch_timeout + watch_answer_time);
+    send(platform_answer{*watch, call_outage{}});
+    while (host.in_force.generation < 2 && rig.clock.now() < lost_at + 1min) {
+        rig.clock.advance(100ms);
+        send(follow_tick{});
+    }
+    CHECK(host.in_force.generation == 2);
+    CHECK(rig.clock.now() - lost_at <= configuration_bound);
+}
+
+TEST_CASE("the longest pause and a call that is lost at the end of an outage are within the bound",
+          "[coord][configuration][age]") {
+    // Guards against a watcher whose pauses have grown so long that it misses the platform's
+    // return.
+    const follow_settings settings;
+    constexpr auto call_timeout = 5s;
+    CHECK(call_timeout + settings.retry.longest + 1s <= configuration_bound);
+    CHECK(settings.watch_timeout + watch_answer_time + settings.retry.longest + 1s <=
+          configuration_bound);
+}
