Serve nothing that was cached before a host was fed

A host that had watched the store, was fed by another host since, and is asked again would serve what it had cached in its first time, with the age of its copy, which its feeders had confirmed since. The host that asked took its older configuration for current, until the list arrived, or for the copy's bound if the store was away.

Such a host begins with nothing cached, and is asked to wait for its list. The test fails to compile before: nothing marked the beginning of a watch.

--- a/src/front/feed.cpp
+++ b/src/front/feed.cpp
@@ -158,6 +158,15 @@
                                [](const auto& each) { return each.second.watching; });
 }
 
+void set_watching(feed_cache& cache, bool watching) {
+    if (watching && !cache.watching) {
+        cache.at = 0;
+        cache.objects.clear();
+        cache.history.clear();
+    }
+    cache.watching = watching;
+}
+
 void cache_list(host& self, object_kind kind, const std::vector<stored_object>& all,
                 std::uint64_t as_of) {
     auto& cache = self.caches[kind];
--- a/src/front/feed.hpp
+++ b/src/front/feed.hpp
@@ -34,6 +34,10 @@
 /// Whether this host watches the store itself for at least one kind of objects.
 [[nodiscard]] bool watches_store(const host& self);
 
+/// Records whether this host watches the store for the kind. What it cached when it watched before
+/// is older than its copy, which feeders have confirmed since, so it is not served again.
+void set_watching(feed_cache& cache, bool watching);
+
 /// Replaces the cached objects of one kind by a full list, read at revision `as_of`. Hosts that are
 /// at an earlier revision get what the list changed.
 void cache_list(host& self, object_kind kind, const std::vector<stored_object>& all,
--- a/src/front/watch.cpp
+++ b/src/front/watch.cpp
@@ -304,7 +304,7 @@
 loop::task<bool> update_once(std::shared_ptr<host> self, watched_kind_ptr watched) {
     auto& cache = self->caches[watched->kind];
     const auto feeder = watched->is_needed ? std::nullopt : choose_feeder(*self, watched->kind);
-    cache.watching = !feeder && !watched->is_needed;
+    set_watching(cache, !feeder && !watched->is_needed);
     const auto until = feeder_poll_until(self->copies[watched->kind], plan_of(*self, *watched),
                                          self->clock.boot_now());
     if (!until) {
--- a/tests/front/feed_tests.cpp
+++ b/tests/front/feed_tests.cpp
@@ -112,6 +112,21 @@
     CHECK(find_differences(known, known).empty());
 }
 
+TEST_CASE("a host that watches again serves nothing that it cached before", "[front][feed][age]") {
+    // Guards against a host that is asked again after others have fed it: it would serve its
+    // earlier objects, and state the age of the copy that its feeders have confirmed since.
+    cornelloom::loop::io_context io(1);
+    auto cache = new_feeder_cache(io);
+    cache.watching = true;
+    set_watching(cache, true);
+    CHECK(cache.at == 41);
+    set_watching(cache, false);
+    set_watching(cache, true);
+    CHECK(cache.at == 0);
+    CHECK(cache.objects.empty());
+    CHECK(cache.history.empty());
+}
+
 TEST_CASE("a cached response is not served once there are newer changes", "[front][feed]") {
     // Guards against hosts that stay behind, or poll in a loop, because of an outdated response.
     cornelloom::loop::io_context io(1);
