State from when a configuration is that the feeder can't parse

Each host of the zone would have read the store itself, again and again, as long as the newest configuration is unreadable: the feeder did not state the age of its copy then. Each host parses the object itself and knows that it can't use it, so the age may be stated. A list never brings an older object back.

--- a/src/front/feed.cpp
+++ b/src/front/feed.cpp
@@ -116,17 +116,6 @@
            });
 }
 
-/// From when this host's copy is, as a time of `boot_now`; not known of a configuration that it
-/// could not parse.
-std::optional<time_point> copy_time(const host& self, object_kind kind) {
-    const auto found = self.copies.find(kind);
-    const bool unreadable = kind == object_kind::configuration && !self.configuration_valid;
-    if (unreadable || found == self.copies.end() || found->second.confirmed_at == time_point{}) {
-        return std::nullopt;
-    }
-    return found->second.confirmed_at;
-}
-
 /// Adds a step to the history, which brings hosts from the revision before to that of the cache.
 void append_step(feed_cache& cache, std::vector<object_change> changes) {
     if (changes.empty()) {
@@ -228,7 +217,7 @@
     std::vector<object_change> out;
     for (const auto& [name, object] : listed) {
         const auto before = known.find(name);
-        if (before == known.end() || before->second.revision != object.revision) {
+        if (before == known.end() || before->second.revision < object.revision) {
             out.push_back({object, false});
         }
     }
@@ -359,9 +348,8 @@
     if (can_serve(*self, requested)) {
         response.status = 200;
         response.body = encode_updates_once(cache, since);
-        if (const auto as_of = copy_time(*self, requested)) {
-            state_as_of(response, std::chrono::floor<milliseconds>(*as_of - arrived));
-        }
+        // A configuration that this host can't parse counts as well: each host parses it itself.
+        state_as_of(response, std::chrono::floor<milliseconds>(copy.confirmed_at - arrived));
     }
     co_await request.answer(std::move(response));
 }
