--- a/src/front/store_client.cpp
+++ b/src/front/store_client.cpp
@@ -61,7 +61,7 @@
     auto response = to_store_response(std::move(outcome));
     client.count_call(request, to_string(response.fault));
     if (store_responded(response.fault)) {
-        record_response(client.paths, false, loop::steady_clock::now());
+        record_response(client.paths, false);
     } else {
         record_failure(client.paths, false, loop::steady_clock::now());
         client.paths.last_failure_started = std::max(client.paths.last_failure_started, started);
@@ -99,7 +99,7 @@
         }
     }
     if (store_responded(peer_response.fault)) {
-        record_response(client.paths, true, loop::steady_clock::now());
+        record_response(client.paths, true);
     } else {
         record_failure(client.paths, true, loop::steady_clock::now());
     }
--- a/src/front/store_ways.cpp
+++ b/src/front/store_ways.cpp
@@ -27,7 +27,7 @@
     return {false, true, !single_path};
 }
 
-void record_response(store_paths& paths, bool by_peer, loop::deadline now) {
+void record_response(store_paths& paths, bool by_peer) {
     if (by_peer) {
         paths.peers_retry_at = {};
     } else {
--- a/src/front/store_ways.hpp
+++ b/src/front/store_ways.hpp
@@ -33,7 +33,7 @@
 [[nodiscard]] path_plan plan_paths(const store_paths& paths, bool single_path, loop::deadline now);
 
 /// Records that the store responded to a call, directly or through a peer.
-void record_response(store_paths& paths, bool by_peer, loop::deadline now);
+void record_response(store_paths& paths, bool by_peer);
 
 /// Records a call without a response from the store: direct, or through all peers that were tried.
 void record_failure(store_paths& paths, bool by_peer, loop::deadline now);
--- a/tests/front/store_ways_tests.cpp
+++ b/tests/front/store_ways_tests.cpp
@@ -44,7 +44,7 @@
     CHECK(plan.peers);
     CHECK_FALSE(plan.direct_first);
     CHECK(plan.direct_last);
-    record_response(paths, true, start + 120ms);
+    record_response(paths, true);
     CHECK(retry_delay(paths, max_store_delay, no_jitter) == initial_store_delay);
 }
 
@@ -52,7 +52,7 @@
     store_paths paths;
     record_failure(paths, false, start);
     CHECK(plan_paths(paths, true, start + 1s).direct_first);
-    record_response(paths, false, start + 1s);
+    record_response(paths, false);
     CHECK(plan_paths(paths, true, start + 1s).direct_first);
 }
 
@@ -91,9 +91,9 @@
     // Guards against a host that is cut off from the store, gets a response through a peer and
     // waits on the silent direct path again.
     store_paths paths;
-    record_response(paths, false, start);
+    record_response(paths, false);
     record_failure(paths, false, start + 1s);
-    record_response(paths, true, start + 1500ms);
+    record_response(paths, true);
     CHECK_FALSE(plan_paths(paths, true, start + 1600ms).direct_first);
     CHECK(plan_paths(paths, true, start + 2s).direct_first);
 }
