Log why a process ended, and every error that leaves a task

Events 1001 to 1005 and the metric cornelloom_task_failures tell them apart: an end by a fatal signal with the place in the program, an end by an unhandled error with its text, an error that left a task with the task's name, an event loop without progress, a signal with its sender and what the process holds then. An end without a line was by SIGKILL. An error that leaves a plain handler no longer ends the process.

--- a/soak/internal/day.cpp
+++ b/soak/internal/day.cpp
@@ -3,6 +3,8 @@
 #include "soak/internal/play_troubles.hpp"
 #include "soak/internal/traffic.hpp"
 
+#include <boost/asio/detached.hpp>
+
 #include <algorithm>
 #include <array>
 #include <cmath>
--- a/soak/internal/play_troubles.cpp
+++ b/soak/internal/play_troubles.cpp
@@ -1,5 +1,7 @@
 #include "soak/internal/play_troubles.hpp"
 
+#include <boost/asio/detached.hpp>
+
 #include <csignal>
 #include <cstdio>
 
--- a/soak/internal/proxy.cpp
+++ b/soak/internal/proxy.cpp
@@ -1,5 +1,6 @@
 #include "soak/internal/proxy.hpp"
 
+#include <boost/asio/detached.hpp>
 #include <boost/asio/write.hpp>
 
 #include <array>
--- a/src/front/batch_drive.cpp
+++ b/src/front/batch_drive.cpp
@@ -4,6 +4,7 @@
 #include "front/item_dispatch.hpp"
 #include "front/item_run.hpp"
 #include "front/placement.hpp"
+#include "loop/spawn.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -161,7 +162,7 @@
     auto& self = *batch->local_host;
     if (!batch->reading_log && is_log_due(batch->log, self.now(), self.settings.cancel_bound)) {
         batch->reading_log = true;
-        loop::asio::co_spawn(self.io, read_log(batch), loop::asio::detached);
+        loop::spawn(self.io, "read log", read_log(batch));
     }
 }
 
@@ -211,7 +212,7 @@
         const auto flush_due =
             next_flush_time(batch->state, default_flush_policy, deadline_of(*batch));
         if (flush_due && *flush_due <= self->now() && !batch->appending) {
-            loop::asio::co_spawn(self->io, flush_log(batch), loop::asio::detached);
+            loop::spawn(self->io, "flush log", flush_log(batch));
         }
         auto wake_at = self->now() + check_interval;
         if (flush_due && !batch->appending) {
@@ -260,7 +261,7 @@
                {"listed", static_cast<std::uint64_t>(batch->state.logged_results.size())},
                {"of", static_cast<std::uint64_t>(batch->state.spec.items.size())},
                {"age_ms", ms_between(batch->state.submitted, batch->local_host->now())}});
-    loop::asio::co_spawn(batch->local_host->io, run_batch(batch), loop::asio::detached);
+    loop::spawn(batch->local_host->io, "run batch", run_batch(batch));
 }
 
 } // namespace cornelloom::front
--- a/src/front/batch_hand_over.cpp
+++ b/src/front/batch_hand_over.cpp
@@ -2,6 +2,7 @@
 
 #include "front/batch_drive.hpp"
 #include "front/batch_log.hpp"
+#include "loop/spawn.hpp"
 
 #include <algorithm>
 
@@ -64,8 +65,7 @@
 void hand_over_all_batches(const std::shared_ptr<batch_registry>& registry) {
     for (const auto& [id, batch] : registry->batches) {
         if (batch->owned && !is_over(batch->state)) {
-            loop::asio::co_spawn(registry->self->io, hand_over(registry, batch),
-                                 loop::asio::detached);
+            loop::spawn(registry->self->io, "hand over", hand_over(registry, batch));
         }
     }
 }
--- a/src/front/batch_owner.cpp
+++ b/src/front/batch_owner.cpp
@@ -1,5 +1,7 @@
 #include "front/batch_owner.hpp"
 
+#include "loop/spawn.hpp"
+
 #include <algorithm>
 
 namespace cornelloom::front {
@@ -39,9 +41,8 @@
     ++attempts.owners_asked;
     const auto wait = std::min(call.wait, max_forwarded_wait);
     const auto answered = std::make_shared<bool>(false);
-    loop::asio::co_spawn(
-        self->io, load_unless_answered(registry, call.batch, wait + usual_owner_latency, answered),
-        loop::asio::detached);
+    loop::spawn(self->io, "load unless answered",
+                load_unless_answered(registry, call.batch, wait + usual_owner_latency, answered));
     auto forwarded = make_forwarded_request(request.message, call.account);
     auto outcome =
         co_await loop::call(self->connections, owner, std::move(forwarded),
--- a/src/front/batch_start.cpp
+++ b/src/front/batch_start.cpp
@@ -4,6 +4,7 @@
 #include "front/batch_log.hpp"
 #include "front/batch_owner.hpp"
 #include "front/records.hpp"
+#include "loop/spawn.hpp"
 
 #include <algorithm>
 
@@ -87,7 +88,7 @@
     batch->log.confirmed = log_confirmed;
     registry->batches.emplace(id, batch);
     start_running(batch, {}, "submitted");
-    loop::asio::co_spawn(self->io, announce_ownership(self, id), loop::asio::detached);
+    loop::spawn(self->io, "announce ownership", announce_ownership(self, id));
 }
 
 void drop_prepared(batch_registry& registry, const std::string& id, std::string_view reason) {
@@ -145,7 +146,7 @@
         return status_ok;
     }
     registry->prepared.emplace(id, prepared_batch{std::move(message), self.now()});
-    loop::asio::co_spawn(self.io, follow_prepared(registry, id), loop::asio::detached);
+    loop::spawn(self.io, "follow prepared", follow_prepared(registry, id));
     return status_ok;
 }
 
@@ -228,9 +229,8 @@
         prepared->current_phase = preparation::phase::declined;
         return prepared;
     }
-    loop::asio::co_spawn(registry->self->io,
-                         send_submission(registry, header, submission, prepared),
-                         loop::asio::detached);
+    loop::spawn(registry->self->io, "send submission",
+                send_submission(registry, header, submission, prepared));
     return prepared;
 }
 
--- a/src/front/batch_submit.cpp
+++ b/src/front/batch_submit.cpp
@@ -6,6 +6,7 @@
 #include "front/records.hpp"
 #include "front/submission_answer.hpp"
 #include "loop/gather.hpp"
+#include "loop/spawn.hpp"
 
 namespace cornelloom::front {
 
@@ -31,8 +32,8 @@
                                    loop::served_request& request, batch_header header,
                                    preparation_ptr prepared, store_outcome store_result) {
     auto& self = *registry->self;
-    loop::asio::co_spawn(self.io, withdraw_submission(registry, header, std::move(prepared)),
-                         loop::asio::detached);
+    loop::spawn(self.io, "withdraw submission",
+                withdraw_submission(registry, header, std::move(prepared)));
     const bool refused = choose_submission_answer(store_result) == submission_answer::refuse;
     log_event(self, batch_refused,
               {{"id", header.id},
@@ -102,9 +103,8 @@
                {"wanted", spec.value().required_groups},
                {"bytes", static_cast<std::uint64_t>(submission.size())},
                {"ms", ms_between(received, self->now())}});
-    loop::asio::co_spawn(self->io,
-                         confirm_start(registry, header, std::move(submission), prepared, stored),
-                         loop::asio::detached);
+    loop::spawn(self->io, "confirm start",
+                confirm_start(registry, header, std::move(submission), prepared, stored));
     co_await answer_status(request, 202);
 }
 
--- a/src/front/count_exchange.cpp
+++ b/src/front/count_exchange.cpp
@@ -2,6 +2,7 @@
 
 #include "kernel/number.hpp"
 #include "loop/gather.hpp"
+#include "loop/spawn.hpp"
 
 #include <algorithm>
 #include <functional>
@@ -229,9 +230,9 @@
 }
 
 void start_gathering(const std::shared_ptr<host>& self) {
-    loop::asio::co_spawn(self->io, gather_periodically(self), loop::asio::detached);
+    loop::spawn(self->io, "gather counts", gather_periodically(self));
     if (self->settings.duties && self->settings.duties->reports_usage) {
-        loop::asio::co_spawn(self->io, push_periodically(self), loop::asio::detached);
+        loop::spawn(self->io, "push counts", push_periodically(self));
     }
 }
 
--- a/src/front/crash_exchange.cpp
+++ b/src/front/crash_exchange.cpp
@@ -1,6 +1,7 @@
 #include "front/crash_exchange.hpp"
 
 #include "loop/gather.hpp"
+#include "loop/spawn.hpp"
 
 #include <algorithm>
 #include <iterator>
@@ -190,8 +191,8 @@
         co_await loop::pause_for(self->io, collect_delay);
         const auto knowledge = encode_own_crashes(*self, std::exchange(self->crashes.news, {}));
         for (auto& partner : all_partners(*self)) {
-            loop::asio::co_spawn(self->io, exchange_with(self, std::move(partner), knowledge),
-                                 loop::asio::detached);
+            loop::spawn(self->io, "exchange crashes",
+                        loop::ignore_result(exchange_with(self, std::move(partner), knowledge)));
         }
     }
 }
@@ -282,8 +283,8 @@
 }
 
 void start_crash_exchange(const std::shared_ptr<host>& self) {
-    loop::asio::co_spawn(self->io, tell_news(self), loop::asio::detached);
-    loop::asio::co_spawn(self->io, exchange_periodically(self), loop::asio::detached);
+    loop::spawn(self->io, "announce crashes", tell_news(self));
+    loop::spawn(self->io, "crash exchange", exchange_periodically(self));
 }
 
 } // namespace cornelloom::front
--- a/src/front/crash_watch.cpp
+++ b/src/front/crash_watch.cpp
@@ -2,6 +2,7 @@
 
 #include "front/host.hpp"
 #include "kernel/hash.hpp"
+#include "loop/spawn.hpp"
 
 #include <algorithm>
 #include <array>
@@ -228,7 +229,7 @@
         return;
     }
     watch.broken.emplace(number, broken_target{target, self->now(), requests_at(*self, target)});
-    loop::asio::co_spawn(self->io, check_target(self, number), loop::asio::detached);
+    loop::spawn(self->io, "check target", check_target(self, number));
 }
 
 } // namespace
--- a/src/front/follower.cpp
+++ b/src/front/follower.cpp
@@ -4,6 +4,7 @@
 #include "front/records.hpp"
 #include "front/retirement.hpp"
 #include "front/watch.hpp"
+#include "loop/spawn.hpp"
 
 #include <algorithm>
 
@@ -212,11 +213,10 @@
 
 /// Announces this host, lists what it needs to serve requests, and then watches all kinds.
 loop::task<void> start_watches(std::shared_ptr<host> self) {
-    loop::asio::co_spawn(self->io, announce_host(self), loop::asio::detached);
+    loop::spawn(self->io, "announce host", announce_host(self));
     const auto configuration =
         apply_each(self, object_kind::configuration, no_delay, apply_configuration);
-    loop::asio::co_spawn(self->io, list_once(self, list_targets_once(self), true),
-                         loop::asio::detached);
+    loop::spawn(self->io, "list once", list_once(self, list_targets_once(self), true));
     // With strict revocation, keys must not be checked against data of unknown age.
     const bool may_be_stale = !self->settings.revocation_bound;
     co_await list_once(self, configuration, may_be_stale);
@@ -268,7 +268,7 @@
 }
 
 void start_platform_watches(const std::shared_ptr<host>& self) {
-    loop::asio::co_spawn(self->io, start_watches(self), loop::asio::detached);
+    loop::spawn(self->io, "start watches", start_watches(self));
 }
 
 } // namespace cornelloom::front
--- a/src/front/gateway.cpp
+++ b/src/front/gateway.cpp
@@ -12,6 +12,7 @@
 #include "front/slot_exchange.hpp"
 #include "front/stream_call.hpp"
 #include "kernel/number.hpp"
+#include "loop/spawn.hpp"
 
 #include <algorithm>
 
@@ -266,7 +267,7 @@
     if (message.path.starts_with(start_path)) {
         status = co_await serve_start_call(registry, std::move(message));
     } else if (message.path == adopt_path) {
-        loop::asio::co_spawn(self->io, adopt_batch(registry, query("id")), loop::asio::detached);
+        loop::spawn(self->io, "adopt batch", adopt_batch(registry, query("id")));
         status = 200;
     } else if (message.path == owner_path) {
         if (const auto address = transport::parse_endpoint(query("at"))) {
--- a/src/front/item_dispatch.cpp
+++ b/src/front/item_dispatch.cpp
@@ -4,6 +4,7 @@
 #include "decide/memory_room.hpp"
 #include "front/item_hold.hpp"
 #include "front/item_run.hpp"
+#include "loop/spawn.hpp"
 
 #include <algorithm>
 #include <iterator>
@@ -102,7 +103,7 @@
     }
     if (state.output.whole) {
         state.phase = item_phase::scoring;
-        loop::asio::co_spawn(self.io, score_item(batch, index), loop::asio::detached);
+        loop::spawn(self.io, "score item", score_item(batch, index));
         return;
     }
     const auto* item_route = route_of_item(*batch, item);
@@ -149,7 +150,7 @@
     target->memory_tokens += state.memory_tokens;
     decide::earn_move(self.moves);
     decide::record_start(self.account_costs, batch->state.header.account, cost_of(item));
-    loop::asio::co_spawn(self.io, run_item(batch, index, target->entry.id), loop::asio::detached);
+    loop::spawn(self.io, "run item", run_item(batch, index, target->entry.id));
 }
 
 decide::item_progress progress_of(const item_state& state, time_point now) {
--- a/src/front/key_lookup.cpp
+++ b/src/front/key_lookup.cpp
@@ -2,6 +2,7 @@
 
 #include "front/feed.hpp"
 #include "front/follower.hpp"
+#include "loop/spawn.hpp"
 
 #include <algorithm>
 #include <ranges>
@@ -108,7 +109,7 @@
     if (!self->key_lookup) {
         self->last_key_lookup = self->now();
         self->key_lookup = std::make_shared<loop::gate>(self->io);
-        loop::asio::co_spawn(self->io, run_lookup(self, self->key_lookup), loop::asio::detached);
+        loop::spawn(self->io, "look up key", run_lookup(self, self->key_lookup));
     }
     const auto done = self->key_lookup;
     const auto until = loop::after(key_lookup_timeout);
--- a/src/front/leadership.cpp
+++ b/src/front/leadership.cpp
@@ -3,6 +3,7 @@
 #include "front/feed.hpp"
 #include "front/host.hpp"
 #include "front/records.hpp"
+#include "loop/spawn.hpp"
 
 #include <algorithm>
 
@@ -136,7 +137,7 @@
 
 void start_leader_election(const std::shared_ptr<host>& self) {
     self->lead.rules.handover_delay = self->settings.handover_delay + self->settings.resume_margin;
-    loop::asio::co_spawn(self->io, maintain_lease(self), loop::asio::detached);
+    loop::spawn(self->io, "lease", maintain_lease(self));
 }
 
 } // namespace cornelloom::front
--- a/src/front/order_giver.cpp
+++ b/src/front/order_giver.cpp
@@ -5,6 +5,7 @@
 #include "front/load_plan.hpp"
 #include "front/placement.hpp"
 #include "front/target_supply.hpp"
+#include "loop/spawn.hpp"
 
 #include <algorithm>
 
@@ -241,9 +242,8 @@
                      const transport::endpoint& where) {
     const auto loads_per_poll = scheduler->limit.times_lowered == 0 ? 1 : loads_per_polled_load;
     if (scheduler->accepted_loads++ % loads_per_poll == 0) {
-        loop::asio::co_spawn(scheduler->self->io,
-                             poll_load(scheduler, std::string(id), where, loads_per_poll),
-                             loop::asio::detached);
+        loop::spawn(scheduler->self->io, "poll load",
+                    poll_load(scheduler, std::string(id), where, loads_per_poll));
     }
 }
 
@@ -343,8 +343,7 @@
             in_startup ? service.models.size() - demands.size() : 0;
         for (auto& planned : plan_loads(demands, targets, max_concurrent_loads(scheduler->limit),
                                         scheduler->timing)) {
-            loop::asio::co_spawn(self.io, send_order(scheduler, std::move(planned)),
-                                 loop::asio::detached);
+            loop::spawn(self.io, "send order", send_order(scheduler, std::move(planned)));
         }
     }
 }
@@ -379,7 +378,7 @@
 
 void start_load_scheduler(const std::shared_ptr<host>& self) {
     auto scheduler = std::make_shared<load_scheduler>(self);
-    loop::asio::co_spawn(self->io, run(scheduler), loop::asio::detached);
+    loop::spawn(self->io, "load scheduler", run(scheduler));
 }
 
 } // namespace cornelloom::front
--- a/src/front/plain_call.cpp
+++ b/src/front/plain_call.cpp
@@ -2,6 +2,7 @@
 
 #include "front/quarantine_store.hpp"
 #include "front/send_permission.hpp"
+#include "loop/spawn.hpp"
 
 #include <algorithm>
 #include <map>
@@ -257,7 +258,7 @@
     ++state->running_attempts;
     ++state->may_have_run;
     ++state->outcome.sends;
-    loop::asio::co_spawn(self.io, run_attempt(state, std::move(plan)), loop::asio::detached);
+    loop::spawn(self.io, "run attempt", run_attempt(state, std::move(plan)));
     return true;
 }
 
--- a/src/front/process.cpp
+++ b/src/front/process.cpp
@@ -13,13 +13,22 @@
 #include "front/slot_exchange.hpp"
 #include "front/target_supplier.hpp"
 #include "front/usage_reporter.hpp"
+#include "loop/spawn.hpp"
+
+#include "kernel/events.hpp"
+#include "kernel/failures.hpp"
+#include "kernel/process_end.hpp"
+#include "kernel/progress_watch.hpp"
 
 #include <boost/asio/signal_set.hpp>
 
+#include <unistd.h>
+
 #include <csignal>
 #include <fstream>
 #include <iostream>
 #include <iterator>
+#include <system_error>
 
 namespace cornelloom::front {
 
@@ -40,6 +49,9 @@
 constexpr double serving_share = 0.8;
 constexpr double draining_share = 0.95;
 constexpr loop::milliseconds drain_poll_interval{20};
+/// A loop that does not go on for so many checks is logged as blocked.
+constexpr loop::milliseconds progress_check_interval{1000};
+constexpr int max_checks_without_progress = 3;
 /// File descriptors reserved for files, the log and the process's own sockets.
 constexpr int reserved_descriptors = 400;
 /// Calls between hosts are small, but a peer may relay a complete batch submission to the store.
@@ -182,6 +194,10 @@
 
 loop::task<void> answer_metrics(std::shared_ptr<host> self, loop::served_request& request) {
     self->metrics.set("cornelloom_log_lines_lost", static_cast<double>(kernel::lost_lines()));
+    for (const auto& [task, count] : kernel::failure_counts()) {
+        const std::array labels{kernel::label{"task", task}};
+        self->metrics.set("cornelloom_task_failures", static_cast<double>(count), labels);
+    }
     if (self->configuration_confirmed_at != time_point{}) {
         self->metrics.set("cornelloom_configuration_age_seconds",
                           static_cast<double>(configuration_age(*self).count()) / 1000);
@@ -212,10 +228,22 @@
     }
 }
 
+/// A watch that logs a blocked loop. Without a thread for it the loop goes unwatched.
+std::shared_ptr<kernel::progress_watch> watch_progress() {
+    try {
+        return kernel::start_progress_watch(progress_check_interval, max_checks_without_progress);
+    } catch (const std::system_error&) {
+        kernel::report_failure("progress watch", std::current_exception());
+        return std::make_shared<kernel::progress_watch>();
+    }
+}
+
 loop::task<void> run_housekeeping(std::shared_ptr<batch_registry> registry) {
     auto self = registry->self;
+    const auto progress = watch_progress();
     time_point connections_cleaned{};
     for (;;) {
+        ++progress->steps;
         const auto due = self->now() + housekeeping_interval;
         co_await loop::pause_for(self->io, housekeeping_interval);
         record_loop_delay(*self, ms_between(due, self->now()));
@@ -249,10 +277,24 @@
         co_await loop::pause_for(self->io, drain_poll_interval);
     }
     co_await send_all_counts(self);
-    log_event(*self, front_stopped, {{"host", self->settings.host}});
+    log_event(*self, front_stopped,
+              {{"host", self->settings.host},
+               {"in_flight", self->in_flight},
+               {"batches", static_cast<std::uint64_t>(self->running_batches.size())}});
     self->io.stop();
 }
 
+/// Logs a signal, who sent it and what the process holds.
+void log_signal(host& self, int signal) {
+    const auto sender = kernel::last_sender(signal).value_or(kernel::signal_sender{});
+    log_event(self, kernel::events::signal_received,
+              {{"signal", kernel::signal_name(signal)},
+               {"sender", static_cast<std::int64_t>(sender.process)},
+               {"user", static_cast<std::int64_t>(sender.user)},
+               {"in_flight", self.in_flight},
+               {"batches", static_cast<std::uint64_t>(self.running_batches.size())}});
+}
+
 /// Handles SIGHUP: checks the settings file and logs the result. Settings take effect at the next
 /// start only; open connections stay.
 void handle_reloads(const std::shared_ptr<host>& self, boost::asio::signal_set& signals,
@@ -261,6 +303,7 @@
         if (ec) {
             return;
         }
+        log_signal(*self, SIGHUP);
         const auto settings = self->platform_adapter.settings(read_file(file));
         log_event(*self, settings_reloaded,
                   {{"sound", settings.has_value()},
@@ -287,7 +330,7 @@
     start_quarantine_store(self);
     start_usage_reports(self);
     start_target_supply(self);
-    loop::asio::co_spawn(self->io, run_housekeeping(registry), loop::asio::detached);
+    loop::spawn(self->io, "housekeeping", run_housekeeping(registry));
 }
 
 } // namespace
@@ -310,6 +353,8 @@
     boost::asio::signal_set stop_signals(io, SIGTERM, SIGINT);
     boost::asio::signal_set reload_signals(io, SIGHUP);
     std::signal(SIGPIPE, SIG_IGN);
+    kernel::record_signal_senders({SIGTERM, SIGINT, SIGHUP});
+    kernel::report_fatal_ends(STDOUT_FILENO, kernel::log_format::json);
     const auto& wire = linked_adapter();
     auto settings = wire.settings(read_file(options.settings_file));
     if (!settings) {
@@ -334,12 +379,13 @@
     }
     const auto& self = registry->self;
     handle_reloads(self, reload_signals, options.settings_file);
-    stop_signals.async_wait([&](const boost::system::error_code& ec, int) {
+    stop_signals.async_wait([&](const boost::system::error_code& ec, int signal) {
         if (ec) {
             return;
         }
+        log_signal(*self, signal);
         if (self->settings.serves_callers) {
-            loop::asio::co_spawn(io, shut_down(registry), loop::asio::detached);
+            loop::spawn(io, "shut down", shut_down(registry));
         } else {
             log_event(*self, front_stopped, {{"host", self->settings.host}});
             io.stop();
@@ -348,8 +394,9 @@
     log_event(*self, front_started,
               {{"host", self->settings.host},
                {"zone", self->settings.zone},
-               {"serves_callers", self->settings.serves_callers}});
-    io.run();
+               {"serves_callers", self->settings.serves_callers},
+               {"process", static_cast<std::int64_t>(::getpid())}});
+    loop::run(io);
     // Coroutines still wait on the loop and never finish, so the process exits without unwinding.
     kernel::close_log();
     std::_Exit(0);
--- a/src/front/quarantine_store.cpp
+++ b/src/front/quarantine_store.cpp
@@ -2,6 +2,7 @@
 
 #include "front/crash_exchange.hpp"
 #include "front/feed.hpp"
+#include "loop/spawn.hpp"
 
 #include <algorithm>
 #include <array>
@@ -280,7 +281,7 @@
 }
 
 void start_quarantine_store(const std::shared_ptr<host>& self) {
-    loop::asio::co_spawn(self->io, maintain_quarantines(self), loop::asio::detached);
+    loop::spawn(self->io, "quarantines", maintain_quarantines(self));
 }
 
 } // namespace cornelloom::front
--- a/src/front/retirement.cpp
+++ b/src/front/retirement.cpp
@@ -1,6 +1,7 @@
 #include "front/retirement.hpp"
 
 #include "front/feed.hpp"
+#include "loop/spawn.hpp"
 
 namespace cornelloom::front {
 
@@ -22,7 +23,7 @@
 
 void answer_if_pending(const std::shared_ptr<host>& self, const stored_object& object) {
     if (!object.status.is_object()) {
-        loop::asio::co_spawn(self->io, answer_retirement(self, object.name), loop::asio::detached);
+        loop::spawn(self->io, "answer retirement", answer_retirement(self, object.name));
     }
 }
 
--- a/src/front/slot_exchange.cpp
+++ b/src/front/slot_exchange.cpp
@@ -1,6 +1,7 @@
 #include "front/slot_exchange.hpp"
 
 #include "front/answers.hpp"
+#include "loop/spawn.hpp"
 
 #include <algorithm>
 #include <ranges>
@@ -59,7 +60,7 @@
     const auto body = encode_announcement(announcement)
                           .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
     for (const auto& where : announcement_recipients(*self)) {
-        loop::asio::co_spawn(self->io, send_announcement(self, where, body), loop::asio::detached);
+        loop::spawn(self->io, "send announcement", send_announcement(self, where, body));
     }
 }
 
@@ -171,7 +172,7 @@
 }
 
 void start_slot_exchange(const std::shared_ptr<batch_registry>& registry) {
-    loop::asio::co_spawn(registry->self->io, exchange_claims(registry), loop::asio::detached);
+    loop::spawn(registry->self->io, "exchange claims", exchange_claims(registry));
 }
 
 } // namespace cornelloom::front
--- a/src/front/target_supplier.cpp
+++ b/src/front/target_supplier.cpp
@@ -2,6 +2,7 @@
 
 #include "front/count_exchange.hpp"
 #include "front/target_supply.hpp"
+#include "loop/spawn.hpp"
 
 #include <algorithm>
 #include <array>
@@ -134,8 +135,7 @@
 
 void start_target_supply(const std::shared_ptr<host>& self) {
     if (self->settings.duties && self->settings.duties->orders_targets) {
-        loop::asio::co_spawn(self->io, run(std::make_shared<supply_state>(self)),
-                             loop::asio::detached);
+        loop::spawn(self->io, "target supply", run(std::make_shared<supply_state>(self)));
     }
 }
 
--- a/src/front/usage_reporter.cpp
+++ b/src/front/usage_reporter.cpp
@@ -2,6 +2,7 @@
 
 #include "front/count_exchange.hpp"
 #include "front/usage_report.hpp"
+#include "loop/spawn.hpp"
 
 #include <algorithm>
 
@@ -169,8 +170,7 @@
 
 void start_usage_reports(const std::shared_ptr<host>& self) {
     if (self->settings.duties && self->settings.duties->reports_usage) {
-        loop::asio::co_spawn(self->io, run(std::make_shared<reporter_state>(self)),
-                             loop::asio::detached);
+        loop::spawn(self->io, "usage reports", run(std::make_shared<reporter_state>(self)));
     }
 }
 
--- a/src/front/watch.cpp
+++ b/src/front/watch.cpp
@@ -2,6 +2,7 @@
 
 #include "front/age_plan.hpp"
 #include "front/feed.hpp"
+#include "loop/spawn.hpp"
 
 #include <algorithm>
 #include <array>
@@ -353,7 +354,8 @@
 
 void start_watch(const std::shared_ptr<host>& self, watched_kind watched) {
     auto shared = std::make_shared<watched_kind>(std::move(watched));
-    loop::asio::co_spawn(self->io, keep_updated(self, std::move(shared)), loop::asio::detached);
+    loop::spawn(self->io, "watch " + std::string(to_string(shared->kind)),
+                keep_updated(self, std::move(shared)));
 }
 
 loop::task<void> list_once(std::shared_ptr<host> self, watched_kind watched, bool may_be_stale) {
--- a/src/loop/exchange.cpp
+++ b/src/loop/exchange.cpp
@@ -1,6 +1,7 @@
 #include "loop/exchange.hpp"
 
 #include "kernel/number.hpp"
+#include "loop/spawn.hpp"
 
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
@@ -213,8 +214,8 @@
     stream_->expires_at(until);
     if (request.body.size() > inline_body_bytes) {
         *body_written_ = false;
-        asio::co_spawn(stream_->get_executor(), write_behind(stream_, message, body_written_),
-                       asio::detached);
+        spawn(stream_->get_executor(), "write request",
+              write_behind(stream_, message, body_written_));
         co_return exchange_fault::none;
     }
     boost::system::error_code ec;
--- a/src/loop/listener.cpp
+++ b/src/loop/listener.cpp
@@ -1,5 +1,7 @@
 #include "loop/listener.hpp"
 
+#include "loop/spawn.hpp"
+
 #include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -317,7 +319,7 @@
         }
         const auto most = server->open_connections_most;
         if (most == 0 || server->open_connections < most) {
-            asio::co_spawn(*server->io, serve(server, std::move(socket)), asio::detached);
+            spawn(*server->io, "connection", serve(server, std::move(socket)));
         }
     }
 }
@@ -332,7 +334,7 @@
     acceptor.bind(address);
     acceptor.listen(asio::socket_base::max_listen_connections);
     auto& io = *server->io;
-    asio::co_spawn(io, accept_all(std::move(server), std::move(acceptor)), asio::detached);
+    spawn(io, "listener", accept_all(std::move(server), std::move(acceptor)));
 }
 
 } // namespace cornelloom::loop
--- a/src/loop/loop.hpp
+++ b/src/loop/loop.hpp
@@ -6,4 +6,5 @@
 #include "loop/gate.hpp"
 #include "loop/gather.hpp"
 #include "loop/listener.hpp"
+#include "loop/spawn.hpp"
 #include "loop/task.hpp"
--- a/src/loop/task.hpp
+++ b/src/loop/task.hpp
@@ -5,7 +5,6 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
--- a/tests/front/log_reader_tests.cpp
+++ b/tests/front/log_reader_tests.cpp
@@ -2,6 +2,7 @@
 
 #include "loop/gate.hpp"
 
+#include <boost/asio/detached.hpp>
 #include <catch2/catch.hpp>
 
 #include <optional>
--- a/tests/loop/endless_bytes_tests.cpp
+++ b/tests/loop/endless_bytes_tests.cpp
@@ -1,6 +1,7 @@
 #include "loop/loop.hpp"
 #include "tests/endless_bytes.hpp"
 
+#include <boost/asio/detached.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 
--- a/tests/loop/loop_tests.cpp
+++ b/tests/loop/loop_tests.cpp
@@ -1,5 +1,6 @@
 #include "loop/loop.hpp"
 
+#include <boost/asio/detached.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 
--- a/tests/soak/batch_start_tests.cpp
+++ b/tests/soak/batch_start_tests.cpp
@@ -4,6 +4,7 @@
 #include "front/live_batch.hpp"
 #include "front/records.hpp"
 
+#include <boost/asio/detached.hpp>
 #include <catch2/catch.hpp>
 
 #include <algorithm>
--- a/tests/soak/crash_retry_tests.cpp
+++ b/tests/soak/crash_retry_tests.cpp
@@ -2,6 +2,7 @@
 
 #include "loop/gather.hpp"
 
+#include <boost/asio/detached.hpp>
 #include <catch2/catch.hpp>
 
 #include <algorithm>
--- a/tests/soak/crash_rig.cpp
+++ b/tests/soak/crash_rig.cpp
@@ -2,6 +2,7 @@
 
 #include "front/adapter.hpp"
 
+#include <boost/asio/detached.hpp>
 #include <catch2/catch.hpp>
 
 #include <algorithm>
--- a/tests/soak/crash_tests.cpp
+++ b/tests/soak/crash_tests.cpp
@@ -4,6 +4,7 @@
 #include "front/crash_exchange.hpp"
 #include "front/quarantine_store.hpp"
 
+#include <boost/asio/detached.hpp>
 #include <catch2/catch.hpp>
 
 #include <algorithm>
--- a/tests/soak/owed_item_tests.cpp
+++ b/tests/soak/owed_item_tests.cpp
@@ -3,6 +3,7 @@
 #include "front/crash_exchange.hpp"
 #include "front/item_hold.hpp"
 
+#include <boost/asio/detached.hpp>
 #include <catch2/catch.hpp>
 
 #include <algorithm>
--- a/tests/soak/process_rig.cpp
+++ b/tests/soak/process_rig.cpp
@@ -1,5 +1,6 @@
 #include "process_rig.hpp"
 
+#include <boost/asio/detached.hpp>
 #include <catch2/catch.hpp>
 
 #include <algorithm>
