Start duties again that have ended

Callers saw: a host that looks well and no longer does one of its duties, such as following the list of targets, for good. An error that left the coroutine of a duty ended it, and nothing started it again. Accepting connections goes on after an error, too.

--- a/src/front/count_exchange.cpp
+++ b/src/front/count_exchange.cpp
@@ -230,9 +230,9 @@
 }
 
 void start_gathering(const std::shared_ptr<host>& self) {
-    loop::spawn(self->io, "gather counts", gather_periodically(self));
+    loop::keep_running(self->io, "gather counts", [self] { return gather_periodically(self); });
     if (self->settings.duties && self->settings.duties->reports_usage) {
-        loop::spawn(self->io, "push counts", push_periodically(self));
+        loop::keep_running(self->io, "push counts", [self] { return push_periodically(self); });
     }
 }
 
--- a/src/front/crash_exchange.cpp
+++ b/src/front/crash_exchange.cpp
@@ -283,8 +283,8 @@
 }
 
 void start_crash_exchange(const std::shared_ptr<host>& self) {
-    loop::spawn(self->io, "announce crashes", tell_news(self));
-    loop::spawn(self->io, "crash exchange", exchange_periodically(self));
+    loop::keep_running(self->io, "announce crashes", [self] { return tell_news(self); });
+    loop::keep_running(self->io, "crash exchange", [self] { return exchange_periodically(self); });
 }
 
 } // namespace cornelloom::front
--- a/src/front/leadership.cpp
+++ b/src/front/leadership.cpp
@@ -137,7 +137,7 @@
 
 void start_leader_election(const std::shared_ptr<host>& self) {
     self->lead.rules.handover_delay = self->settings.handover_delay + self->settings.resume_margin;
-    loop::spawn(self->io, "lease", maintain_lease(self));
+    loop::keep_running(self->io, "lease", [self] { return maintain_lease(self); });
 }
 
 } // namespace cornelloom::front
--- a/src/front/order_giver.cpp
+++ b/src/front/order_giver.cpp
@@ -378,7 +378,7 @@
 
 void start_load_scheduler(const std::shared_ptr<host>& self) {
     auto scheduler = std::make_shared<load_scheduler>(self);
-    loop::spawn(self->io, "load scheduler", run(scheduler));
+    loop::keep_running(self->io, "load scheduler", [scheduler] { return run(scheduler); });
 }
 
 } // namespace cornelloom::front
--- a/src/front/process.cpp
+++ b/src/front/process.cpp
@@ -330,7 +330,7 @@
     start_quarantine_store(self);
     start_usage_reports(self);
     start_target_supply(self);
-    loop::spawn(self->io, "housekeeping", run_housekeeping(registry));
+    loop::keep_running(self->io, "housekeeping", [registry] { return run_housekeeping(registry); });
 }
 
 } // namespace
--- a/src/front/quarantine_store.cpp
+++ b/src/front/quarantine_store.cpp
@@ -281,7 +281,7 @@
 }
 
 void start_quarantine_store(const std::shared_ptr<host>& self) {
-    loop::spawn(self->io, "quarantines", maintain_quarantines(self));
+    loop::keep_running(self->io, "quarantines", [self] { return maintain_quarantines(self); });
 }
 
 } // namespace cornelloom::front
--- a/src/front/slot_exchange.cpp
+++ b/src/front/slot_exchange.cpp
@@ -172,7 +172,8 @@
 }
 
 void start_slot_exchange(const std::shared_ptr<batch_registry>& registry) {
-    loop::spawn(registry->self->io, "exchange claims", exchange_claims(registry));
+    loop::keep_running(registry->self->io, "exchange claims",
+                       [registry] { return exchange_claims(registry); });
 }
 
 } // namespace cornelloom::front
--- a/src/front/target_supplier.cpp
+++ b/src/front/target_supplier.cpp
@@ -135,7 +135,8 @@
 
 void start_target_supply(const std::shared_ptr<host>& self) {
     if (self->settings.duties && self->settings.duties->orders_targets) {
-        loop::spawn(self->io, "target supply", run(std::make_shared<supply_state>(self)));
+        loop::keep_running(self->io, "target supply",
+                           [state = std::make_shared<supply_state>(self)] { return run(state); });
     }
 }
 
--- a/src/front/usage_reporter.cpp
+++ b/src/front/usage_reporter.cpp
@@ -170,7 +170,8 @@
 
 void start_usage_reports(const std::shared_ptr<host>& self) {
     if (self->settings.duties && self->settings.duties->reports_usage) {
-        loop::spawn(self->io, "usage reports", run(std::make_shared<reporter_state>(self)));
+        loop::keep_running(self->io, "usage reports",
+                           [state = std::make_shared<reporter_state>(self)] { return run(state); });
     }
 }
 
--- a/src/front/watch.cpp
+++ b/src/front/watch.cpp
@@ -354,8 +354,11 @@
 
 void start_watch(const std::shared_ptr<host>& self, watched_kind watched) {
     auto shared = std::make_shared<watched_kind>(std::move(watched));
-    loop::spawn(self->io, "watch " + std::string(to_string(shared->kind)),
-                keep_updated(self, std::move(shared)));
+    const auto name = "watch " + std::string(to_string(shared->kind));
+    loop::keep_running(self->io, name, [self, shared] {
+        shared->at = 0; // what was applied before the watch ended is not known
+        return keep_updated(self, shared);
+    });
 }
 
 loop::task<void> list_once(std::shared_ptr<host> self, watched_kind watched, bool may_be_stale) {
--- a/src/loop/listener.cpp
+++ b/src/loop/listener.cpp
@@ -1,5 +1,6 @@
 #include "loop/listener.hpp"
 
+#include "kernel/failures.hpp"
 #include "loop/spawn.hpp"
 
 #include <boost/beast/http/empty_body.hpp>
@@ -317,9 +318,13 @@
             co_await pause_for(*server->io, accept_pause);
             continue;
         }
-        const auto most = server->open_connections_most;
-        if (most == 0 || server->open_connections < most) {
-            spawn(*server->io, "connection", serve(server, std::move(socket)));
+        try {
+            const auto most = server->open_connections_most;
+            if (most == 0 || server->open_connections < most) {
+                spawn(*server->io, "connection", serve(server, std::move(socket)));
+            }
+        } catch (...) {
+            kernel::report_failure("listener", std::current_exception());
         }
     }
 }
