Read each object of the store on its own

Callers saw: hosts that end again and again, or follow a list no longer, because of one entry of another writer in it.

Cause: an answer of the store was parsed, and passed on to other hosts, as a whole. A value with 100,000 levels overflowed the stack when it was copied into the feeder's cache or encoded; a number or text that the parser doesn't take made the whole page, and with it the kind, unreadable, and the next list failed alike.

The text of an answer is split into its objects without parsing and without recursion; each is parsed on its own, if it is within the limits of length, depth and number of values of its kind. One that can't be used keeps its name and revision, is logged (9013, with its id), counted (cornelloom_unreadable_objects_total), and its text is neither kept nor passed on. Changes of a feeder are read one by one, too. A page that names nothing beyond the one before ends the list. Numbers that don't fit their field are a fault of the field in place of another number. Only the object "main" of its kind is the configuration.

--- a/src/front/adapter.hpp
+++ b/src/front/adapter.hpp
@@ -3,6 +3,7 @@
 #include "front/store_request.hpp"
 #include "front/types.hpp"
 #include "front/usage_report.hpp"
+#include "kernel/json_text.hpp"
 #include "kernel/result.hpp"
 #include "loop/exchange.hpp"
 
@@ -21,10 +22,13 @@
     std::uint64_t revision = 0;
     nlohmann::json specification;
     nlohmann::json status;
+    /// Why the specification can't be used; empty if it can. The name and the revision hold.
+    std::string fault{};
 };
 
 struct object_page {
     std::vector<stored_object> items;
+    std::size_t unnamed = 0; ///< Entries whose name or revision can't be read; not in `items`.
     bool has_more = false;
     std::uint64_t at = 0; ///< Store revision of the page.
 };
@@ -36,6 +40,7 @@
 
 struct object_changes {
     std::vector<object_change> changes;
+    std::size_t unnamed = 0; ///< As in `object_page`.
     std::uint64_t at = 0;
 };
 
@@ -133,9 +138,13 @@
                              std::string_view specification, std::uint64_t revision);
     store_request (*replace_status)(object_kind kind, std::string_view name,
                                     std::string_view status);
-    kernel::result<object_page> (*page)(std::string_view body);
-    kernel::result<object_changes> (*changes)(std::string_view body);
+    // An object whose text can't be read, or is beyond the limits, costs no other object.
+    kernel::result<object_page> (*page)(std::string_view body, const kernel::json_limits& limits);
+    kernel::result<object_changes> (*changes)(std::string_view body,
+                                              const kernel::json_limits& limits);
     kernel::result<stored_object> (*object)(std::string_view body);
+    /// Name of the one object that holds the configuration.
+    std::string_view configuration_name;
 
     // Stored objects of operators, targets and trainers.
     kernel::result<configuration> (*configuration_of)(const nlohmann::json& specification);
--- a/src/front/feed.cpp
+++ b/src/front/feed.cpp
@@ -2,6 +2,7 @@
 
 #include "front/age_plan.hpp"
 #include "front/count_exchange.hpp"
+#include "front/json.hpp"
 
 #include "kernel/number.hpp"
 
@@ -274,10 +275,14 @@
 std::string encode_feed_response(const feed_response& response) {
     json changes = json::array();
     for (const auto& change : response.changes) {
-        changes.push_back({{"name", change.object.name},
-                           {"revision", change.object.revision},
-                           {"specification", change.object.specification},
-                           {"deleted", change.deleted}});
+        json encoded = {{"name", change.object.name},
+                        {"revision", change.object.revision},
+                        {"specification", change.object.specification},
+                        {"deleted", change.deleted}};
+        if (!change.object.fault.empty()) {
+            encoded["fault"] = change.object.fault;
+        }
+        changes.push_back(std::move(encoded));
     }
     json out = {{"at", response.at}, {"changes", std::move(changes)}};
     if (response.names) {
@@ -289,27 +294,49 @@
     return out.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
-kernel::result<feed_response> decode_feed_response(std::string_view body) {
+namespace {
+
+/// Throws json::exception if fields are missing or of another type.
+object_change decode_change(std::string_view text, const kernel::json_limits& limits) {
+    auto value = parse_json(text, {limits.bytes, limits.depth + 1, limits.values});
+    object_change change;
+    change.object.name = value.at("name").get<std::string>();
+    change.object.revision = value.at("revision").get<std::uint64_t>();
+    change.object.fault = value.value("fault", "");
+    change.object.specification = std::move(value.at("specification"));
+    change.deleted = value.at("deleted").get<bool>();
+    return change;
+}
+
+} // namespace
+
+kernel::result<feed_response> decode_feed_response(std::string_view body,
+                                                   const kernel::json_limits& limits) {
+    const auto members = kernel::split_object(body);
+    const auto changes =
+        members ? kernel::split_array(kernel::find_member(*members, "changes")) : std::nullopt;
+    if (!changes) {
+        return kernel::error{kernel::error_code::invalid_input, "no array of changes"};
+    }
+    feed_response out;
     try {
-        auto value = json::parse(body);
-        feed_response out;
-        out.at = value.at("at").get<std::uint64_t>();
-        for (auto& each : value.at("changes")) {
-            object_change change;
-            change.object.name = each.at("name").get<std::string>();
-            change.object.revision = each.at("revision").get<std::uint64_t>();
-            change.object.specification = std::move(each.at("specification"));
-            change.deleted = each.at("deleted").get<bool>();
-            out.changes.push_back(std::move(change));
-        }
-        if (value.contains("names")) {
-            out.names = value["names"].get<std::vector<std::string>>();
+        out.at = parse_json(kernel::find_member(*members, "at")).get<std::uint64_t>();
+        const auto names = kernel::find_member(*members, "names");
+        if (!names.empty()) {
+            out.names = parse_json(names).get<std::vector<std::string>>();
         }
-        out.partial = value.value("partial", false);
-        return out;
+        out.partial = kernel::find_member(*members, "partial") == "true";
     } catch (const json::exception& fault) {
         return kernel::error{kernel::error_code::invalid_input, fault.what()};
     }
+    for (const auto text : *changes) {
+        try {
+            out.changes.push_back(decode_change(text, limits));
+        } catch (const json::exception&) {
+            ++out.unnamed;
+        }
+    }
+    return out;
 }
 
 loop::task<void> serve_feed(std::shared_ptr<host> self, loop::served_request& request) {
--- a/src/front/feed.hpp
+++ b/src/front/feed.hpp
@@ -72,7 +72,8 @@
     /// Names of all existing objects; any other object is deleted. If absent, `changes` contains
     /// the deletions.
     std::optional<std::vector<std::string>> names{};
-    bool partial = false; ///< More changes follow, from `at` on.
+    bool partial = false;    ///< More changes follow, from `at` on.
+    std::size_t unnamed = 0; ///< Changes that can't be read.
 };
 
 /// States in a response from when the data are, as the time since the request arrived; negative:
@@ -103,7 +104,9 @@
                const std::vector<std::string>& names);
 
 [[nodiscard]] std::string encode_feed_response(const feed_response& response);
-[[nodiscard]] kernel::result<feed_response> decode_feed_response(std::string_view body);
+/// An object beyond the limits, or that can't be read, costs no other object.
+[[nodiscard]] kernel::result<feed_response>
+decode_feed_response(std::string_view body, const kernel::json_limits& limits = {});
 
 /// Handles a feed request; holds it for up to `feed_poll_wait` while there are no updates.
 loop::task<void> serve_feed(std::shared_ptr<host> self, loop::served_request& request);
--- a/src/front/follower.cpp
+++ b/src/front/follower.cpp
@@ -1,6 +1,7 @@
 #include "front/follower.hpp"
 
 #include "front/feed.hpp"
+#include "front/json.hpp"
 #include "front/records.hpp"
 #include "front/retirement.hpp"
 #include "front/watch.hpp"
@@ -22,11 +23,10 @@
 /// Delay at start. Hosts start at the same time; after this, each knows most peers of its zone.
 constexpr loop::milliseconds startup_delay{400};
 
-std::optional<target_entry> decode_target(host& self, const stored_object& object) {
+std::optional<target_entry> decode_target(host& self, stored_object& object) {
     auto read = self.platform_adapter.target(object);
     if (!read) {
-        log_event(self, object_unreadable,
-                  {{"kind", "targets"}, {"id", object.name}, {"problem", read.error().detail}});
+        mark_unusable(self, object_kind::targets, object, read.error().detail);
         return std::nullopt;
     }
     return read.value();
@@ -64,9 +64,9 @@
                {"revision", newest->object.revision}});
 }
 
-void apply_target_list(host& self, std::span<const stored_object> all) {
+void apply_target_list(host& self, std::span<stored_object> all) {
     std::vector<target_entry> entries;
-    for (const auto& object : all) {
+    for (auto& object : all) {
         if (auto entry = decode_target(self, object)) {
             entries.push_back(std::move(*entry));
         }
@@ -76,7 +76,7 @@
     self.startup_changed.open();
 }
 
-void apply_target_changes(host& self, std::span<const object_change> changes) {
+void apply_target_changes(host& self, std::span<object_change> changes) {
     const auto deleted_count = std::ranges::count_if(changes, &object_change::deleted);
     const auto since_failure = std::chrono::duration_cast<milliseconds>(
         loop::steady_clock::now() - self.store.paths.last_direct_failure);
@@ -85,7 +85,7 @@
         defer_removals(self);
     }
     const auto previous_count = self.targets.by_id.size();
-    for (const auto& change : changes) {
+    for (auto& change : changes) {
         if (change.deleted) {
             log_event(self, target_gone, {{"target", change.object.name}});
             remove_target(self.targets, change.object.name, self.now());
@@ -101,11 +101,10 @@
     report_target_changes(self, changes, previous_count);
 }
 
-void apply_version(host& self, const stored_object& object) {
+void apply_version(host& self, stored_object& object) {
     auto read = self.platform_adapter.version(object.specification);
     if (!read) {
-        log_event(self, object_unreadable,
-                  {{"kind", "versions"}, {"problem", read.error().detail}});
+        mark_unusable(self, object_kind::versions, object, read.error().detail);
         return;
     }
     auto& known = self.published_versions[read.value().model];
@@ -117,7 +116,7 @@
     }
 }
 
-void apply_peer(host& self, const stored_object& object) {
+void apply_peer(host& self, stored_object& object) {
     if (object.name == self.settings.host) {
         return;
     }
@@ -125,20 +124,19 @@
     if (read) {
         self.peers[object.name] = std::move(read.value());
     } else {
-        log_event(self, object_unreadable, {{"kind", "hosts"}, {"problem", read.error().detail}});
+        mark_unusable(self, object_kind::hosts, object, read.error().detail);
     }
 }
 
 /// Watches a kind whose objects are applied one by one and are kept when they are deleted.
 watched_kind apply_each(const std::shared_ptr<host>& self, object_kind kind,
-                        loop::milliseconds (*delay)(), void (*apply)(host&, const stored_object&)) {
+                        loop::milliseconds (*delay)(), void (*apply)(host&, stored_object&)) {
     return {kind, delay,
-            [self, apply](std::span<const stored_object> all) {
-                std::ranges::for_each(all,
-                                      [&](const stored_object& object) { apply(*self, object); });
+            [self, apply](std::span<stored_object> all) {
+                std::ranges::for_each(all, [&](stored_object& object) { apply(*self, object); });
             },
-            [self, apply](std::span<const object_change> changes) {
-                for (const auto& change : changes) {
+            [self, apply](std::span<object_change> changes) {
+                for (auto& change : changes) {
                     if (!change.deleted) {
                         apply(*self, change.object);
                     }
@@ -150,7 +148,7 @@
 /// host's process was stopped or killed and has started again.
 bool already_stored(const host& self, std::string_view body, std::string_view record) {
     const auto object = self.platform_adapter.object(body);
-    return object && object.value().specification == nlohmann::json::parse(record, nullptr, false);
+    return object && object.value().specification == parse_json(record);
 }
 
 loop::task<void> announce_host(std::shared_ptr<host> self) {
@@ -179,10 +177,9 @@
     const auto delay = [self, usual_delay] {
         return self->sends_load_orders ? std::min(usual_delay, max_order_giver_delay) : usual_delay;
     };
-    return {
-        object_kind::targets, delay,
-        [self](std::span<const stored_object> all) { apply_target_list(*self, all); },
-        [self](std::span<const object_change> changes) { apply_target_changes(*self, changes); }};
+    return {object_kind::targets, delay,
+            [self](std::span<stored_object> all) { apply_target_list(*self, all); },
+            [self](std::span<object_change> changes) { apply_target_changes(*self, changes); }};
 }
 
 /// A single list of targets, which may be seconds old, for requests that come before the watch has
@@ -191,12 +188,12 @@
 watched_kind list_targets_once(const std::shared_ptr<host>& self) {
     return {object_kind::targets,
             {},
-            [self](std::span<const stored_object> all) {
+            [self](std::span<stored_object> all) {
                 if (!self->targets_listed) {
                     apply_target_list(*self, all);
                 }
             },
-            [](std::span<const object_change>) {}};
+            [](std::span<object_change>) {}};
 }
 
 /// Only the host that gives orders to targets, and one that may have to take over, needs versions.
@@ -237,12 +234,17 @@
 
 } // namespace
 
-void apply_configuration(host& self, const stored_object& object) {
+void apply_configuration(host& self, stored_object& object) {
+    if (object.name != self.platform_adapter.configuration_name) {
+        mark_unusable(self, object_kind::configuration, object, "not the configuration");
+        return;
+    }
     auto read = self.platform_adapter.configuration_of(object.specification);
     if (!read) {
         self.configuration_valid = false;
-        log_event(self, object_unreadable,
-                  {{"kind", "configuration"}, {"problem", read.error().detail}});
+        // Passed on as it is: a host of another version may be able to read it.
+        report_unreadable(self, "configuration", object.name,
+                          object.fault.empty() ? read.error().detail : object.fault);
         return;
     }
     self.configuration_valid = true;
--- a/src/front/host.cpp
+++ b/src/front/host.cpp
@@ -3,6 +3,7 @@
 #include "kernel/hash.hpp"
 #include "kernel/registry.hpp"
 
+#include <array>
 #include <cstdlib>
 #include <iostream>
 
@@ -136,4 +137,11 @@
     kernel::log(kind, fields);
 }
 
+void report_unreadable(host& self, std::string_view kind, std::string_view name,
+                       std::string_view problem) {
+    log_event(self, object_unreadable, {{"kind", kind}, {"id", name}, {"problem", problem}});
+    const std::array labels{kernel::label{"kind", kind}};
+    self.metrics.count("cornelloom_unreadable_objects_total", labels);
+}
+
 } // namespace cornelloom::front
--- a/src/front/host.hpp
+++ b/src/front/host.hpp
@@ -152,6 +152,11 @@
 /// Logs an event unless it has reached its rate limit in the current second.
 void log_event(host& self, const kernel::event& kind, std::initializer_list<kernel::field> fields);
 
+/// Logs and counts an object that can't be read, or another message of that kind. `name`: empty if
+/// it has none.
+void report_unreadable(host& self, std::string_view kind, std::string_view name,
+                       std::string_view problem);
+
 /// What this host has read from the store since its start.
 [[nodiscard]] inline startup_state startup_state_of(const host& self) {
     const bool confirmed =
--- a/src/front/key_lookup.cpp
+++ b/src/front/key_lookup.cpp
@@ -2,6 +2,7 @@
 
 #include "front/feed.hpp"
 #include "front/follower.hpp"
+#include "front/watch.hpp"
 #include "loop/spawn.hpp"
 
 #include <algorithm>
@@ -19,7 +20,7 @@
 }
 
 /// An older copy must not stand for the newest one, which may have been unreadable.
-void apply_if_newer(host& self, const stored_object& object) {
+void apply_if_newer(host& self, stored_object& object) {
     const auto read = self.platform_adapter.configuration_of(object.specification);
     if (read && read.value().version > known_version(self)) {
         apply_configuration(self, object);
@@ -56,11 +57,12 @@
         avoid_feeder(self->avoided, neighbour->name, self->now());
         co_return;
     }
-    const auto response = decode_feed_response(outcome.answer.body);
+    auto response =
+        decode_feed_response(outcome.answer.body, object_limits(object_kind::configuration));
     if (!response) {
         co_return;
     }
-    for (const auto& change : response.value().changes) {
+    for (auto& change : response.value().changes) {
         if (!change.deleted) {
             apply_if_newer(*self, change.object);
         }
@@ -73,11 +75,11 @@
     if (answer.fault != store_outcome::none) {
         co_return;
     }
-    const auto page = self->platform_adapter.page(answer.body);
+    auto page = self->platform_adapter.page(answer.body, object_limits(object_kind::configuration));
     if (!page) {
         co_return;
     }
-    for (const auto& object : page.value().items) {
+    for (auto& object : page.value().items) {
         apply_if_newer(*self, object);
     }
 }
--- a/src/front/watch.cpp
+++ b/src/front/watch.cpp
@@ -46,6 +46,16 @@
     }
 }
 
+/// Limits of an object that another writer may have left among those of a kind. Entries of targets
+/// and hosts have a few hundred bytes.
+constexpr kernel::json_limits small_object_limits{16384, 32, 1024};
+
+void report_unnamed(host& self, object_kind kind, std::size_t unnamed) {
+    for (std::size_t each = 0; each < unnamed; ++each) {
+        report_unreadable(self, to_string(kind), {}, "no name");
+    }
+}
+
 age_plan plan_of(const host& self, const watched_kind& watched) {
     return plan_age(watched.kind, self.settings);
 }
@@ -90,17 +100,19 @@
         if (response.fault != store_outcome::none) {
             co_return false;
         }
-        auto page = self->platform_adapter.page(response.body);
+        auto page = self->platform_adapter.page(response.body, object_limits(watched->kind));
         if (!page) {
-            log_event(*self, object_unreadable,
-                      {{"kind", to_string(watched->kind)}, {"problem", page.error().detail}});
+            report_unreadable(*self, to_string(watched->kind), {}, page.error().detail);
             co_return false;
         }
+        report_unnamed(*self, watched->kind, page.value().unnamed);
         out.at = out.at == 0 ? page.value().at : out.at;
         out.source = source_of(response);
         std::ranges::move(page.value().items, std::back_inserter(out.items));
-        more = page.value().has_more && !out.items.empty();
-        after = out.items.empty() ? std::string() : out.items.back().name;
+        const auto last = out.items.empty() ? std::string() : out.items.back().name;
+        // A page that names nothing beyond the one before would be read again and again.
+        more = page.value().has_more && last > after;
+        after = last;
     }
     co_return true;
 }
@@ -124,12 +136,12 @@
         co_return false;
     }
     record_source(*self, watched->kind, all.source);
-    cache_list(*self, watched->kind, all.items, all.at);
     watched->known_names.clear();
     for (const auto& object : all.items) {
         watched->known_names.insert(object.name);
     }
     watched->on_list(all.items);
+    cache_list(*self, watched->kind, all.items, all.at);
     watched->at = all.at;
     record_confirmed(*self, watched->kind, requested_at);
     co_return true;
@@ -197,15 +209,16 @@
         watched->at = 0;
         co_return false;
     }
-    auto changes = self->platform_adapter.changes(response.body);
+    auto changes = self->platform_adapter.changes(response.body, object_limits(watched->kind));
     if (!changes) {
-        log_event(*self, object_unreadable,
-                  {{"kind", to_string(watched->kind)}, {"problem", changes.error().detail}});
+        report_unreadable(*self, to_string(watched->kind), {}, changes.error().detail);
         watched->at = 0;
         co_return false;
     }
     const auto answered = self->clock.boot_now();
-    if (changes.value().changes.empty() && answered < sent + wait * 9 / 10) {
+    const bool unchanged = changes.value().changes.empty() && changes.value().unnamed == 0;
+    report_unnamed(*self, watched->kind, changes.value().unnamed);
+    if (unchanged && answered < sent + wait * 9 / 10) {
         log_event(*self, watch_cut,
                   {{"watch", to_string(watched->kind)},
                    {"at", watched->at},
@@ -214,15 +227,14 @@
         co_return true;
     }
     record_source(*self, watched->kind, source_of(response));
-    const bool unchanged = changes.value().changes.empty();
     if (!unchanged) {
         watched->at = std::max(watched->at, changes.value().at);
     }
-    cache_changes(*self, watched->kind, changes.value().changes, watched->at);
     if (!changes.value().changes.empty()) {
         update_known_names(*watched, changes.value().changes);
         watched->on_changes(changes.value().changes);
     }
+    cache_changes(*self, watched->kind, changes.value().changes, watched->at);
     record_confirmed(*self, watched->kind,
                      unchanged ? confirmed_by_poll(sent, answered, wait, plan) : sent);
     if (!unchanged) {
@@ -279,7 +291,8 @@
     }
     const bool responded = outcome.fault == loop::exchange_fault::none;
     auto decoded =
-        decode_feed_response(responded && outcome.answer.status == 200 ? outcome.answer.body : "");
+        decode_feed_response(responded && outcome.answer.status == 200 ? outcome.answer.body : "",
+                             object_limits(watched->kind));
     if (!decoded) {
         log_event(*self, feeder_lost,
                   {{"watch", to_string(watched->kind)},
@@ -290,6 +303,7 @@
         co_return true;
     }
     auto& feeder_response = decoded.value();
+    report_unnamed(*self, watched->kind, feeder_response.unnamed);
     record_source(*self, watched->kind, copy_source::feeder, feeder.name);
     apply_feed_response(*watched, feeder_response);
     watched->at = std::max(watched->at, feeder_response.at);
@@ -345,6 +359,16 @@
 
 } // namespace
 
+void mark_unusable(host& self, object_kind kind, stored_object& object, std::string_view problem) {
+    object.fault = object.fault.empty() ? std::string(problem) : object.fault;
+    object.specification = nullptr;
+    report_unreadable(self, to_string(kind), object.name, object.fault);
+}
+
+kernel::json_limits object_limits(object_kind kind) {
+    return kind == object_kind::configuration ? kernel::json_limits{} : small_object_limits;
+}
+
 void defer_removals(host& self) {
     const auto disturbed_ago = loop::steady_clock::now() - self.store.paths.last_failure_started;
     record_platform_return(self.targets, self.now(),
--- a/src/kernel/kernel.hpp
+++ b/src/kernel/kernel.hpp
@@ -8,6 +8,7 @@
 #include "kernel/finding.hpp"
 #include "kernel/hash.hpp"
 #include "kernel/identifiers.hpp"
+#include "kernel/json_text.hpp"
 #include "kernel/metrics.hpp"
 #include "kernel/number.hpp"
 #include "kernel/process_end.hpp"
--- a/tests/platform/adapter_tests.cpp
+++ b/tests/platform/adapter_tests.cpp
@@ -237,6 +237,88 @@
     CHECK_FALSE(decode_target(object_with(entry.dump())).has_value());
 }
 
+namespace {
+
+std::string nested(std::size_t levels) {
+    return std::string(levels, '[') + std::string(levels, ']');
+}
+
+std::string page_with(const std::string& odd_entry) {
+    return R"({"items":[{"metadata":{"name":"a","revision":3},"specification":{"x":1}},)" +
+           odd_entry +
+           R"(,{"metadata":{"name":"c","revision":5},"specification":{"x":2}}],"more":true,"at":9})";
+}
+
+std::string entry_with(const std::string& specification) {
+    return R"({"metadata":{"name":"b","revision":4},"specification":)" + specification + "}";
+}
+
+} // namespace
+
+TEST_CASE("an object that can't be read costs no other object", "[platform][objects]") {
+    // Guards against a list that is unreadable, or ends the process, for one entry in it.
+    const auto odd = GENERATE(values<std::string>(
+        {nested(100000), R"({"slots":1e999999})", R"({"zone":"\ud800"})", "{\"zone\":\"\xff\"}",
+         R"({"x":tru})", "", R"("open)" + std::string("\""), std::string(200000, '7'),
+         R"({"x":")" + std::string(900000, 'x') + R"("})"}));
+    const kernel::json_limits limits{16384, 32, 1024};
+    const auto page = decode_page(page_with(entry_with(odd)), limits);
+    REQUIRE(page);
+    CHECK(page.value().at == 9);
+    CHECK(page.value().has_more);
+    CHECK(page.value().unnamed == 0);
+    REQUIRE(page.value().items.size() == 3);
+    CHECK(page.value().items[0].specification["x"] == 1);
+    CHECK(page.value().items[2].specification["x"] == 2);
+    CHECK(page.value().items[1].name == "b");
+    CHECK(page.value().items[1].revision == 4);
+    CHECK((odd.empty() || odd.starts_with("\"") || !page.value().items[1].fault.empty()));
+
+    const auto changes = decode_changes(R"({"at":9,"events":[{"object":)" + entry_with(odd) +
+                                            R"(,"deleted":false},{"object":)" + entry_with("{}") +
+                                            R"(,"deleted":true}]})",
+                                        limits);
+    REQUIRE(changes);
+    REQUIRE(changes.value().changes.size() == 2);
+    CHECK(changes.value().changes[0].object.name == "b");
+    CHECK_FALSE(changes.value().changes[0].deleted);
+    CHECK(changes.value().changes[1].deleted);
+}
+
+TEST_CASE("an object whose name can't be read is counted and costs no other object",
+          "[platform][objects]") {
+    // Guards against a list that is unreadable for metadata of another type.
+    const auto odd = GENERATE(values<std::string>(
+        {R"({"specification":{}})", R"({"metadata":{"revision":4}})", "7", "null", "[1,2]",
+         R"({"metadata":{"name":7,"revision":4}})", R"({"metadata":{"name":"b","revision":"x"}})",
+         R"({"metadata":{"name":"\ud800","revision":4}})",
+         R"({"metadata":{"name":"b","revision":18446744073709551615}})",
+         R"({"metadata":)" + nested(100000) + "}"}));
+    const auto page = decode_page(page_with(odd), {});
+    REQUIRE(page);
+    CHECK(page.value().items.size() == 2);
+    CHECK(page.value().unnamed == 1);
+}
+
+TEST_CASE("a listing that was not received whole is not read", "[platform][objects]") {
+    const auto text = page_with(entry_with("{}"));
+    for (std::size_t size = 0; size < text.size(); ++size) {
+        CHECK_FALSE(decode_page(text.substr(0, size), {}));
+    }
+}
+
+TEST_CASE("numbers that don't fit are faults of their fields", "[platform][documents]") {
+    // Guards against numbers that change their value or sign when they are narrowed.
+    const auto large = GENERATE(values<std::string>(
+        {"18446744073709551615", "9223372036854775808", "99999999999", "1e300", "-1e300"}));
+    const auto text = R"({"model":"m","version":)" + large + "}";
+    CHECK_FALSE(decode_version(json::parse(text)).has_value());
+    const json value{{"span", json::parse(large == "99999999999" ? "1e13" : large)}};
+    field_reader in(value, "place");
+    CHECK(in.time("span") == milliseconds(0));
+    CHECK_FALSE(in.sound());
+}
+
 TEST_CASE("damaged messages give an error or a value, never a crash", "[platform]") {
     rc::prop("submissions", [] {
         const auto value = parse_json(damage(submission_text));
@@ -263,8 +345,8 @@
         const auto text = damage(
             R"({"items":[{"metadata":{"name":"a","revision":3},"specification":{}}],"more":false,)"
             R"("at":5,"events":[{"deleted":false,"object":{"metadata":{"name":"a","revision":3}}}]})");
-        (void)decode_page(text);
-        (void)decode_changes(text);
+        (void)decode_page(text, {});
+        (void)decode_changes(text, {});
         (void)decode_object(text);
         (void)decode_report(text);
     });
--- a/tests/soak/process_rig.cpp
+++ b/tests/soak/process_rig.cpp
@@ -127,6 +127,21 @@
                                   {first, second}, {});
 }
 
+std::size_t restart_ended(process_rig& rig) {
+    std::size_t ended = 0;
+    for (auto& host : rig.hosts) {
+        ended += tend(*host) ? 1 : 0;
+    }
+    return ended;
+}
+
+void restart(process_rig& rig, std::size_t host) {
+    auto& one = *rig.hosts.at(host);
+    signal(one, SIGKILL);
+    one.process.wait();
+    start(one);
+}
+
 void play(process_rig& rig, const std::function<loop::task<void>()>& body) {
     std::exception_ptr failure;
     const auto run = [&]() -> loop::task<void> {
--- a/tests/soak/process_rig.hpp
+++ b/tests/soak/process_rig.hpp
@@ -64,6 +64,12 @@
 /// Stores the next configuration, which sends requests to that service.
 void route_to(process_rig& rig, std::uint64_t version, std::string_view service);
 
+/// Starts the hosts again that have ended. Returns those that ended without having been told to.
+std::size_t restart_ended(process_rig& rig);
+
+/// Ends the host and starts it again.
+void restart(process_rig& rig, std::size_t host);
+
 /// Runs the coroutine on the rig's loop once the hosts have warmed up, then stops all processes.
 void play(process_rig& rig, const std::function<loop::task<void>()>& body);
 
