Answer a request whose handler fails

Callers saw: a connection that closes without an answer, or that stays open, when an error leaves the handler of their request; and the host counted the request as in progress for good, so that its next stop waited for it to the end.

Cause: the error left the coroutine of the connection. The count ends with the handler, whichever way.

Test: "an error that leaves a handler is answered and costs no other request"; before, its first call ended without an answer.

--- a/src/front/process.cpp
+++ b/src/front/process.cpp
@@ -160,11 +160,24 @@
     };
 }
 
+/// Counts a request in progress as long as it lives.
+struct in_flight_count {
+    explicit in_flight_count(std::shared_ptr<host> owner) : self(std::move(owner)) {
+        ++self->in_flight;
+    }
+
+    ~in_flight_count() { --self->in_flight; }
+
+    in_flight_count(const in_flight_count&) = delete;
+    in_flight_count& operator=(const in_flight_count&) = delete;
+
+    std::shared_ptr<host> self;
+};
+
 loop::task<void> serve_counted(std::shared_ptr<batch_registry> registry,
                                loop::served_request& request) {
-    ++registry->self->in_flight;
+    const in_flight_count counted(registry->self);
     co_await serve_caller(registry, request);
-    --registry->self->in_flight;
 }
 
 void listen_for_callers(const std::shared_ptr<batch_registry>& registry) {
--- a/src/loop/listener.cpp
+++ b/src/loop/listener.cpp
@@ -39,6 +39,9 @@
 /// Accepting again after the process ran out of descriptors.
 constexpr milliseconds accept_pause{50};
 
+/// Promises nothing: the request may have run.
+constexpr int status_internal_error = 500;
+
 using request_parser = http::request_parser<http::string_body>;
 
 std::string chunk(std::string_view bytes) {
@@ -126,6 +129,7 @@
     out.keep_alive(keep_open_);
     out.body() = std::move(response.body);
     out.content_length(out.body().size());
+    started_ = true;
     stream_->expires_after(write_limit);
     boost::system::error_code ec;
     co_await http::async_write(*stream_, out, asio::redirect_error(asio::use_awaitable, ec));
@@ -142,6 +146,7 @@
     out.keep_alive(keep_open_);
     out.chunked(true);
     http::response_serializer<http::empty_body> writer(out);
+    started_ = true;
     stream_->expires_after(write_limit);
     boost::system::error_code ec;
     co_await http::async_write_header(*stream_, writer,
@@ -254,6 +259,17 @@
         }
     }
 
+    /// Whether the handler has returned; an error that leaves it is reported.
+    task<bool> handle(served_request& request) {
+        try {
+            co_await server->handler(request);
+            co_return true;
+        } catch (...) {
+            kernel::report_failure("request handler", std::current_exception());
+        }
+        co_return false;
+    }
+
     /// Serves one request; whether another one may follow.
     task<bool> serve_next() {
         const auto limits = server->limits();
@@ -275,8 +291,15 @@
         watch->gone = request.gone_;
         watch->notify = request.notify_;
         watch_close(stream.socket(), watch);
-        co_await server->handler(request);
+        const bool handled = co_await handle(request);
         watch->over = true;
+        if (!handled && request.started_) {
+            co_return false; // the caller sees that the answer broke off
+        }
+        if (!handled) {
+            co_await refuse(status_internal_error);
+            co_return false;
+        }
         if (request.keeps_open()) {
             stream.socket().cancel();
             co_return true;
--- a/src/loop/listener.hpp
+++ b/src/loop/listener.hpp
@@ -53,6 +53,7 @@
     std::shared_ptr<bool> gone_ = std::make_shared<bool>(false);
     std::shared_ptr<std::function<void()>> notify_ = std::make_shared<std::function<void()>>();
     bool keep_open_;
+    bool started_ = false; ///< Some of an answer may have been written.
     bool answered_ = false;
     bool abandoned_ = false;
 };
--- a/tests/loop/loop_tests.cpp
+++ b/tests/loop/loop_tests.cpp
@@ -8,6 +8,7 @@
 
 #include <functional>
 #include <optional>
+#include <stdexcept>
 
 using namespace cornelloom;
 using namespace cornelloom::loop;
@@ -418,6 +419,47 @@
     });
 }
 
+TEST_CASE("an error that leaves a handler is answered and costs no other request",
+          "[loop][listener]") {
+    // Guards against a caller that gets no answer, or half of one that looks whole.
+    io_context io(1);
+    auto server = std::make_shared<listener>();
+    server->io = &io;
+    server->limits = [] { return caller_limits{}; };
+    server->handler = [&](served_request& request) -> task<void> {
+        const auto path = request.message.path;
+        if (path == "/stream") {
+            co_await request.begin(200, {});
+            co_await request.piece("first");
+        }
+        if (path != "/sound") {
+            throw std::runtime_error("odd request");
+        }
+        transport::http_response answer{200, {}, "sound"};
+        co_await request.answer(std::move(answer));
+    };
+    tcp::acceptor probe(io, tcp::endpoint(tcp::v4(), 0));
+    const transport::endpoint where{"127.0.0.1", probe.local_endpoint().port()};
+    probe.close();
+    start_listening(server, where);
+    run(io, [&]() -> task<void> {
+        connection_pool pool(io);
+        const auto ask = [&](std::string path) -> task<call_outcome> {
+            transport::http_request request;
+            request.method = "GET";
+            request.path = std::move(path);
+            request.headers.push_back({"Host", "h"});
+            return call(pool, where, std::move(request), after(1s), 500ms);
+        };
+        const auto failed = co_await ask("/fails");
+        CHECK(failed.answer.status == 500);
+        const auto broken = co_await ask("/stream");
+        CHECK(broken.fault == exchange_fault::broken);
+        const auto sound = co_await ask("/sound");
+        CHECK(sound.answer.status == 200);
+    });
+}
+
 TEST_CASE("bad input gets the status that names it, and nothing runs", "[loop][listener]") {
     io_context io(1);
     auto server = std::make_shared<listener>();
