Start although an address, or the settings file, is not to be had yet

Now an address that can't be bound is tried again until it can, which is logged (5501, 5502); the host is not ready before callers can reach it. A settings file that can't be read is read again for 10 s (9070).

--- a/src/front/events.hpp
+++ b/src/front/events.hpp
@@ -15,6 +15,9 @@
                                      "the daemon has stopped"};
 inline constexpr event settings_reloaded{9004, "settings_reloaded", event_level::info,
                                          "the settings file was checked on SIGHUP"};
+inline constexpr event settings_unreadable{
+    9070, "settings_unreadable", event_level::warning,
+    "the settings file can't be read at the start; it is read again for a while"};
 inline constexpr event lines_dropped{9005, "lines_dropped", event_level::warning,
                                      "log lines of an event were dropped by its rate limit"};
 inline constexpr event loop_delayed{9006, "loop_delayed", event_level::warning,
--- a/src/front/process.cpp
+++ b/src/front/process.cpp
@@ -28,14 +28,19 @@
 #include <fstream>
 #include <iostream>
 #include <iterator>
+#include <optional>
 #include <system_error>
+#include <thread>
 
 namespace cornelloom::front {
 
 namespace {
 
 constexpr int exit_invalid_settings = 2;
-constexpr int exit_start_failed = 3;
+
+/// How long a settings file that can't be read may take to become sound.
+constexpr loop::milliseconds settings_patience{10000};
+constexpr loop::milliseconds settings_read_interval{100};
 
 /// Interval for the cleanup of vanished targets and unused batches.
 constexpr loop::milliseconds housekeeping_interval{250};
@@ -59,6 +64,8 @@
 /// Longer than any pause between two calls, so that connections between hosts stay open.
 constexpr loop::milliseconds peer_idle_timeout{30000};
 
+using listener_ptr = std::shared_ptr<loop::listener>;
+
 std::string read_file(const std::string& name) {
     std::ifstream in(name, std::ios::binary);
     return {std::istreambuf_iterator<char>(in), std::istreambuf_iterator<char>()};
@@ -180,7 +187,7 @@
     co_await serve_caller(registry, request);
 }
 
-void listen_for_callers(const std::shared_ptr<batch_registry>& registry) {
+listener_ptr listen_for_callers(const std::shared_ptr<batch_registry>& registry) {
     auto self = registry->self;
     auto server = std::make_shared<loop::listener>();
     server->io = &self->io;
@@ -193,15 +200,18 @@
     server->closing = [self] { return self->stopping; };
     server->open_connections_most = static_cast<std::size_t>(
         std::max(self->settings.file_descriptors - reserved_descriptors, 100));
-    loop::start_listening(server, self->settings.caller_endpoint);
+    loop::keep_listening(server, self->settings.caller_endpoint);
+    return server;
 }
 
 /// Reports whether callers can be served and the process is not stopping. A host whose
 /// configuration is too old to check keys refuses most requests, so it is not ready either.
-loop::task<void> answer_readiness(std::shared_ptr<host> self, loop::served_request& request) {
+loop::task<void> answer_readiness(std::shared_ptr<host> self, listener_ptr callers,
+                                  loop::served_request& request) {
     const auto bounds = age_limits_of(self->settings);
     const bool keys_valid = !bounds.max_key_age || configuration_age(*self) <= *bounds.max_key_age;
-    const bool ready = is_ready(startup_state_of(*self)) && keys_valid && !self->stopping;
+    const bool ready =
+        callers->listening && is_ready(startup_state_of(*self)) && keys_valid && !self->stopping;
     co_await answer_status(request, ready ? 200 : 503);
 }
 
@@ -230,7 +240,7 @@
         limits.idle_time = peer_idle_timeout;
         return limits;
     };
-    loop::start_listening(server, address);
+    loop::keep_listening(server, address);
 }
 
 /// Records how late the housekeeping timer fired: the loop was blocked or the CPU was busy.
@@ -327,10 +337,11 @@
 
 void start_serving(const std::shared_ptr<batch_registry>& registry) {
     auto self = registry->self;
-    listen_for_callers(registry);
-    start_internal_listener(
-        self, self->settings.readiness_endpoint,
-        [self](loop::served_request& request) { return answer_readiness(self, request); });
+    const auto callers = listen_for_callers(registry);
+    start_internal_listener(self, self->settings.readiness_endpoint,
+                            [self, callers](loop::served_request& request) {
+                                return answer_readiness(self, callers, request);
+                            });
     start_internal_listener(
         self, self->settings.peer_endpoint,
         [registry](loop::served_request& request) { return serve_peer(registry, request); });
@@ -360,7 +371,68 @@
     return registry;
 }
 
-int run_process(const process_options& options) {
+namespace {
+
+/// Logs the signal and stops the process: at once, or gracefully if it serves callers.
+void stop(loop::io_context& io, const std::shared_ptr<batch_registry>& registry, int signal) {
+    const auto& self = registry->self;
+    log_signal(*self, signal);
+    if (self->settings.serves_callers) {
+        loop::spawn(io, "shut down", shut_down(registry));
+    } else {
+        log_event(*self, front_stopped, {{"host", self->settings.host}});
+        io.stop();
+    }
+}
+
+/// Reads the settings. A file that is just being written is read again until it is sound, for a
+/// while; the error is that of the last attempt. Nothing if `stopped` is set meanwhile.
+kernel::result<std::optional<host_settings>> wait_for_settings(loop::io_context& io,
+                                                               const adapter& wire,
+                                                               const std::string& file,
+                                                               const bool& stopped) {
+    const auto until = loop::after(settings_patience);
+    std::string known_problem;
+    for (;;) {
+        auto settings = wire.settings(read_file(file));
+        if (settings) {
+            return std::optional(std::move(settings.value()));
+        }
+        if (loop::steady_clock::now() >= until) {
+            return settings.error();
+        }
+        if (settings.error().detail != known_problem) {
+            known_problem = settings.error().detail;
+            kernel::log(settings_unreadable, {{"file", file}, {"problem", known_problem}});
+        }
+        std::this_thread::sleep_for(settings_read_interval);
+        io.poll();
+        if (stopped) {
+            return std::optional<host_settings>();
+        }
+    }
+}
+
+/// Logs to standard output; without a thread for the log's queue, lines are written directly.
+void start_log() {
+    try {
+        kernel::configure_log(kernel::log_format::json, kernel::event_level::info,
+                              kernel::log_sink::standard_output_async);
+    } catch (const std::exception&) {
+        kernel::configure_log(kernel::log_format::json, kernel::event_level::info);
+        kernel::report_failure("log", std::current_exception());
+    }
+}
+
+[[noreturn]] void end_process(int status) {
+    // Coroutines still wait on the loop and never finish, so the process exits without unwinding.
+    kernel::close_log();
+    std::_Exit(status);
+}
+
+} // namespace
+
+void run_process(const process_options& options) {
     // Signal handlers come first, because the default action of these signals ends the process.
     loop::io_context io(1);
     boost::asio::signal_set stop_signals(io, SIGTERM, SIGINT);
@@ -368,51 +440,40 @@
     std::signal(SIGPIPE, SIG_IGN);
     kernel::record_signal_senders({SIGTERM, SIGINT, SIGHUP});
     kernel::report_fatal_ends(STDOUT_FILENO, kernel::log_format::json);
+    start_log();
+    bool stopped = false;
+    std::shared_ptr<batch_registry> registry;
+    stop_signals.async_wait([&](const boost::system::error_code& ec, int signal) {
+        if (!ec && registry) {
+            stop(io, registry, signal);
+        }
+        stopped = true;
+    });
     const auto& wire = linked_adapter();
-    auto settings = wire.settings(read_file(options.settings_file));
+    auto settings = wait_for_settings(io, wire, options.settings_file, stopped);
     if (!settings) {
-        std::cerr << options.settings_file << ": " << settings.error().detail << '\n';
-        return exit_invalid_settings;
+        std::cerr << options.settings_file << ": " << settings.error().detail << std::endl;
+        end_process(exit_invalid_settings);
     }
-    kernel::configure_log(kernel::log_format::json, kernel::event_level::info,
-                          kernel::log_sink::standard_output_async);
-    std::shared_ptr<batch_registry> registry;
-    try {
-        registry = start_host(io, wire, std::move(settings.value()));
-        if (options.metrics_port != 0) {
-            const transport::endpoint address{"0.0.0.0", options.metrics_port};
-            const auto& self = registry->self;
-            start_internal_listener(self, address, [self](loop::served_request& request) {
-                return answer_metrics(self, request);
-            });
-        }
-    } catch (const boost::system::system_error& error) {
-        std::cerr << "cornelloom_frontd: " << error.what() << '\n';
-        return exit_start_failed;
+    if (!settings.value()) {
+        end_process(0);
     }
+    registry = start_host(io, wire, std::move(*settings.value()));
     const auto& self = registry->self;
+    if (options.metrics_port != 0) {
+        const transport::endpoint address{"0.0.0.0", options.metrics_port};
+        start_internal_listener(self, address, [self](loop::served_request& request) {
+            return answer_metrics(self, request);
+        });
+    }
     handle_reloads(self, reload_signals, options.settings_file);
-    stop_signals.async_wait([&](const boost::system::error_code& ec, int signal) {
-        if (ec) {
-            return;
-        }
-        log_signal(*self, signal);
-        if (self->settings.serves_callers) {
-            loop::spawn(io, "shut down", shut_down(registry));
-        } else {
-            log_event(*self, front_stopped, {{"host", self->settings.host}});
-            io.stop();
-        }
-    });
     log_event(*self, front_started,
               {{"host", self->settings.host},
                {"zone", self->settings.zone},
                {"serves_callers", self->settings.serves_callers},
                {"process", static_cast<std::int64_t>(::getpid())}});
     loop::run(io);
-    // Coroutines still wait on the loop and never finish, so the process exits without unwinding.
-    kernel::close_log();
-    std::_Exit(0);
+    end_process(0);
 }
 
 } // namespace cornelloom::front
--- a/src/front/process.hpp
+++ b/src/front/process.hpp
@@ -13,13 +13,12 @@
     std::uint16_t metrics_port = 0; ///< 0: metrics are not served.
 };
 
-/// Starts a host that serves callers on the loop. Throws boost::system::system_error if it can't
-/// listen at one of its addresses.
+/// Starts a host that serves callers on the loop. An address that is taken is listened at as soon
+/// as it is free.
 [[nodiscard]] std::shared_ptr<batch_registry>
 start_host(loop::io_context& io, const adapter& platform, host_settings settings);
 
-/// Runs the daemon until SIGTERM or SIGINT and the grace period after it. Returns the exit status
-/// if it can't start.
-int run_process(const process_options& options);
+/// Runs the daemon until SIGTERM or SIGINT and the grace period after it, and ends the process.
+[[noreturn]] void run_process(const process_options& options);
 
 } // namespace cornelloom::front
--- a/src/kernel/event.hpp
+++ b/src/kernel/event.hpp
@@ -13,7 +13,8 @@
 
 /// A kind of log line. Every definition stands in a file `src/<library>/events.hpp` and in
 /// docs/EVENTS.md; CI compares the two. Number ranges: kernel 1000, decide 2000, coord 3000,
-/// rollout 4000, transport 5000, config 6000, daemon 7000, command line 8000, front 9000.
+/// rollout 4000, transport 5000, loop 5500, config 6000, daemon 7000, command line 8000, front
+/// 9000.
 struct event {
     int number;
     std::string_view name;
--- a/src/loop/listener.cpp
+++ b/src/loop/listener.cpp
@@ -1,6 +1,7 @@
 #include "loop/listener.hpp"
 
 #include "kernel/failures.hpp"
+#include "loop/events.hpp"
 #include "loop/spawn.hpp"
 
 #include <boost/beast/http/empty_body.hpp>
@@ -354,15 +355,76 @@
 
 } // namespace
 
-void start_listening(std::shared_ptr<listener> server, const transport::endpoint& where) {
-    const tcp::endpoint address(asio::ip::make_address(where.address), where.port);
-    tcp::acceptor acceptor(*server->io);
-    acceptor.open(address.protocol());
-    acceptor.set_option(tcp::acceptor::reuse_address(true));
-    acceptor.bind(address);
-    acceptor.listen(asio::socket_base::max_listen_connections);
+namespace {
+
+/// Pauses between two attempts to bind an address. They double from the first to the last.
+constexpr milliseconds min_bind_pause{50};
+constexpr milliseconds max_bind_pause{1000};
+
+/// A listening socket; `ec` says why there is none.
+tcp::acceptor open_acceptor(io_context& io, const transport::endpoint& where,
+                            boost::system::error_code& ec) {
+    tcp::acceptor acceptor(io);
+    const tcp::endpoint address(asio::ip::make_address(where.address, ec), where.port);
+    if (!ec) {
+        ec = acceptor.open(address.protocol(), ec);
+    }
+    if (!ec) {
+        ec = acceptor.set_option(tcp::acceptor::reuse_address(true), ec);
+    }
+    if (!ec) {
+        ec = acceptor.bind(address, ec);
+    }
+    if (!ec) {
+        ec = acceptor.listen(asio::socket_base::max_listen_connections, ec);
+    }
+    return acceptor;
+}
+
+void accept_at(std::shared_ptr<listener> server, tcp::acceptor acceptor) {
+    server->listening = true;
     auto& io = *server->io;
     spawn(io, "listener", accept_all(std::move(server), std::move(acceptor)));
 }
 
+task<void> bind_when_free(std::shared_ptr<listener> server, transport::endpoint where,
+                          boost::system::error_code problem) {
+    kernel::log(events::address_unavailable,
+                {{"address", to_string(where)}, {"problem", problem.message()}});
+    auto pause = min_bind_pause;
+    for (;;) {
+        co_await pause_for(*server->io, pause);
+        pause = std::min(pause * 2, max_bind_pause);
+        boost::system::error_code ec;
+        auto acceptor = open_acceptor(*server->io, where, ec);
+        if (!ec) {
+            kernel::log(events::address_bound, {{"address", to_string(where)}});
+            accept_at(std::move(server), std::move(acceptor));
+            co_return;
+        }
+    }
+}
+
+} // namespace
+
+void start_listening(std::shared_ptr<listener> server, const transport::endpoint& where) {
+    boost::system::error_code ec;
+    auto acceptor = open_acceptor(*server->io, where, ec);
+    if (ec) {
+        throw boost::system::system_error(ec, to_string(where));
+    }
+    accept_at(std::move(server), std::move(acceptor));
+}
+
+void keep_listening(std::shared_ptr<listener> server, transport::endpoint where) {
+    boost::system::error_code ec;
+    auto acceptor = open_acceptor(*server->io, where, ec);
+    if (!ec) {
+        accept_at(std::move(server), std::move(acceptor));
+        return;
+    }
+    auto& io = *server->io;
+    spawn(io, "listener", bind_when_free(std::move(server), std::move(where), ec));
+}
+
 } // namespace cornelloom::loop
--- a/src/loop/listener.hpp
+++ b/src/loop/listener.hpp
@@ -67,6 +67,7 @@
     std::function<caller_limits()> limits;
     /// Asked before each answer: when true, the connection closes after it.
     std::function<bool()> closing = [] { return false; };
+    bool listening = false; ///< The address is bound.
     std::size_t open_connections = 0;
     std::size_t open_connections_most = 0; ///< 0: no bound. Beyond it, connections are reset.
 };
@@ -74,4 +75,8 @@
 /// Binds and serves until the loop ends. Throws when the address can't be bound.
 void start_listening(std::shared_ptr<listener> server, const transport::endpoint& where);
 
+/// The same, but tries until the address can be bound: another process may hold it for a while, as
+/// one that is ending does.
+void keep_listening(std::shared_ptr<listener> server, transport::endpoint where);
+
 } // namespace cornelloom::loop
