Restart a duty whose start fails, and log nothing after the log is closed

An error in the function that starts a duty ended its restarts; a line of the progress watch after the log was closed would end the process. The test of a full pipe fills it whatever its size; the progress watch has a test.

--- a/src/kernel/event.cpp
+++ b/src/kernel/event.cpp
@@ -108,7 +108,8 @@
 
 void log(const event& kind, std::initializer_list<field> fields) {
     const auto level = to_spdlog(kind.level);
-    if (!spdlog::should_log(level)) {
+    // There is no logger any more once the log is closed.
+    if (spdlog::default_logger_raw() == nullptr || !spdlog::should_log(level)) {
         return;
     }
     spdlog::log(level, "{}", format_event(kind, fields, current_format));
--- a/src/loop/spawn.cpp
+++ b/src/loop/spawn.cpp
@@ -14,10 +14,10 @@
 constexpr milliseconds min_restart_pause{100};
 constexpr milliseconds max_restart_pause{5000};
 
-/// Runs a task and reports its end.
-task<void> run_reported(const std::string& name, task<void> work) {
+/// Runs what the function starts and reports its end, whichever way it ends.
+task<void> run_kept(const std::string& name, const std::function<task<void>()>& start) {
     try {
-        co_await std::move(work);
+        co_await start();
     } catch (...) {
         kernel::report_failure(name, std::current_exception());
         co_return;
@@ -29,10 +29,11 @@
     auto pause = min_restart_pause;
     for (;;) {
         const auto started = steady_clock::now();
-        co_await run_reported(name, start());
+        co_await run_kept(name, start);
         const bool ended_early = steady_clock::now() - started < max_restart_pause;
-        pause = ended_early ? std::min(pause * 2, max_restart_pause) : min_restart_pause;
+        pause = ended_early ? pause : min_restart_pause;
         co_await pause_for(io, pause);
+        pause = std::min(pause * 2, max_restart_pause);
     }
 }
 
@@ -47,6 +48,14 @@
                    });
 }
 
+task<void> report_errors(std::string name, task<void> work) {
+    try {
+        co_await std::move(work);
+    } catch (...) {
+        kernel::report_failure(name, std::current_exception());
+    }
+}
+
 void keep_running(io_context& io, std::string name, std::function<task<void>()> start) {
     spawn(io, name, restart(io, name, std::move(start)));
 }
--- a/src/loop/spawn.hpp
+++ b/src/loop/spawn.hpp
@@ -14,6 +14,10 @@
     spawn(io.get_executor(), std::move(name), std::move(work));
 }
 
+/// A task that goes on after another one, whichever way that ends. An error that leaves it is
+/// reported under that name.
+task<void> report_errors(std::string name, task<void> work);
+
 /// A task that drops the result of another one.
 template <class T> task<void> ignore_result(task<T> work) {
     co_await std::move(work);
--- a/tests/kernel/process_end_tests.cpp
+++ b/tests/kernel/process_end_tests.cpp
@@ -10,7 +10,9 @@
 #include <functional>
 #include <stdexcept>
 #include <string>
+#include <thread>
 
+#include <fcntl.h>
 #include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -114,9 +116,14 @@
     // Guards against a process that hangs in its handler since nobody reads its output.
     std::array<int, 2> full{};
     REQUIRE(::pipe(full.data()) == 0);
+    REQUIRE(::fcntl(full[1], F_SETFL, O_NONBLOCK) == 0);
+    const std::string filler(4096, 'x');
+    while (::write(full[1], filler.data(), filler.size()) > 0) {
+    }
+    while (::write(full[1], filler.data(), 1) > 0) {
+    }
+    REQUIRE(::fcntl(full[1], F_SETFL, 0) == 0);
     const auto end = run_child([&full] {
-        const std::string filler(65536, 'x');
-        REQUIRE(::write(full[1], filler.data(), filler.size()) == 65536);
         kernel::report_fatal_ends(full[1], kernel::log_format::json);
         ::alarm(5);
         ::raise(SIGSEGV);
@@ -141,6 +148,23 @@
     std::signal(SIGHUP, before);
 }
 
+TEST_CASE("a loop that makes no step is watched until its watch is dropped", "[kernel][ends]") {
+    // Guards against a blocked loop that nothing tells of, and a thread that outlives it.
+    std::weak_ptr<kernel::progress_watch> watched;
+    {
+        const auto watch = kernel::start_progress_watch(std::chrono::milliseconds(1), 2);
+        watched = watch;
+        ++watch->steps;
+        std::this_thread::sleep_for(std::chrono::milliseconds(20));
+        CHECK(watch.use_count() <= 2);
+    }
+    const auto until = std::chrono::steady_clock::now() + std::chrono::seconds(5);
+    while (!watched.expired() && std::chrono::steady_clock::now() < until) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+    CHECK(watched.expired());
+}
+
 TEST_CASE("failures of tasks are counted by task", "[kernel][ends]") {
     const auto error = std::make_exception_ptr(std::runtime_error("no room"));
     CHECK(kernel::describe(error) == "no room");
