Keep the name of an object that is beyond the limits

Callers saw, had it landed: a host that goes on sending to a target whose entry another writer has replaced by an odd one, since the change that its feeder passed on was over the limits as a whole and was dropped with its name. The limits hold for the specification alone, deletions carry none, and log lines are cut to 200 bytes of another writer's text. Objects that can be parsed are passed on whatever this host makes of them: a host of another version may be able to read them. A list whose pages don't go on fails, as it may lack objects. The first list and the announcement of a host outlive an error.

Tests: "an object beyond the limits keeps its name and can be deleted". The test with processes named two odd entries alike, so that one replaced the other; now each has its name.

--- a/src/front/adapter.hpp
+++ b/src/front/adapter.hpp
@@ -22,7 +22,8 @@
     std::uint64_t revision = 0;
     nlohmann::json specification;
     nlohmann::json status;
-    /// Why the specification can't be used; empty if it can. The name and the revision hold.
+    /// Why the specification or the status can't be read; empty if they can. The name and the
+    /// revision hold.
     std::string fault{};
 };
 
--- a/src/front/feed.cpp
+++ b/src/front/feed.cpp
@@ -277,7 +277,7 @@
     for (const auto& change : response.changes) {
         json encoded = {{"name", change.object.name},
                         {"revision", change.object.revision},
-                        {"specification", change.object.specification},
+                        {"specification", change.deleted ? json() : change.object.specification},
                         {"deleted", change.deleted}};
         if (!change.object.fault.empty()) {
             encoded["fault"] = change.object.fault;
@@ -296,15 +296,30 @@
 
 namespace {
 
-/// Throws json::exception if fields are missing or of another type.
-object_change decode_change(std::string_view text, const kernel::json_limits& limits) {
-    auto value = parse_json(text, {limits.bytes, limits.depth + 1, limits.values});
+/// Nothing if its name or revision can't be read. A specification beyond the limits makes a fault.
+std::optional<object_change> decode_change(std::string_view text,
+                                           const kernel::json_limits& limits) {
+    const auto members = kernel::split_object(text);
+    if (!members) {
+        return std::nullopt;
+    }
+    const auto name = parse_json(kernel::find_member(*members, "name"));
+    const auto revision = parse_json(kernel::find_member(*members, "revision"));
+    if (!name.is_string() || !revision.is_number_unsigned()) {
+        return std::nullopt;
+    }
     object_change change;
-    change.object.name = value.at("name").get<std::string>();
-    change.object.revision = value.at("revision").get<std::uint64_t>();
-    change.object.fault = value.value("fault", "");
-    change.object.specification = std::move(value.at("specification"));
-    change.deleted = value.at("deleted").get<bool>();
+    change.object.name = name.get<std::string>();
+    change.object.revision = revision.get<std::uint64_t>();
+    change.deleted = kernel::find_member(*members, "deleted") == "true";
+    const auto fault = parse_json(kernel::find_member(*members, "fault"));
+    change.object.fault = fault.is_string() ? fault.get<std::string>() : std::string();
+    auto specification = parse_json(kernel::find_member(*members, "specification"), limits);
+    if (!specification.is_discarded()) {
+        change.object.specification = std::move(specification);
+    } else if (change.object.fault.empty()) {
+        change.object.fault = "can't be read";
+    }
     return change;
 }
 
@@ -330,9 +345,9 @@
         return kernel::error{kernel::error_code::invalid_input, fault.what()};
     }
     for (const auto text : *changes) {
-        try {
-            out.changes.push_back(decode_change(text, limits));
-        } catch (const json::exception&) {
+        if (auto change = decode_change(text, limits)) {
+            out.changes.push_back(std::move(*change));
+        } else {
             ++out.unnamed;
         }
     }
--- a/src/front/follower.cpp
+++ b/src/front/follower.cpp
@@ -23,10 +23,10 @@
 /// Delay at start. Hosts start at the same time; after this, each knows most peers of its zone.
 constexpr loop::milliseconds startup_delay{400};
 
-std::optional<target_entry> decode_target(host& self, stored_object& object) {
+std::optional<target_entry> decode_target(host& self, const stored_object& object) {
     auto read = self.platform_adapter.target(object);
     if (!read) {
-        mark_unusable(self, object_kind::targets, object, read.error().detail);
+        report_unusable(self, object_kind::targets, object, read.error().detail);
         return std::nullopt;
     }
     return read.value();
@@ -64,9 +64,9 @@
                {"revision", newest->object.revision}});
 }
 
-void apply_target_list(host& self, std::span<stored_object> all) {
+void apply_target_list(host& self, std::span<const stored_object> all) {
     std::vector<target_entry> entries;
-    for (auto& object : all) {
+    for (const auto& object : all) {
         if (auto entry = decode_target(self, object)) {
             entries.push_back(std::move(*entry));
         }
@@ -76,7 +76,7 @@
     self.startup_changed.open();
 }
 
-void apply_target_changes(host& self, std::span<object_change> changes) {
+void apply_target_changes(host& self, std::span<const object_change> changes) {
     const auto deleted_count = std::ranges::count_if(changes, &object_change::deleted);
     const auto since_failure = std::chrono::duration_cast<milliseconds>(
         loop::steady_clock::now() - self.store.paths.last_direct_failure);
@@ -85,7 +85,7 @@
         defer_removals(self);
     }
     const auto previous_count = self.targets.by_id.size();
-    for (auto& change : changes) {
+    for (const auto& change : changes) {
         if (change.deleted) {
             log_event(self, target_gone, {{"target", change.object.name}});
             remove_target(self.targets, change.object.name, self.now());
@@ -101,10 +101,10 @@
     report_target_changes(self, changes, previous_count);
 }
 
-void apply_version(host& self, stored_object& object) {
+void apply_version(host& self, const stored_object& object) {
     auto read = self.platform_adapter.version(object.specification);
     if (!read) {
-        mark_unusable(self, object_kind::versions, object, read.error().detail);
+        report_unusable(self, object_kind::versions, object, read.error().detail);
         return;
     }
     auto& known = self.published_versions[read.value().model];
@@ -116,7 +116,7 @@
     }
 }
 
-void apply_peer(host& self, stored_object& object) {
+void apply_peer(host& self, const stored_object& object) {
     if (object.name == self.settings.host) {
         return;
     }
@@ -124,19 +124,20 @@
     if (read) {
         self.peers[object.name] = std::move(read.value());
     } else {
-        mark_unusable(self, object_kind::hosts, object, read.error().detail);
+        report_unusable(self, object_kind::hosts, object, read.error().detail);
     }
 }
 
 /// Watches a kind whose objects are applied one by one and are kept when they are deleted.
 watched_kind apply_each(const std::shared_ptr<host>& self, object_kind kind,
-                        loop::milliseconds (*delay)(), void (*apply)(host&, stored_object&)) {
+                        loop::milliseconds (*delay)(), void (*apply)(host&, const stored_object&)) {
     return {kind, delay,
-            [self, apply](std::span<stored_object> all) {
-                std::ranges::for_each(all, [&](stored_object& object) { apply(*self, object); });
+            [self, apply](std::span<const stored_object> all) {
+                std::ranges::for_each(all,
+                                      [&](const stored_object& object) { apply(*self, object); });
             },
-            [self, apply](std::span<object_change> changes) {
-                for (auto& change : changes) {
+            [self, apply](std::span<const object_change> changes) {
+                for (const auto& change : changes) {
                     if (!change.deleted) {
                         apply(*self, change.object);
                     }
@@ -151,21 +152,29 @@
     return object && object.value().specification == parse_json(record);
 }
 
-loop::task<void> announce_host(std::shared_ptr<host> self) {
+/// Stores this host's entry in the list of hosts; `stored` says whether it is there.
+loop::task<void> announce_once(std::shared_ptr<host> self, std::shared_ptr<bool> stored) {
     const auto own = host_entry_of(*self);
     const auto record = encode_host(own);
     const auto kind = object_kind::hosts;
-    for (;;) {
-        auto response =
-            co_await call_store(self->store, self->platform_adapter.create(kind, own.name, record));
-        if (response.fault == store_outcome::conflict) {
-            if (already_stored(*self, response.body, record)) {
-                co_return;
-            }
-            response = co_await call_store(
-                self->store, self->platform_adapter.replace(kind, own.name, record, 0));
+    auto response =
+        co_await call_store(self->store, self->platform_adapter.create(kind, own.name, record));
+    if (response.fault == store_outcome::conflict) {
+        if (already_stored(*self, response.body, record)) {
+            *stored = true;
+            co_return;
         }
-        if (response.fault == store_outcome::none) {
+        response = co_await call_store(self->store,
+                                       self->platform_adapter.replace(kind, own.name, record, 0));
+    }
+    *stored = response.fault == store_outcome::none;
+}
+
+loop::task<void> announce_host(std::shared_ptr<host> self) {
+    const auto stored = std::make_shared<bool>(false);
+    for (;;) {
+        co_await loop::report_errors("announce host", announce_once(self, stored));
+        if (*stored) {
             co_return;
         }
         co_await loop::pause_for(self->io, store_retry_delay(*self, max_store_delay));
@@ -177,9 +186,10 @@
     const auto delay = [self, usual_delay] {
         return self->sends_load_orders ? std::min(usual_delay, max_order_giver_delay) : usual_delay;
     };
-    return {object_kind::targets, delay,
-            [self](std::span<stored_object> all) { apply_target_list(*self, all); },
-            [self](std::span<object_change> changes) { apply_target_changes(*self, changes); }};
+    return {
+        object_kind::targets, delay,
+        [self](std::span<const stored_object> all) { apply_target_list(*self, all); },
+        [self](std::span<const object_change> changes) { apply_target_changes(*self, changes); }};
 }
 
 /// A single list of targets, which may be seconds old, for requests that come before the watch has
@@ -188,12 +198,12 @@
 watched_kind list_targets_once(const std::shared_ptr<host>& self) {
     return {object_kind::targets,
             {},
-            [self](std::span<stored_object> all) {
+            [self](std::span<const stored_object> all) {
                 if (!self->targets_listed) {
                     apply_target_list(*self, all);
                 }
             },
-            [](std::span<object_change>) {}};
+            [](std::span<const object_change>) {}};
 }
 
 /// Only the host that gives orders to targets, and one that may have to take over, needs versions.
@@ -216,7 +226,8 @@
     loop::spawn(self->io, "list once", list_once(self, list_targets_once(self), true));
     // With strict revocation, keys must not be checked against data of unknown age.
     const bool may_be_stale = !self->settings.revocation_bound;
-    co_await list_once(self, configuration, may_be_stale);
+    co_await loop::report_errors("list configuration",
+                                 list_once(self, configuration, may_be_stale));
     const bool has_configuration = self->routes != nullptr;
     if (!has_configuration) {
         start_watch(self, configuration); // a running peer may have the configuration
@@ -234,17 +245,15 @@
 
 } // namespace
 
-void apply_configuration(host& self, stored_object& object) {
+void apply_configuration(host& self, const stored_object& object) {
     if (object.name != self.platform_adapter.configuration_name) {
-        mark_unusable(self, object_kind::configuration, object, "not the configuration");
+        report_unusable(self, object_kind::configuration, object, "not the configuration");
         return;
     }
     auto read = self.platform_adapter.configuration_of(object.specification);
     if (!read) {
         self.configuration_valid = false;
-        // Passed on as it is: a host of another version may be able to read it.
-        report_unreadable(self, "configuration", object.name,
-                          object.fault.empty() ? read.error().detail : object.fault);
+        report_unusable(self, object_kind::configuration, object, read.error().detail);
         return;
     }
     self.configuration_valid = true;
--- a/src/front/follower.hpp
+++ b/src/front/follower.hpp
@@ -11,6 +11,6 @@
 void start_platform_watches(const std::shared_ptr<host>& self);
 
 /// Puts the configuration that the object contains into force, unless a newer one is.
-void apply_configuration(host& self, stored_object& object);
+void apply_configuration(host& self, const stored_object& object);
 
 } // namespace cornelloom::front
--- a/src/front/host.cpp
+++ b/src/front/host.cpp
@@ -137,9 +137,19 @@
     kernel::log(kind, fields);
 }
 
+namespace {
+
+/// Bytes of a text of another writer in a log line.
+constexpr std::size_t max_logged_text = 200;
+
+} // namespace
+
 void report_unreadable(host& self, std::string_view kind, std::string_view name,
                        std::string_view problem) {
-    log_event(self, object_unreadable, {{"kind", kind}, {"id", name}, {"problem", problem}});
+    log_event(self, object_unreadable,
+              {{"kind", kind},
+               {"id", name.substr(0, max_logged_text)},
+               {"problem", problem.substr(0, max_logged_text)}});
     const std::array labels{kernel::label{"kind", kind}};
     self.metrics.count("cornelloom_unreadable_objects_total", labels);
 }
--- a/src/front/key_lookup.cpp
+++ b/src/front/key_lookup.cpp
@@ -20,7 +20,7 @@
 }
 
 /// An older copy must not stand for the newest one, which may have been unreadable.
-void apply_if_newer(host& self, stored_object& object) {
+void apply_if_newer(host& self, const stored_object& object) {
     const auto read = self.platform_adapter.configuration_of(object.specification);
     if (read && read.value().version > known_version(self)) {
         apply_configuration(self, object);
@@ -62,7 +62,7 @@
     if (!response) {
         co_return;
     }
-    for (auto& change : response.value().changes) {
+    for (const auto& change : response.value().changes) {
         if (!change.deleted) {
             apply_if_newer(*self, change.object);
         }
@@ -79,7 +79,7 @@
     if (!page) {
         co_return;
     }
-    for (auto& object : page.value().items) {
+    for (const auto& object : page.value().items) {
         apply_if_newer(*self, object);
     }
 }
--- a/src/front/retirement.cpp
+++ b/src/front/retirement.cpp
@@ -21,11 +21,7 @@
     }
 }
 
-void answer_if_pending(const std::shared_ptr<host>& self, stored_object& object) {
-    if (!object.fault.empty()) {
-        mark_unusable(*self, object_kind::retirements, object, {});
-        return;
-    }
+void answer_if_pending(const std::shared_ptr<host>& self, const stored_object& object) {
     if (!object.status.is_object()) {
         loop::spawn(self->io, "answer retirement", answer_retirement(self, object.name));
     }
@@ -35,13 +31,13 @@
 
 watched_kind watch_retirements(const std::shared_ptr<host>& self) {
     watched_kind watch{object_kind::retirements, no_delay,
-                       [self](std::span<stored_object> all) {
-                           for (auto& object : all) {
+                       [self](std::span<const stored_object> all) {
+                           for (const auto& object : all) {
                                answer_if_pending(self, object);
                            }
                        },
-                       [self](std::span<object_change> changes) {
-                           for (auto& change : changes) {
+                       [self](std::span<const object_change> changes) {
+                           for (const auto& change : changes) {
                                if (!change.deleted) {
                                    answer_if_pending(self, change.object);
                                }
--- a/src/front/watch.cpp
+++ b/src/front/watch.cpp
@@ -52,7 +52,7 @@
 
 void report_unnamed(host& self, object_kind kind, std::size_t unnamed) {
     for (std::size_t each = 0; each < unnamed; ++each) {
-        report_unreadable(self, to_string(kind), {}, "no name");
+        report_unreadable(self, to_string(kind), {}, "name or revision can't be read");
     }
 }
 
@@ -110,8 +110,11 @@
         out.source = source_of(response);
         std::ranges::move(page.value().items, std::back_inserter(out.items));
         const auto last = out.items.empty() ? std::string() : out.items.back().name;
-        // A page that names nothing beyond the one before would be read again and again.
-        more = page.value().has_more && last > after;
+        more = page.value().has_more;
+        if (more && last == after) {
+            report_unreadable(*self, to_string(watched->kind), after, "no name to continue from");
+            co_return false;
+        }
         after = last;
     }
     co_return true;
@@ -136,12 +139,12 @@
         co_return false;
     }
     record_source(*self, watched->kind, all.source);
+    cache_list(*self, watched->kind, all.items, all.at);
     watched->known_names.clear();
     for (const auto& object : all.items) {
         watched->known_names.insert(object.name);
     }
     watched->on_list(all.items);
-    cache_list(*self, watched->kind, all.items, all.at);
     watched->at = all.at;
     record_confirmed(*self, watched->kind, requested_at);
     co_return true;
@@ -230,11 +233,11 @@
     if (!unchanged) {
         watched->at = std::max(watched->at, changes.value().at);
     }
+    cache_changes(*self, watched->kind, changes.value().changes, watched->at);
     if (!changes.value().changes.empty()) {
         update_known_names(*watched, changes.value().changes);
         watched->on_changes(changes.value().changes);
     }
-    cache_changes(*self, watched->kind, changes.value().changes, watched->at);
     record_confirmed(*self, watched->kind,
                      unchanged ? confirmed_by_poll(sent, answered, wait, plan) : sent);
     if (!unchanged) {
@@ -359,10 +362,10 @@
 
 } // namespace
 
-void mark_unusable(host& self, object_kind kind, stored_object& object, std::string_view problem) {
-    object.fault = object.fault.empty() ? std::string(problem) : object.fault;
-    object.specification = nullptr;
-    report_unreadable(self, to_string(kind), object.name, object.fault);
+void report_unusable(host& self, object_kind kind, const stored_object& object,
+                     std::string_view problem) {
+    report_unreadable(self, to_string(kind), object.name,
+                      object.fault.empty() ? problem : object.fault);
 }
 
 kernel::json_limits object_limits(object_kind kind) {
--- a/src/front/watch.hpp
+++ b/src/front/watch.hpp
@@ -18,10 +18,9 @@
     object_kind kind;
     /// Returns the delay between receiving changes and requesting more.
     std::function<loop::milliseconds()> delay;
-    /// Called with all objects after each list. These functions mark objects that they can't use,
-    /// see `mark_unusable`.
-    std::function<void(std::span<stored_object>)> on_list;
-    std::function<void(std::span<object_change>)> on_changes;
+    /// Called with all objects after each list.
+    std::function<void(std::span<const stored_object>)> on_list;
+    std::function<void(std::span<const object_change>)> on_changes;
     /// Whether this host needs the kind now; such a kind is read only from the store. If empty, the
     /// kind is always needed and comes from a feeder if there is one.
     std::function<bool()> is_needed{};
@@ -36,9 +35,10 @@
     std::uint64_t counts_sent = 0;
 };
 
-/// Reports an object that can't be used and drops its text, which this host neither keeps nor
-/// passes on: it may be long, and is of no use to any host.
-void mark_unusable(host& self, object_kind kind, stored_object& object, std::string_view problem);
+/// Reports an object of a kind that this host can't use. It is passed on as it is: a host of
+/// another version may be able to.
+void report_unusable(host& self, object_kind kind, const stored_object& object,
+                     std::string_view problem);
 
 /// Limits of one object in a list or watch.
 [[nodiscard]] kernel::json_limits object_limits(object_kind kind);
--- a/tests/front/feed_tests.cpp
+++ b/tests/front/feed_tests.cpp
@@ -169,3 +169,22 @@
     CHECK_FALSE(decode_feed_response("{\"at\":1}"));
     CHECK_FALSE(decode_feed_response(R"({"at":1,"changes":[],"names":7})"));
 }
+
+TEST_CASE("an object beyond the limits keeps its name and can be deleted", "[front][feed]") {
+    // Guards against hosts that miss the change of a target to an entry that can't be used.
+    feed_response response;
+    response.at = 9;
+    response.changes = {{object_at("a", 7), false}, {object_at("b", 8), true}};
+    response.changes[0].object.fault = std::string(5000, 'x');
+    response.changes[0].object.specification = std::string(100, 'y');
+    response.changes[1].object.specification = std::string(100, 'y');
+    const auto decoded = decode_feed_response(encode_feed_response(response), {.bytes = 50});
+    REQUIRE(decoded);
+    CHECK(decoded.value().unnamed == 0);
+    REQUIRE(decoded.value().changes.size() == 2);
+    CHECK(decoded.value().changes[0].object.name == "a");
+    CHECK(decoded.value().changes[0].object.revision == 7);
+    CHECK(decoded.value().changes[0].object.specification.is_null());
+    CHECK_FALSE(decoded.value().changes[0].object.fault.empty());
+    CHECK(decoded.value().changes[1].deleted);
+}
--- a/tests/soak/odd_entry_tests.cpp
+++ b/tests/soak/odd_entry_tests.cpp
@@ -53,9 +53,9 @@
     loop::deadline changed;
     loop::deadline restarted;
     play(rig, [&]() -> loop::task<void> {
-        for (const auto& value : odd_values) {
-            standins::put_raw(*rig.platform, kind, "a-odd-" + std::to_string(value.size()),
-                              target_with(value));
+        for (std::size_t each = 0; each < odd_values.size(); ++each) {
+            standins::put_raw(*rig.platform, kind, "a-odd-" + std::to_string(each),
+                              target_with(odd_values[each]));
         }
         co_await wait_restarting(rig, 1500ms);
         route_to(rig, 2, "new");
