Begin the duties of a host when it has its addresses

Duties now begin when the addresses for callers and hosts are bound, and a host is ready no sooner. A shutdown that fails ends the process, a settings file that is a folder is read as empty, and reloads are handled again before anything can fail.

--- a/src/front/process.cpp
+++ b/src/front/process.cpp
@@ -54,6 +54,7 @@
 constexpr double serving_share = 0.8;
 constexpr double draining_share = 0.95;
 constexpr loop::milliseconds drain_poll_interval{20};
+constexpr loop::milliseconds listening_check_interval{50};
 /// A loop that does not go on for so many checks is logged as blocked.
 constexpr loop::milliseconds progress_check_interval{1000};
 constexpr int max_checks_without_progress = 3;
@@ -66,9 +67,14 @@
 
 using listener_ptr = std::shared_ptr<loop::listener>;
 
+/// The bytes of a file; none if it can't be read.
 std::string read_file(const std::string& name) {
-    std::ifstream in(name, std::ios::binary);
-    return {std::istreambuf_iterator<char>(in), std::istreambuf_iterator<char>()};
+    try {
+        std::ifstream in(name, std::ios::binary);
+        return {std::istreambuf_iterator<char>(in), std::istreambuf_iterator<char>()};
+    } catch (const std::exception&) { // a folder, for example
+        return {};
+    }
 }
 
 /// The label of a server in metrics: the service of a target, or what else it is.
@@ -204,14 +210,24 @@
     return server;
 }
 
+/// Where a host that serves callers must be reached.
+struct serving_listeners {
+    listener_ptr callers;
+    listener_ptr peers;
+};
+
+bool are_listening(const serving_listeners& listeners) {
+    return listeners.callers->listening && listeners.peers->listening;
+}
+
 /// Reports whether callers can be served and the process is not stopping. A host whose
 /// configuration is too old to check keys refuses most requests, so it is not ready either.
-loop::task<void> answer_readiness(std::shared_ptr<host> self, listener_ptr callers,
+loop::task<void> answer_readiness(std::shared_ptr<host> self, serving_listeners listeners,
                                   loop::served_request& request) {
     const auto bounds = age_limits_of(self->settings);
     const bool keys_valid = !bounds.max_key_age || configuration_age(*self) <= *bounds.max_key_age;
-    const bool ready =
-        callers->listening && is_ready(startup_state_of(*self)) && keys_valid && !self->stopping;
+    const bool ready = are_listening(listeners) && is_ready(startup_state_of(*self)) &&
+                       keys_valid && !self->stopping;
     co_await answer_status(request, ready ? 200 : 503);
 }
 
@@ -229,8 +245,9 @@
     co_await request.answer(std::move(answer));
 }
 
-void start_internal_listener(const std::shared_ptr<host>& self, const transport::endpoint& address,
-                             loop::request_handler handler) {
+listener_ptr start_internal_listener(const std::shared_ptr<host>& self,
+                                     const transport::endpoint& address,
+                                     loop::request_handler handler) {
     auto server = std::make_shared<loop::listener>();
     server->io = &self->io;
     server->handler = std::move(handler);
@@ -241,6 +258,7 @@
         return limits;
     };
     loop::keep_listening(server, address);
+    return server;
 }
 
 /// Records how late the housekeeping timer fired: the loop was blocked or the CPU was busy.
@@ -304,7 +322,11 @@
               {{"host", self->settings.host},
                {"in_flight", self->in_flight},
                {"batches", static_cast<std::uint64_t>(self->running_batches.size())}});
-    self->io.stop();
+}
+
+loop::task<void> shut_down_and_stop(std::shared_ptr<batch_registry> registry) {
+    co_await loop::report_errors("shut down", shut_down(registry));
+    registry->self->io.stop();
 }
 
 /// Logs a signal, who sent it and what the process holds.
@@ -326,25 +348,17 @@
         if (ec) {
             return;
         }
+        handle_reloads(self, signals, file);
         log_signal(*self, SIGHUP);
         const auto settings = self->platform_adapter.settings(read_file(file));
         log_event(*self, settings_reloaded,
                   {{"sound", settings.has_value()},
                    {"problem", settings ? std::string() : settings.error().detail}});
-        handle_reloads(self, signals, file);
     });
 }
 
-void start_serving(const std::shared_ptr<batch_registry>& registry) {
-    auto self = registry->self;
-    const auto callers = listen_for_callers(registry);
-    start_internal_listener(self, self->settings.readiness_endpoint,
-                            [self, callers](loop::served_request& request) {
-                                return answer_readiness(self, callers, request);
-                            });
-    start_internal_listener(
-        self, self->settings.peer_endpoint,
-        [registry](loop::served_request& request) { return serve_peer(registry, request); });
+void start_duties(const std::shared_ptr<batch_registry>& registry) {
+    const auto& self = registry->self;
     start_platform_watches(self);
     start_leader_election(self);
     start_load_scheduler(self);
@@ -357,6 +371,34 @@
     loop::keep_running(self->io, "housekeeping", [registry] { return run_housekeeping(registry); });
 }
 
+/// Another process that has the addresses of this host may act under its name. So the duties begin
+/// when this one has them.
+loop::task<void> start_duties_when_listening(std::shared_ptr<batch_registry> registry,
+                                             serving_listeners listeners) {
+    while (!are_listening(listeners)) {
+        co_await loop::pause_for(registry->self->io, listening_check_interval);
+    }
+    start_duties(registry);
+}
+
+void start_serving(const std::shared_ptr<batch_registry>& registry) {
+    auto self = registry->self;
+    const serving_listeners listeners{
+        listen_for_callers(registry),
+        start_internal_listener(
+            self, self->settings.peer_endpoint,
+            [registry](loop::served_request& request) { return serve_peer(registry, request); })};
+    start_internal_listener(self, self->settings.readiness_endpoint,
+                            [self, listeners](loop::served_request& request) {
+                                return answer_readiness(self, listeners, request);
+                            });
+    if (are_listening(listeners)) {
+        start_duties(registry);
+    } else {
+        loop::spawn(self->io, "start", start_duties_when_listening(registry, listeners));
+    }
+}
+
 } // namespace
 
 std::shared_ptr<batch_registry> start_host(loop::io_context& io, const adapter& platform,
@@ -378,7 +420,7 @@
     const auto& self = registry->self;
     log_signal(*self, signal);
     if (self->settings.serves_callers) {
-        loop::spawn(io, "shut down", shut_down(registry));
+        loop::spawn(io, "shut down", shut_down_and_stop(registry));
     } else {
         log_event(*self, front_stopped, {{"host", self->settings.host}});
         io.stop();
--- a/src/loop/listener.cpp
+++ b/src/loop/listener.cpp
@@ -336,6 +336,7 @@
         tcp::socket socket =
             co_await acceptor.async_accept(asio::redirect_error(asio::use_awaitable, ec));
         if (ec == asio::error::operation_aborted) {
+            server->listening = false;
             co_return;
         }
         if (ec) {
