Bound the numbers and addresses of stored records

Callers saw (by reading): a batch whose header names 2,147,483,647 parts takes gigabytes and as many reads at the host that is asked for it; an entry of a host with a processor share of 1e300 is first in the feeder order of its zone for ever; a lease with 1e300 loads at once makes all targets load at once, and each later holder takes the number over.

Cause: records of the system's own kinds were taken as they stood: an address that is none became an empty one, numbers were narrowed, and ages of quarantines could overflow.

The records are bounded where they are decoded. Parts of a submission are read 64 at a time, up to the first that is missing. Knowledge of crashes, which is a text within its object, and stored submissions are read within the limits of depth. Targets with port 0 are none. Unreadable objects of these kinds are counted.

--- a/src/front/batch_log.cpp
+++ b/src/front/batch_log.cpp
@@ -1,5 +1,6 @@
 #include "front/batch_log.hpp"
 
+#include "front/json.hpp"
 #include "front/log_reader.hpp"
 #include "front/records.hpp"
 #include "loop/gather.hpp"
@@ -38,6 +39,9 @@
     co_return may_exist ? store_outcome::unknown : last_fault;
 }
 
+/// Parts of a submission that are read at once.
+constexpr int parallel_part_reads = 64;
+
 /// Reads one part of a submission; nothing if it could not be read or is damaged.
 loop::task<std::optional<std::string>> read_part(std::shared_ptr<host> self, std::string name) {
     auto answer = co_await call_store(
@@ -47,7 +51,7 @@
     }
     const auto object = self->platform_adapter.object(answer.body);
     if (!object || !object.value().specification.is_string()) {
-        log_event(*self, object_unreadable, {{"kind", "batch_parts"}, {"id", name}});
+        report_unreadable(*self, "batch_parts", name, "not a text");
         co_return std::nullopt;
     }
     co_return object.value().specification.get<std::string>();
@@ -55,18 +59,19 @@
 
 loop::task<std::optional<std::string>> read_parts(std::shared_ptr<host> self, std::string id,
                                                   int parts) {
-    std::vector<loop::task<std::optional<std::string>>> calls;
-    calls.reserve(static_cast<std::size_t>(std::max(parts, 0)));
-    for (int part = 0; part < parts; ++part) {
-        calls.push_back(read_part(self, numbered_name(id, static_cast<std::uint64_t>(part))));
-    }
-    const auto pieces = co_await loop::gather(self->io, std::move(calls));
     std::string text;
-    for (const auto& piece : pieces) {
-        if (!piece) {
-            co_return std::nullopt;
+    for (int first = 0; first < parts; first += parallel_part_reads) {
+        std::vector<loop::task<std::optional<std::string>>> calls;
+        for (int part = first; part < std::min(parts, first + parallel_part_reads); ++part) {
+            calls.push_back(read_part(self, numbered_name(id, static_cast<std::uint64_t>(part))));
+        }
+        const auto pieces = co_await loop::gather(self->io, std::move(calls));
+        for (const auto& piece : pieces) {
+            if (!piece) {
+                co_return std::nullopt;
+            }
+            text += *piece;
         }
-        text += *piece;
     }
     co_return text;
 }
@@ -80,7 +85,7 @@
             return std::move(entry.value());
         }
     }
-    log_event(self, object_unreadable, {{"kind", "batch_log"}, {"id", name}});
+    report_unreadable(self, "batch_log", name, "not an entry");
     return std::nullopt;
 }
 
@@ -219,7 +224,7 @@
             co_return out;
         }
     }
-    log_event(*self, object_unreadable, {{"kind", "batches"}, {"id", id}});
+    report_unreadable(*self, "batches", id, "not a batch");
     co_return out;
 }
 
@@ -253,10 +258,10 @@
 /// Restores the batch from the store's content; null if its submission can't be decoded.
 live_batch_ptr restore_batch(const std::shared_ptr<host>& self, batch_header header,
                              const stored_batch& stored) {
-    const auto submission_json = nlohmann::json::parse(*stored.submission, nullptr, false);
+    const auto submission_json = parse_json(*stored.submission);
     auto spec = self->platform_adapter.submission(submission_json);
     if (!spec) {
-        log_event(*self, object_unreadable, {{"kind", "batches"}, {"id", header.id}});
+        report_unreadable(*self, "batches", header.id, spec.error().detail);
         return nullptr;
     }
     const auto age = milliseconds(unix_now(*self) - header.received_ms);
--- a/src/front/crash_exchange.cpp
+++ b/src/front/crash_exchange.cpp
@@ -1,5 +1,6 @@
 #include "front/crash_exchange.hpp"
 
+#include "front/json.hpp"
 #include "loop/gather.hpp"
 #include "loop/spawn.hpp"
 
@@ -28,6 +29,9 @@
 /// Targets of one record that are read; a host sends no more.
 constexpr std::size_t max_targets_read = 64;
 
+/// Values of a message that is read. The largest that a host sends has a third of it.
+constexpr std::size_t max_values_read = 500'000;
+
 /// Name of the sender, in the query.
 constexpr std::string_view sender_field = "from";
 
@@ -48,7 +52,8 @@
 /// Reads an age. It is never negative, so that nothing happens in the future.
 kernel::duration read_ms(const json& value) {
     constexpr milliseconds longest = std::chrono::hours(24); // nothing is remembered for so long
-    return milliseconds(std::clamp<std::int64_t>(value.get<std::int64_t>(), 0, longest.count()));
+    const auto given = std::clamp(value.get<double>(), 0.0, static_cast<double>(longest.count()));
+    return milliseconds(static_cast<std::int64_t>(given));
 }
 
 std::optional<kernel::duration> read_optional_ms(const json& record, const char* field) {
@@ -225,7 +230,7 @@
 
 kernel::result<decide::shared_crashes> decode_crashes(std::string_view text) {
     try {
-        const auto value = json::parse(text);
+        const auto value = parse_json(text, {.values = max_values_read});
         decide::shared_crashes out;
         for (const auto& record : value.at("records") | std::views::take(max_records_sent)) {
             out.records.push_back(decode_record(record));
--- a/src/front/quarantine_store.cpp
+++ b/src/front/quarantine_store.cpp
@@ -21,6 +21,8 @@
 constexpr loop::milliseconds max_store_delay{1200};
 /// Quarantines in the store, as far as they fit into one object.
 constexpr std::size_t max_stored = 64;
+/// Nothing is remembered for so long.
+constexpr milliseconds max_age = std::chrono::hours(24);
 /// What the name and the revision add to an object.
 constexpr std::size_t object_overhead_bytes = 512;
 /// Bytes of a rejection that are logged.
@@ -260,20 +262,20 @@
 }
 
 void merge_quarantines(host& self, const json& stored, kernel::wall_time now) {
-    if (!stored.contains("stored_unix_ms") || !stored["stored_unix_ms"].is_number_integer() ||
+    if (!stored.contains("stored_unix_ms") || !stored["stored_unix_ms"].is_number_unsigned() ||
         !stored.contains("crashes") || !stored["crashes"].is_string()) {
-        log_event(self, object_unreadable,
-                  {{"kind", "quarantines"}, {"problem", "fields are missing"}});
+        report_unreadable(self, "quarantines", object_name, "fields are missing");
         return;
     }
     auto crashes = decode_crashes(stored["crashes"].get<std::string>());
     if (!crashes) {
-        log_event(self, object_unreadable,
-                  {{"kind", "quarantines"}, {"problem", crashes.error().detail}});
+        report_unreadable(self, "quarantines", object_name, crashes.error().detail);
         return;
     }
+    const auto now_ms = static_cast<std::uint64_t>(std::max<std::int64_t>(now.unix_ms, 0));
+    const auto stored_ms = std::min(stored["stored_unix_ms"].get<std::uint64_t>(), now_ms);
     const milliseconds age{
-        std::max<std::int64_t>(now.unix_ms - stored["stored_unix_ms"].get<std::int64_t>(), 0)};
+        std::min(now_ms - stored_ms, static_cast<std::uint64_t>(max_age.count()))};
     for (auto& record : crashes.value().records) {
         record = aged(std::move(record), age);
     }
--- a/src/front/records.cpp
+++ b/src/front/records.cpp
@@ -1,6 +1,10 @@
 #include "front/records.hpp"
 
+#include <boost/asio/ip/address.hpp>
+
 #include <algorithm>
+#include <limits>
+#include <optional>
 
 namespace cornelloom::front {
 
@@ -44,8 +48,7 @@
 
 /// Turns the exception that the JSON library throws for a missing or mistyped field into an error.
 template <class Decode>
-auto catch_json_errors(std::string_view record_kind, Decode decode)
-    -> kernel::result<decltype(decode())> {
+auto catch_json_errors(std::string_view record_kind, Decode decode) -> decltype(decode()) {
     try {
         return decode();
     } catch (const json::exception& json_error) {
@@ -53,9 +56,50 @@
     }
 }
 
-transport::endpoint decode_endpoint(const json& value, const char* field) {
-    const auto parsed = transport::parse_endpoint(value.at(field).get<std::string>());
-    return parsed ? parsed.value() : transport::endpoint{};
+/// Submissions are bounded, and so are their parts.
+constexpr std::int64_t max_parts = 50000;
+/// Later times overflow when they are compared in nanoseconds.
+constexpr std::int64_t max_unix_ms = 10'000'000'000'000;
+constexpr double max_cpu_share = 4096;
+constexpr double max_loads_at_once = 10000;
+
+/// Whether another process can be called there.
+bool is_callable(const transport::endpoint& where) {
+    boost::system::error_code failure;
+    const auto number = boost::asio::ip::make_address(where.address, failure);
+    const bool is_broadcast =
+        number.is_v4() && number.to_v4() == boost::asio::ip::address_v4::broadcast();
+    return !failure && where.port != 0 && !number.is_unspecified() && !number.is_multicast() &&
+           !is_broadcast;
+}
+
+kernel::result<transport::endpoint> decode_endpoint(const json& value, const char* field) {
+    auto parsed = transport::parse_endpoint(value.at(field).get<std::string>());
+    if (parsed && !is_callable(parsed.value())) {
+        return invalid_input_error(std::string(field) + ": nothing can be called there");
+    }
+    return parsed;
+}
+
+/// The whole number of a field; nothing if it is none within the bounds.
+std::optional<std::int64_t> decode_integer(const json& value, const char* field, std::int64_t least,
+                                           std::int64_t most) {
+    const auto& given = value.at(field);
+    const bool fits = given.is_number_unsigned()
+                          ? given.get<std::uint64_t>() <= std::numeric_limits<std::int64_t>::max()
+                          : given.is_number_integer();
+    const auto number = fits ? given.get<std::int64_t>() : 0;
+    return fits && number >= least && number <= most ? std::optional(number) : std::nullopt;
+}
+
+/// The number of a field; nothing if it is none between 0 and `most`.
+std::optional<double> decode_amount(const json& value, const char* field, double most) {
+    const auto found = value.find(field);
+    if (found == value.end() || !found->is_number()) {
+        return std::nullopt;
+    }
+    const auto given = found->get<double>();
+    return given >= 0 && given <= most ? std::optional(given) : std::nullopt;
 }
 
 } // namespace
@@ -71,16 +115,22 @@
 }
 
 kernel::result<batch_header> decode_header(std::string_view id, const json& value) {
-    return catch_json_errors("batch", [&] {
+    return catch_json_errors("batch", [&]() -> kernel::result<batch_header> {
         batch_header out;
         out.id = id;
         out.host = value.at("host").get<std::string>();
         out.path = value.at("path").get<std::string>();
         out.account = value.value("account", "");
         out.owner = value.at("owner").get<std::string>();
-        out.owner_at = decode_endpoint(value, "owner_at");
-        out.received_ms = value.at("received_ms").get<std::int64_t>();
-        out.parts = value.at("parts").get<int>();
+        BOOST_OUTCOME_TRY(owner_at, decode_endpoint(value, "owner_at"));
+        out.owner_at = std::move(owner_at);
+        const auto received_ms = decode_integer(value, "received_ms", 0, max_unix_ms);
+        const auto parts = decode_integer(value, "parts", 1, max_parts);
+        if (!received_ms || !parts) {
+            return invalid_input_error("batch: a number is out of range");
+        }
+        out.received_ms = *received_ms;
+        out.parts = static_cast<int>(*parts);
         return out;
     });
 }
@@ -110,7 +160,7 @@
 }
 
 kernel::result<log_entry> decode_entry(const json& value) {
-    return catch_json_errors("log entry", [&] {
+    return catch_json_errors("log entry", [&]() -> kernel::result<log_entry> {
         log_entry out;
         out.writer = value.at("writer").get<std::string>();
         out.nonce = value.at("nonce").get<std::uint64_t>();
@@ -125,7 +175,8 @@
         out.ends = value.value("ends", false);
         out.new_owner = value.value("new_owner", "");
         if (!out.new_owner.empty()) {
-            out.new_owner_at = decode_endpoint(value, "new_owner_at");
+            BOOST_OUTCOME_TRY(new_owner_at, decode_endpoint(value, "new_owner_at"));
+            out.new_owner_at = std::move(new_owner_at);
         }
         return out;
     });
@@ -137,12 +188,17 @@
 }
 
 kernel::result<host_entry> decode_host(std::string_view name, const json& value) {
-    return catch_json_errors("host", [&] {
+    return catch_json_errors("host", [&]() -> kernel::result<host_entry> {
         host_entry out;
         out.name = name;
         out.zone = value.at("zone").get<std::string>();
-        out.address = decode_endpoint(value, "at");
-        out.cpu_share = value.at("processor").get<double>();
+        BOOST_OUTCOME_TRY(address, decode_endpoint(value, "at"));
+        out.address = std::move(address);
+        const auto cpu_share = decode_amount(value, "processor", max_cpu_share);
+        if (!cpu_share) {
+            return invalid_input_error("host: processor is out of range");
+        }
+        out.cpu_share = *cpu_share;
         return out;
     });
 }
@@ -154,10 +210,15 @@
 }
 
 kernel::result<lease_record> decode_lease(const json& value) {
-    return catch_json_errors("order lease", [&] {
-        return lease_record{value.at("holder").get<std::string>(),
-                            value.value("renewal", std::uint64_t{0}),
-                            value.value("loads_at_once", 0.0)};
+    return catch_json_errors("order lease", [&]() -> kernel::result<lease_record> {
+        lease_record out;
+        out.holder = value.at("holder").get<std::string>();
+        const auto renewal = value.find("renewal");
+        out.renewal = renewal != value.end() && renewal->is_number_unsigned()
+                          ? renewal->get<std::uint64_t>()
+                          : 0;
+        out.loads_at_once = decode_amount(value, "loads_at_once", max_loads_at_once).value_or(0);
+        return out;
     });
 }
 
--- a/tests/platform/adapter_tests.cpp
+++ b/tests/platform/adapter_tests.cpp
@@ -514,3 +514,11 @@
     CHECK(encode_retry_after(milliseconds(50)).value == "0.050");
     CHECK(encode_retry_after(milliseconds(2300)).value == "2.300");
 }
+
+TEST_CASE("a target without a port is none", "[platform][documents]") {
+    // Guards against requests that are sent to a target that nobody can call.
+    CHECK(decode_target(object_with(target_text)));
+    auto odd = json::parse(target_text);
+    odd["address"] = "10.128.0.9:0";
+    CHECK_FALSE(decode_target(object_with(odd.dump())));
+}
