Report usage although the last stored report is odd

Callers saw: the platform gets no usage report any more, after restarts and changes of the leader too, once the stored report can't be read or names a window that is far ahead.

Cause: the leader read the stored report again and again until it could be read; after a window far ahead no next one is ever due.

"an odd lease of the orders is replaced" passed before and passes: the lease has no holder then, and is written at its revision after the handover delay; such a lease is now logged and counted.

A report that can't be read, or whose window has not begun, is logged and counted, and the next report replaces it at its revision.

--- a/src/front/leadership.cpp
+++ b/src/front/leadership.cpp
@@ -31,6 +31,10 @@
 void apply_lease_read(host& self, const stored_object& object) {
     auto& view = self.lead.view;
     const auto read = decode_lease(object.specification);
+    if (!read && object.revision > view.revision) {
+        report_unreadable(self, "order_lease", object.name,
+                          object.fault.empty() ? read.error().detail : object.fault);
+    }
     const auto record = read ? read.value() : lease_record{};
     const auto before = view.holder;
     record_lease_read(view, object.revision, record.holder, self.clock.boot_now());
--- a/src/front/usage_report.cpp
+++ b/src/front/usage_report.cpp
@@ -35,8 +35,13 @@
 
 kernel::result<usage_report> decode_report(const json& value) {
     try {
-        return usage_report{value.at("window").get<window_number>(),
-                            value.at("counts").get<named_counts>()};
+        const auto& counts = value.at("counts");
+        const bool are_counts = std::ranges::all_of(
+            counts, [](const json& count) { return count.is_number_unsigned(); });
+        if (!value.at("window").is_number_integer() || !are_counts) {
+            return kernel::error{kernel::error_code::invalid_input, "not whole numbers"};
+        }
+        return usage_report{value.at("window").get<window_number>(), counts.get<named_counts>()};
     } catch (const json::exception& fault) {
         return kernel::error{kernel::error_code::invalid_input, fault.what()};
     }
--- a/src/front/usage_reporter.cpp
+++ b/src/front/usage_reporter.cpp
@@ -18,12 +18,15 @@
 constexpr loop::milliseconds report_timeout{800};
 constexpr loop::milliseconds connect_timeout{300};
 constexpr int status_too_many_requests = 429;
+/// Windows by which the clock of another host may be ahead.
+constexpr window_number max_window_difference = 1;
 
 /// The last report in the store.
 struct stored_report {
     usage_report report{};
     std::uint64_t revision = 0; ///< 0: the store has no report.
     bool delivered = false;     ///< Known here to be accepted or refused for good.
+    bool is_readable = true;    ///< Otherwise the next report replaces it.
 };
 
 /// State of the usage reports.
@@ -36,6 +39,16 @@
     window_number first_window = 0; ///< The first window to report if none is stored.
 };
 
+/// The report of an object; a window that has not begun yet is a fault of the report.
+kernel::result<usage_report> read_report(host& self, const stored_object& object) {
+    auto report = decode_report(object.specification);
+    const auto newest = window_of(self.usage, unix_now(self)) + max_window_difference;
+    if (report && (report.value().window < 0 || report.value().window > newest)) {
+        return kernel::error{kernel::error_code::invalid_input, "window is out of range"};
+    }
+    return report;
+}
+
 /// Reads the report that the previous leader stored; false if the read failed.
 loop::task<bool> read_last_stored(reporter_state& state) {
     auto self = state.self;
@@ -50,14 +63,18 @@
         co_return false;
     }
     const auto object = self->platform_adapter.object(answer.body);
-    const auto report = object ? decode_report(object.value().specification)
-                               : kernel::result<usage_report>(object.error());
-    if (!report) {
-        log_event(*self, object_unreadable,
-                  {{"kind", "usage_reports"}, {"problem", report.error().detail}});
+    if (!object) {
+        report_unreadable(*self, "usage_reports", report_object_name, object.error().detail);
         co_return false;
     }
-    state.last_stored = stored_report{report.value(), object.value().revision, false};
+    const auto report = read_report(*self, object.value());
+    const auto revision = object.value().revision;
+    if (report) {
+        state.last_stored = stored_report{report.value(), revision, false};
+    } else {
+        report_unreadable(*self, "usage_reports", report_object_name, report.error().detail);
+        state.last_stored = stored_report{{}, revision, true, false};
+    }
     co_return true;
 }
 
@@ -117,9 +134,8 @@
 loop::task<void> report_next(reporter_state& state) {
     auto self = state.self;
     const auto rules = report_rules_for(self->settings.duties->usage_report_timeout);
-    const auto last = state.last_stored->revision == 0
-                          ? std::nullopt
-                          : std::optional(state.last_stored->report.window);
+    const bool is_known = state.last_stored->revision != 0 && state.last_stored->is_readable;
+    const auto last = is_known ? std::optional(state.last_stored->report.window) : std::nullopt;
     const auto window =
         next_window_to_report(self->usage, last, state.first_window, unix_now(*self), rules);
     if (!window) {
