Ignore versions of another model's name and hosts at the own address

Callers saw: one entry among the versions that names another model brings all targets of that model to a version that does not exist. A host whose address stands in a second entry polls itself, and serves its zone late.

Cause: versions were applied by the model within, not by their names; hosts took each entry for another host.

--- a/src/front/follower.cpp
+++ b/src/front/follower.cpp
@@ -107,6 +107,10 @@
         mark_unusable(self, object_kind::versions, object, read.error().detail);
         return;
     }
+    if (read.value().model != object.name) {
+        mark_unusable(self, object_kind::versions, object, "names another model");
+        return;
+    }
     auto& known = self.published_versions[read.value().model];
     if (read.value().version > known) {
         known = read.value().version;
@@ -121,7 +125,9 @@
         return;
     }
     auto read = decode_host(object.name, object.specification);
-    if (read) {
+    if (read && read.value().address == self.settings.peer_endpoint) {
+        self.peers.erase(object.name); // this host had another name before
+    } else if (read) {
         self.peers[object.name] = std::move(read.value());
     } else {
         mark_unusable(self, object_kind::hosts, object, read.error().detail);
--- a/tests/soak/odd_record_tests.cpp
+++ b/tests/soak/odd_record_tests.cpp
@@ -72,3 +72,50 @@
     });
     CHECK(leaders == 1);
 }
+
+TEST_CASE("hosts and versions are learned beside odd entries", "[soak][odd]") {
+    // Guards against a list that names no new host or version any more, and against an entry that
+    // names a version of another model, or takes a host's own address.
+    crash_rig rig(92);
+    start_targets(rig, 1, 1);
+    const auto own = [&rig](std::size_t host) {
+        return "127.92.1." + std::to_string(host + 1) + ":7103";
+    };
+    const nlohmann::json fed{{"zone", "zone-a"}, {"at", own(0)}, {"processor", 50}};
+    standins::put(*rig.platform, "cornelloom-hosts", "a-copy", fed);
+    int number = 0;
+    for (const auto* odd : {R"({"zone":"zone-a","at":"127.92.7.1:7103","processor":1e300})", "7",
+                            R"({"zone":"zone-a","at":"","processor":4})", R"("\ud800")", "1e999",
+                            R"({"zone":7,"at":[],"processor":{}})"}) {
+        const auto name = "odd-" + std::to_string(++number);
+        standins::put_raw(*rig.platform, "cornelloom-hosts", name, odd);
+        standins::put_raw(*rig.platform, "versions", name, odd);
+    }
+    standins::put(*rig.platform, "versions", "odd", {{"model", "model"}, {"version", 99}});
+    start_hosts(rig, 3);
+    play(rig, [&]() -> loop::task<void> {
+        co_await loop::pause_for(rig.io, 2500ms);
+        add_host(rig);
+        standins::put(*rig.platform, "versions", "model", {{"model", "model"}, {"version", 2}});
+        co_await loop::pause_for(rig.io, 4s);
+    });
+    int newest = 0;
+    for (const auto& host : rig.hosts) {
+        const auto& self = *host->self;
+        INFO(self.settings.host);
+        for (const auto& other : rig.hosts) {
+            const auto& name = other->self->settings.host;
+            CHECK((name == self.settings.host || self.peers.contains(name)));
+        }
+        CHECK(std::ranges::none_of(self.peers,
+                                   [](const auto& peer) { return peer.first.starts_with("odd"); }));
+        CHECK(std::ranges::none_of(self.peers, [&self](const auto& peer) {
+            return peer.second.address == self.settings.peer_endpoint;
+        }));
+        for (const auto& [model, version] : self.published_versions) {
+            CHECK(model == "model");
+            newest = std::max(newest, version);
+        }
+    }
+    CHECK(newest == 2);
+}
