--- a/tests/soak/odd_entry_tests.cpp
+++ b/tests/soak/odd_entry_tests.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <fstream>
+
 using namespace cornelloom;
 using namespace cornelloom::soak;
 using namespace std::chrono_literals;
@@ -81,3 +83,68 @@
         CHECK_FALSE(by_gone_target);
     }
 }
+
+namespace {
+
+constexpr std::size_t object_bytes = 1'000'000;
+constexpr int large_entries = 50;
+/// Below the memory of a small host, 110 MB.
+constexpr std::size_t peak_mb = 80;
+
+std::string repeated(std::string_view part, std::size_t bytes) {
+    std::string out;
+    while (out.size() < bytes) {
+        out += part;
+    }
+    return out;
+}
+
+/// The largest memory that the process has had.
+std::size_t peak_memory_mb(int process) {
+    std::ifstream status("/proc/" + std::to_string(process) + "/status");
+    for (std::string line; std::getline(status, line);) {
+        if (line.starts_with("VmHWM:")) {
+            return std::stoul(line.substr(line.find_first_of("0123456789"))) / 1024;
+        }
+    }
+    return 0;
+}
+
+void check_peaks(const process_rig& rig) {
+    for (const auto& host : rig.hosts) {
+        const auto peak = peak_memory_mb(host->process.id());
+        UNSCOPED_INFO(host->settings.host << " has had " << peak << " MB");
+        CHECK(peak > 0);
+        CHECK(peak <= peak_mb);
+    }
+}
+
+} // namespace
+
+TEST_CASE("fifty entries of the largest size fit into the memory of a small host", "[soak][odd]") {
+    // Guards against hosts that are killed for their memory, again after each restart.
+    const std::string kind = GENERATE("config", "servers");
+    const std::vector<std::string> values{
+        nested(object_bytes / 2), "[" + repeated("[],", object_bytes) + "[]]",
+        "[" + repeated("{},", object_bytes) + "1]", '"' + repeated("x", object_bytes) + '"'};
+    INFO(kind);
+    process_rig rig(93);
+    start_processes(rig, 2);
+    ends = 0;
+    play(rig, [&]() -> loop::task<void> {
+        for (int entry = 0; entry < large_entries; ++entry) {
+            const auto& value = values.at(static_cast<std::size_t>(entry) % values.size());
+            standins::put_raw(*rig.platform, kind, "a-odd-" + std::to_string(entry),
+                              target_with(value));
+            co_await wait_restarting(rig, 40ms);
+        }
+        co_await wait_restarting(rig, 2000ms);
+        check_peaks(rig);
+        for (std::size_t host = 0; host < rig.hosts.size(); ++host) {
+            restart(rig, host);
+        }
+        co_await wait_restarting(rig, 5000ms);
+        check_peaks(rig);
+    });
+    CHECK(ends == 0);
+}
