--- a/src/front/follower.cpp
+++ b/src/front/follower.cpp
@@ -108,7 +108,7 @@
         return;
     }
     if (read.value().model != object.name) {
-        mark_unusable(self, object_kind::versions, object, "names another model");
+        report_unusable(self, object_kind::versions, object, "names another model");
         return;
     }
     auto& known = self.published_versions[read.value().model];
