Release what an attempt holds when an error leaves it

Cause: what a task held was released by the lines at its end, which an exception skips. Now guards release it (`kernel::finally`), and the error becomes the result of the attempt: a plain call tries the next target, an item counts a failed attempt, or is sent again if memory was short, and the target isn't blamed. The loop that drives a batch goes on after an error. The same guards cover the lookup of keys, checks of broken targets, writes of logs and quarantines, reads of logs, hand-overs and calls of the runner.

Not shown by a test of its own: run_batch, read_log, check_target, hand_over, send_submission.

--- a/src/front/batch_drive.cpp
+++ b/src/front/batch_drive.cpp
@@ -4,6 +4,8 @@
 #include "front/item_dispatch.hpp"
 #include "front/item_run.hpp"
 #include "front/placement.hpp"
+#include "kernel/failures.hpp"
+#include "kernel/finally.hpp"
 #include "loop/spawn.hpp"
 
 #include <algorithm>
@@ -148,6 +150,10 @@
 /// reach this one; without reading the log, its items would keep running for nobody.
 loop::task<void> read_log(live_batch_ptr batch) {
     auto self = batch->local_host;
+    const kernel::finally end([&] {
+        batch->log.requested_at = {};
+        batch->reading_log = false;
+    });
     batch->log.requested_at = self->now();
     const bool caught_up = co_await catch_up(batch);
     batch->log.requested_at = {};
@@ -155,7 +161,6 @@
     if (!caught_up) {
         co_await loop::pause_for(self->io, store_retry_delay(*self, max_store_delay));
     }
-    batch->reading_log = false;
 }
 
 void read_log_if_due(const live_batch_ptr& batch) {
@@ -197,32 +202,52 @@
     return carried;
 }
 
+/// Does what is due; returns when something is due again.
+time_point drive_batch(const live_batch_ptr& batch) {
+    auto& self = *batch->local_host;
+    give_up_expired(*batch);
+    auto round = begin_placement(self.targets, self.here(), self.now());
+    check_runs(*batch, round);
+    read_log_if_due(batch);
+    dispatch_items(self, round);
+    const auto flush_due = next_flush_time(batch->state, default_flush_policy, deadline_of(*batch));
+    if (flush_due && *flush_due <= self.now() && !batch->appending) {
+        loop::spawn(self.io, "flush log", flush_log(batch));
+    }
+    auto wake_at = self.now() + check_interval;
+    if (flush_due && !batch->appending) {
+        wake_at = std::min(wake_at, std::max(*flush_due, self.now() + milliseconds(5)));
+    }
+    return wake_at;
+}
+
+/// The same, after an error in `check_interval`.
+time_point drive_batch_or_wait(const live_batch_ptr& batch) {
+    try {
+        return drive_batch(batch);
+    } catch (...) {
+        kernel::report_failure("run batch", std::current_exception());
+        return batch->local_host->now() + check_interval;
+    }
+}
+
 loop::task<void> run_batch(live_batch_ptr batch) {
     auto self = batch->local_host;
+    const kernel::finally leave([&] {
+        std::erase(self->running_batches, batch);
+        batch->owned = false;
+    });
     batch->state.carried_groups = find_carried_groups(*batch);
     if (std::ranges::find(self->running_batches, batch) == self->running_batches.end()) {
         self->running_batches.push_back(batch);
     }
     while (batch->owned && !is_over(batch->state)) {
-        give_up_expired(*batch);
-        auto round = begin_placement(self->targets, self->here(), self->now());
-        check_runs(*batch, round);
-        read_log_if_due(batch);
-        dispatch_items(*self, round);
-        const auto flush_due =
-            next_flush_time(batch->state, default_flush_policy, deadline_of(*batch));
-        if (flush_due && *flush_due <= self->now() && !batch->appending) {
-            loop::spawn(self->io, "flush log", flush_log(batch));
-        }
-        auto wake_at = self->now() + check_interval;
-        if (flush_due && !batch->appending) {
-            wake_at = std::min(wake_at, std::max(*flush_due, self->now() + milliseconds(5)));
-        }
+        const auto wake_at = drive_batch_or_wait(batch);
         co_await batch->changed.wait(to_deadline(*self, wake_at));
     }
     std::erase(self->running_batches, batch);
-    remember_unfinished(*batch);
     stop_runs(*batch);
+    remember_unfinished(*batch);
     for (const auto& [index, control] : batch->scoring_calls) {
         control->cancel();
     }
@@ -234,7 +259,6 @@
                {"of", static_cast<std::uint64_t>(batch->state.spec.items.size())},
                {"groups", count_complete_groups(batch->state, false)},
                {"age_ms", ms_between(batch->state.submitted, self->now())}});
-    batch->owned = false;
 }
 
 } // namespace
@@ -251,7 +275,6 @@
     if (batch->owned) {
         return;
     }
-    batch->owned = true;
     batch->last_used = batch->local_host->now();
     log_event(*batch->local_host, batch_taken,
               {{"id", batch->state.header.id},
@@ -261,7 +284,13 @@
                {"listed", static_cast<std::uint64_t>(batch->state.logged_results.size())},
                {"of", static_cast<std::uint64_t>(batch->state.spec.items.size())},
                {"age_ms", ms_between(batch->state.submitted, batch->local_host->now())}});
-    loop::spawn(batch->local_host->io, "run batch", run_batch(batch));
+    batch->owned = true;
+    try {
+        loop::spawn(batch->local_host->io, "run batch", run_batch(batch));
+    } catch (...) {
+        batch->owned = false;
+        throw;
+    }
 }
 
 } // namespace cornelloom::front
--- a/src/front/batch_hand_over.cpp
+++ b/src/front/batch_hand_over.cpp
@@ -2,6 +2,7 @@
 
 #include "front/batch_drive.hpp"
 #include "front/batch_log.hpp"
+#include "kernel/finally.hpp"
 #include "loop/spawn.hpp"
 
 #include <algorithm>
@@ -48,10 +49,13 @@
         return entry;
     };
     // Stop the runs first: items must not run here after the new owner has started them.
-    batch->handing_over = true;
-    stop_runs(*batch);
-    const bool stored = co_await append_entry(batch, build_entry, self->now() + hand_over_timeout);
-    batch->handing_over = false;
+    bool stored = false;
+    {
+        batch->handing_over = true;
+        const kernel::finally end([&] { batch->handing_over = false; });
+        stop_runs(*batch);
+        stored = co_await append_entry(batch, build_entry, self->now() + hand_over_timeout);
+    }
     if (!stored) {
         co_return;
     }
--- a/src/front/batch_log.cpp
+++ b/src/front/batch_log.cpp
@@ -2,6 +2,7 @@
 
 #include "front/log_reader.hpp"
 #include "front/records.hpp"
+#include "kernel/finally.hpp"
 #include "loop/gather.hpp"
 
 #include <algorithm>
@@ -328,6 +329,11 @@
         }
     }
     batch->appending = true;
+    const kernel::finally end([&] {
+        batch->appending = false;
+        batch->state.last_flush = self->now();
+        batch->changed.open();
+    });
     auto written = append_outcome::number_taken;
     while (written == append_outcome::number_taken) {
         if (batch->state.ended) {
@@ -341,9 +347,6 @@
         entry->nonce = self->random();
         written = co_await store_entry(batch, std::move(*entry), deadline);
     }
-    batch->appending = false;
-    batch->state.last_flush = self->now();
-    batch->changed.open();
     co_return written == append_outcome::stored;
 }
 
--- a/src/front/batch_start.cpp
+++ b/src/front/batch_start.cpp
@@ -4,6 +4,8 @@
 #include "front/batch_log.hpp"
 #include "front/batch_owner.hpp"
 #include "front/records.hpp"
+#include "kernel/failures.hpp"
+#include "kernel/finally.hpp"
 #include "loop/spawn.hpp"
 
 #include <algorithm>
@@ -124,13 +126,21 @@
 /// Decodes a submission that this host holds, and asks the store for the batch until it is known.
 loop::task<void> follow_prepared(std::shared_ptr<batch_registry> registry, std::string id) {
     co_await loop::pause_for(registry->self->io, loop::milliseconds(0));
-    if (const auto found = registry->prepared.find(id); found != registry->prepared.end()) {
-        found->second.decoded = decode_submission(*registry->self, found->second.message, id);
+    try {
+        if (const auto found = registry->prepared.find(id); found != registry->prepared.end()) {
+            found->second.decoded = decode_submission(*registry->self, found->second.message, id);
+        }
+    } catch (...) { // decoded again when the batch is started
+        kernel::report_failure("follow prepared", std::current_exception());
     }
     while (registry->prepared.contains(id)) {
         co_await loop::pause_for(registry->self->io, store_check_delay);
-        if (registry->prepared.contains(id)) {
-            co_await look_up_prepared(registry, id);
+        try {
+            if (registry->prepared.contains(id)) {
+                co_await look_up_prepared(registry, id);
+            }
+        } catch (...) {
+            kernel::report_failure("follow prepared", std::current_exception());
         }
     }
 }
@@ -177,9 +187,8 @@
     return registry.batches.contains(id) ? status_conflict : status_ok;
 }
 
-/// Calls the runner; returns the status of its response, 0 if there is none.
-loop::task<int> call_runner(std::shared_ptr<batch_registry> registry, batch_header header,
-                            std::string_view action, std::string submission = {}) {
+loop::task<int> request_runner(std::shared_ptr<batch_registry> registry, batch_header header,
+                               std::string_view action, std::string submission) {
     auto self = registry->self;
     auto message = make_peer_request(std::string(start_path) + std::string(action), header.id);
     message.headers.push_back({std::string(record_header), encode_header(header)});
@@ -196,13 +205,30 @@
     co_return loop::status_of(outcome);
 }
 
+/// Calls the runner; returns the status of its response, 0 if there is none.
+loop::task<int> call_runner(std::shared_ptr<batch_registry> registry, batch_header header,
+                            std::string_view action, std::string submission = {}) {
+    int status = 0;
+    try {
+        status = co_await request_runner(registry, header, action, std::move(submission));
+    } catch (...) {
+        kernel::report_failure("call runner", std::current_exception());
+    }
+    co_return status;
+}
+
 loop::task<void> send_submission(std::shared_ptr<batch_registry> registry, batch_header header,
                                  std::string submission, preparation_ptr prepared) {
+    auto answer = preparation::phase::declined;
+    const kernel::finally end([&] {
+        prepared->current_phase = answer;
+        prepared->answered.open();
+    });
     const int status =
         co_await call_runner(registry, header, action_prepare, std::move(submission));
-    prepared->current_phase =
-        status == status_ok ? preparation::phase::prepared : preparation::phase::declined;
-    prepared->answered.open();
+    if (status == status_ok) {
+        answer = preparation::phase::prepared;
+    }
 }
 
 loop::task<void> wait_for_answer(const preparation_ptr& prepared) {
--- a/src/front/crash_watch.cpp
+++ b/src/front/crash_watch.cpp
@@ -1,6 +1,7 @@
 #include "front/crash_watch.hpp"
 
 #include "front/host.hpp"
+#include "kernel/finally.hpp"
 #include "kernel/hash.hpp"
 #include "loop/spawn.hpp"
 
@@ -177,6 +178,7 @@
 /// Asks the target for a new connection, and watches it if it accepts one.
 loop::task<void> check_target(std::shared_ptr<host> self, run_number number) {
     auto& broken = self->crashes.broken;
+    const kernel::finally forget([&] { broken.erase(number); });
     const auto target = broken.at(number).target;
     const bool accepts = co_await accepts_connection(self, target.address);
     broken.at(number).being_asked = false;
@@ -200,7 +202,6 @@
             record_target_crash(*self, broken.at(number), "replaced");
         }
     }
-    broken.erase(number);
 }
 
 /// The targets that run another suspect of this host; none if the digest is no suspect itself.
@@ -345,10 +346,12 @@
     }
     const auto ended = found->second;
     const bool silent = end == run_end::silent && self->now() - ended.sent >= min_silence;
-    if (end == run_end::broken || silent) {
-        check_target_of(self, run);
+    {
+        const kernel::finally erase([&] { watch.runs.erase(run); });
+        if (end == run_end::broken || silent) {
+            check_target_of(self, run);
+        }
     }
-    watch.runs.erase(run);
     if (end != run_end::survived) {
         return;
     }
--- a/src/front/item_dispatch.cpp
+++ b/src/front/item_dispatch.cpp
@@ -103,7 +103,12 @@
     }
     if (state.output.whole) {
         state.phase = item_phase::scoring;
-        loop::spawn(self.io, "score item", score_item(batch, index));
+        try {
+            loop::spawn(self.io, "score item", score_item(batch, index));
+        } catch (...) {
+            restore_item(*batch, index);
+            throw;
+        }
         return;
     }
     const auto* item_route = route_of_item(*batch, item);
@@ -149,8 +154,14 @@
     state.memory_tokens = requirements.memory_tokens;
     target->memory_tokens += state.memory_tokens;
     decide::earn_move(self.moves);
-    decide::record_start(self.account_costs, batch->state.header.account, cost_of(item));
-    loop::spawn(self.io, "run item", run_item(batch, index, target->entry.id));
+    try {
+        decide::record_start(self.account_costs, batch->state.header.account, cost_of(item));
+        loop::spawn(self.io, "run item", run_item(batch, index, target->entry.id));
+    } catch (...) {
+        leave_target(*batch, index, target->entry.id);
+        restore_item(*batch, index);
+        throw;
+    }
 }
 
 decide::item_progress progress_of(const item_state& state, time_point now) {
--- a/src/front/item_run.cpp
+++ b/src/front/item_run.cpp
@@ -2,8 +2,12 @@
 
 #include "front/item_hold.hpp"
 #include "front/plain_call.hpp"
+#include "kernel/failures.hpp"
+#include "kernel/finally.hpp"
 
 #include <algorithm>
+#include <exception>
+#include <new>
 #include <utility>
 
 namespace cornelloom::front {
@@ -13,6 +17,8 @@
 constexpr loop::milliseconds connect_timeout{300};
 /// Before an item that was put back into the queue is sent again.
 constexpr milliseconds retry_delay{30};
+/// The same, after an error of this host.
+constexpr milliseconds error_retry_delay{200};
 /// A target that refuses a request although it has free slots is loading weights. This is the delay
 /// before it gets another request for that model.
 constexpr milliseconds loading_retry_delay{200};
@@ -183,6 +189,18 @@
     return accounts_in_use ? std::optional(batch.state.header.account) : std::nullopt;
 }
 
+/// Reason of a run that an error of this host ended.
+run_result own_error(const std::exception_ptr& error) {
+    kernel::report_failure("run item", error);
+    try {
+        std::rethrow_exception(error);
+    } catch (const std::bad_alloc&) {
+        return failed_exchange(loop::exchange_fault::no_memory);
+    } catch (...) {
+        return {run_outcome::failed, "internal error"};
+    }
+}
+
 loop::task<run_result> send_item(live_batch_ptr batch, std::size_t index, route item_route) {
     auto self = batch->local_host;
     auto exchange = batch->runs.at(index).exchange;
@@ -255,10 +273,6 @@
     const auto found = self.targets.by_id.find(run.target);
     if (found != self.targets.by_id.end()) {
         auto& target = found->second;
-        target.running = std::max(0, target.running - 1);
-        target.leaving = std::max(0, target.leaving - (run.counted_as_leaving ? 1 : 0));
-        target.awaiting_first_event -= run.events == 0 ? 1 : 0;
-        release_memory(target, batch.state.items[index]);
         const bool target_failed = result.kind == run_outcome::retry && !run.being_moved &&
                                    !result.reason.starts_with("not run") &&
                                    !result.reason.starts_with("version") &&
@@ -382,42 +396,87 @@
     record_result(batch, std::move(final_result));
 }
 
-loop::task<void> run_item(live_batch_ptr batch, std::size_t index, std::string target_id) {
-    auto self = batch->local_host;
-    const auto* found_route = route_of_item(*batch, batch->state.spec.items[index]);
-    const auto target = self->targets.by_id.find(target_id);
-    if (found_route == nullptr || target == self->targets.by_id.end()) {
-        if (target != self->targets.by_id.end()) {
-            --target->second.running;
-            --target->second.awaiting_first_event;
-            release_memory(target->second, batch->state.items[index]);
-        }
-        if (std::exchange(batch->state.items[index].is_try, false)) {
-            end_try(*self, digest_of_item(*batch, index));
+void leave_target(live_batch& batch, std::size_t index, std::string_view target_id) {
+    const auto run = batch.runs.find(index);
+    const bool has_run = run != batch.runs.end();
+    const auto found = batch.local_host->targets.by_id.find(target_id);
+    if (found != batch.local_host->targets.by_id.end()) {
+        auto& target = found->second;
+        const bool leaving = has_run && run->second.counted_as_leaving;
+        target.running = std::max(0, target.running - 1);
+        target.leaving = std::max(0, target.leaving - (leaving ? 1 : 0));
+        target.awaiting_first_event -= !has_run || run->second.events == 0 ? 1 : 0;
+        release_memory(target, batch.state.items[index]);
+    }
+    if (has_run) {
+        run->second.exchange->abort();
+        batch.runs.erase(run);
+    }
+}
+
+void restore_item(live_batch& batch, std::size_t index) {
+    auto& item = batch.state.items[index];
+    if (item.phase == item_phase::running || item.phase == item_phase::scoring) {
+        item.phase = item_phase::waiting;
+        item.not_before = batch.local_host->now() + error_retry_delay;
+        if (std::exchange(item.is_try, false)) {
+            end_try(*batch.local_host, item.digest);
         }
-        requeue_item(*batch, index);
-        co_return;
     }
-    const route item_route = *found_route;
+    batch.changed.open();
+}
+
+namespace {
+
+loop::task<run_result> send_or_fail(live_batch_ptr batch, std::size_t index, route item_route) {
+    std::exception_ptr error;
+    try {
+        auto result = co_await send_item(batch, index, std::move(item_route));
+        co_return result;
+    } catch (...) {
+        error = std::current_exception();
+    }
+    co_return own_error(error);
+}
+
+/// Runs the item on a target, which is left at the end.
+loop::task<run_result> run_at_target(live_batch_ptr batch, std::size_t index, std::string target_id,
+                                     route item_route) {
+    auto self = batch->local_host;
+    const kernel::finally leave([&] { leave_target(*batch, index, target_id); });
     item_run run;
-    run.exchange =
-        std::make_shared<loop::exchange>(self->connections, target->second.entry.address);
+    run.exchange = std::make_shared<loop::exchange>(
+        self->connections, self->targets.by_id.find(target_id)->second.entry.address);
     run.target = target_id;
     run.sent = run.last_event = self->now();
     batch->runs.insert_or_assign(index, run);
     batch->state.items[index].last_target = target_id;
     const auto watched = begin_run(*self, digest_of_item(*batch, index), target_id,
                                    run_source::batch, run_form::stream);
-    const auto result = co_await send_item(batch, index, item_route);
+    auto result = co_await send_or_fail(batch, index, std::move(item_route));
     const bool silent = batch->runs.at(index).silent && result.end_of_run == run_end::unknown;
     end_run(self, watched, silent ? run_end::silent : result.end_of_run);
     const bool unharmed = !silent && result.end_of_run == run_end::unknown;
     if (std::exchange(batch->state.items[index].is_try, false) && unharmed) {
         end_try(*self, digest_of_item(*batch, index));
     }
-    run.exchange->abort();
     record_run_end(*batch, index, result);
-    batch->runs.erase(index);
+    co_return result;
+}
+
+loop::task<void> try_run(live_batch_ptr batch, std::size_t index, std::string target_id) {
+    auto self = batch->local_host;
+    const auto* found_route = route_of_item(*batch, batch->state.spec.items[index]);
+    if (found_route == nullptr || !self->targets.by_id.contains(target_id)) {
+        leave_target(*batch, index, target_id);
+        if (std::exchange(batch->state.items[index].is_try, false)) {
+            end_try(*self, digest_of_item(*batch, index));
+        }
+        requeue_item(*batch, index);
+        co_return;
+    }
+    const route item_route = *found_route;
+    const auto result = co_await run_at_target(batch, index, std::move(target_id), item_route);
     if (batch->state.items[index].phase != item_phase::running) {
         co_return; // finished by another host, or the batch is over
     }
@@ -441,7 +500,7 @@
     batch->changed.open();
 }
 
-loop::task<void> score_item(live_batch_ptr batch, std::size_t index) {
+loop::task<void> try_score(live_batch_ptr batch, std::size_t index) {
     auto self = batch->local_host;
     const auto scoring = batch->state.spec.items[index].scoring;
     if (!scoring) {
@@ -465,9 +524,12 @@
         const int max_failures =
             std::max(scoring_route->attempts, batch_route != nullptr ? batch_route->attempts : 1);
         const auto control = std::make_shared<call_control>();
-        batch->scoring_calls.insert_or_assign(index, control);
-        auto outcome = co_await run_plain_call(self, std::move(call), control);
-        batch->scoring_calls.erase(index);
+        plain_outcome outcome;
+        {
+            const kernel::finally end([&] { batch->scoring_calls.erase(index); });
+            batch->scoring_calls.insert_or_assign(index, control);
+            outcome = co_await run_plain_call(self, std::move(call), control);
+        }
         if (batch->state.items[index].phase != item_phase::scoring) {
             co_return;
         }
@@ -501,4 +563,24 @@
     }
 }
 
+} // namespace
+
+loop::task<void> run_item(live_batch_ptr batch, std::size_t index, std::string target_id) {
+    try {
+        co_await try_run(batch, index, std::move(target_id));
+    } catch (...) {
+        kernel::report_failure("run item", std::current_exception());
+        restore_item(*batch, index);
+    }
+}
+
+loop::task<void> score_item(live_batch_ptr batch, std::size_t index) {
+    try {
+        co_await try_score(batch, index);
+    } catch (...) {
+        kernel::report_failure("score item", std::current_exception());
+        restore_item(*batch, index);
+    }
+}
+
 } // namespace cornelloom::front
--- a/src/front/key_lookup.cpp
+++ b/src/front/key_lookup.cpp
@@ -3,6 +3,7 @@
 #include "front/feed.hpp"
 #include "front/follower.hpp"
 #include "front/watch.hpp"
+#include "kernel/finally.hpp"
 #include "loop/spawn.hpp"
 
 #include <algorithm>
@@ -85,6 +86,10 @@
 }
 
 loop::task<void> run_lookup(std::shared_ptr<host> self, std::shared_ptr<loop::gate> done) {
+    const kernel::finally end([&] {
+        self->key_lookup.reset();
+        done->open();
+    });
     const auto before = known_version(*self);
     co_await ask_neighbour(self);
     const bool found_at_neighbour = known_version(*self) > before;
@@ -96,8 +101,6 @@
                                                        : "none";
     log_event(*self, key_looked_up, {{"found", found}, {"version", known_version(*self)}});
     self->metrics.count("cornelloom_key_lookups_total", std::array{kernel::label{"found", found}});
-    self->key_lookup.reset();
-    done->open();
 }
 
 } // namespace
--- a/src/front/plain_call.cpp
+++ b/src/front/plain_call.cpp
@@ -2,10 +2,13 @@
 
 #include "front/quarantine_store.hpp"
 #include "front/send_permission.hpp"
+#include "kernel/failures.hpp"
+#include "kernel/finally.hpp"
 #include "loop/spawn.hpp"
 
 #include <algorithm>
 #include <map>
+#include <new>
 #include <ranges>
 #include <vector>
 
@@ -19,6 +22,9 @@
 /// Hedging delay of a request without a latency objective.
 constexpr milliseconds default_hedge_delay{1000};
 
+/// Reason of an attempt that an error of this host ended.
+constexpr std::string_view own_error = "internal error";
+
 /// State of one call, shared by its attempts, which may run concurrently.
 struct call_state {
     std::shared_ptr<host> self;
@@ -144,6 +150,25 @@
     co_return result;
 }
 
+/// The same, with an error of this host as the outcome of an attempt.
+loop::task<attempt_result> exchange_or_fail(call_state_ptr state,
+                                            std::shared_ptr<loop::exchange> exchange,
+                                            planned_attempt plan) {
+    attempt_result failed;
+    try {
+        auto result = co_await exchange_once(state, exchange, plan);
+        co_return result;
+    } catch (const std::bad_alloc&) {
+        kernel::report_failure("run attempt", std::current_exception());
+        failed.reason = to_string(loop::exchange_fault::no_memory);
+    } catch (...) {
+        kernel::report_failure("run attempt", std::current_exception());
+        failed.reason = own_error;
+    }
+    exchange->abort();
+    co_return failed;
+}
+
 void record_attempt(call_state& state, std::string_view target_id, const attempt_result& result,
                     double duration_ms) {
     auto& self = *state.self;
@@ -159,7 +184,8 @@
             record_rejection(target, self.now());
             break;
         default:
-            if (!state.decided && result.reason != to_string(loop::exchange_fault::no_memory)) {
+            if (!state.decided && result.reason != own_error &&
+                result.reason != to_string(loop::exchange_fault::no_memory)) {
                 record_request_failure(target, self.now());
             }
         }
@@ -204,6 +230,7 @@
         ++state.refusals;
         break;
     case attempt_end::no_valid_answer:
+        outcome.failures += result.reason == own_error ? 1 : 0;
         state.connection_failed = true;
         state.permitted = false;
         if (outcome.result == plain_outcome::state::not_run) {
@@ -216,6 +243,10 @@
 loop::task<void> run_attempt(call_state_ptr state, planned_attempt plan) {
     auto& self = *state->self;
     const auto started = self.now();
+    const kernel::finally release([&state] {
+        --state->running_attempts;
+        state->changed.open();
+    });
     auto exchange = std::make_shared<loop::exchange>(self.connections, plan.address);
     state->exchanges.push_back(exchange);
     if (state->decided) {
@@ -223,19 +254,17 @@
     }
     const auto run =
         begin_run(self, state->call.digest, plan.target_id, state->call.source, run_form::whole);
-    auto result = co_await exchange_once(state, exchange, plan);
+    auto result = co_await exchange_or_fail(state, exchange, plan);
     // A request that another target has answered is no cause of a crash.
     const bool answered = state->outcome.result == plain_outcome::state::answered;
     const bool silent = result.end_of_run == run_end::silent;
     end_run(state->self, run, silent && answered ? run_end::unknown : result.end_of_run);
     std::erase(state->exchanges, exchange);
-    --state->running_attempts;
     if (result.end == attempt_end::not_run || result.end == attempt_end::not_sent) {
         state->arrivals.erase(plan.number);
     }
     record_attempt(*state, plan.target_id, result, ms_between(started, self.now()));
     apply_result(*state, std::move(result));
-    state->changed.open();
 }
 
 bool start_attempt(const call_state_ptr& state) {
@@ -258,7 +287,13 @@
     ++state->running_attempts;
     ++state->may_have_run;
     ++state->outcome.sends;
-    loop::spawn(self.io, "run attempt", run_attempt(state, std::move(plan)));
+    try {
+        loop::spawn(self.io, "run attempt", run_attempt(state, std::move(plan)));
+    } catch (...) {
+        --target->running;
+        --state->running_attempts;
+        throw;
+    }
     return true;
 }
 
--- a/src/front/plain_call.hpp
+++ b/src/front/plain_call.hpp
@@ -49,7 +49,7 @@
     target_answer answer_info{};
     std::string reason{}; ///< Why the last attempt failed.
     int sends = 0;
-    int failures = 0; ///< Attempts that were answered with status 500.
+    int failures = 0; ///< Attempts that were answered with status 500, or that this host failed.
     /// Set if no further target was tried because the request is quarantined.
     std::optional<quarantine_verdict> quarantine{};
     /// When the first target received it, if any is known or assumed to have run it.
--- a/src/front/quarantine_store.cpp
+++ b/src/front/quarantine_store.cpp
@@ -2,6 +2,8 @@
 
 #include "front/crash_exchange.hpp"
 #include "front/feed.hpp"
+#include "kernel/failures.hpp"
+#include "kernel/finally.hpp"
 #include "loop/spawn.hpp"
 
 #include <algorithm>
@@ -110,10 +112,15 @@
         co_return;
     }
     co_await begin_write(self);
-    store_at.reset(); // set again by whatever changes during the write
-    const auto outcome = co_await write_object(
-        self, encode_quarantines(*self, self->clock.wall_now()), store_call_timeout);
-    end_write(*self);
+    auto outcome = store_outcome::unknown;
+    try {
+        const kernel::finally end([&] { end_write(*self); });
+        auto text = encode_quarantines(*self, self->clock.wall_now());
+        store_at.reset(); // set again by whatever changes during the write
+        outcome = co_await write_object(self, std::move(text), store_call_timeout);
+    } catch (...) {
+        kernel::report_failure("store quarantines", std::current_exception());
+    }
     // An invalid object would be rejected again.
     const bool done = outcome == store_outcome::none || outcome == store_outcome::invalid;
     if (!done && !store_at) {
@@ -232,6 +239,7 @@
 
 loop::task<trial_claim> claim_trial(std::shared_ptr<host> self, std::uint64_t digest) {
     co_await begin_write(self);
+    const kernel::finally end([&] { end_write(*self); });
     auto claim = trial_claim::store_unavailable;
     for (int attempt = 0; attempt < max_claim_attempts; ++attempt) {
         if (!is_trial_due(*self, digest)) {
@@ -252,7 +260,6 @@
     if (claim == trial_claim::granted) {
         start_trial(*self, digest);
     }
-    end_write(*self);
     count_claim(*self, claim == trial_claim::granted   ? "granted"
                        : claim == trial_claim::not_due ? "not_due"
                                                        : "store_unavailable");
