Bound what a submission or a message of another host may take

Cause: these texts were parsed as a whole. Copying a deep value overflows the stack, and a value takes far more memory than its text. Now all of them go through parse_json: at most 64 levels, and 524,288 values in a submission. The limits hold wherever a submission is read: at the host that receives it, at its runner, and when the batch is loaded. Messages that can't be read are counted, too.

--- a/src/front/batch_log.cpp
+++ b/src/front/batch_log.cpp
@@ -1,5 +1,6 @@
 #include "front/batch_log.hpp"
 
+#include "front/json.hpp"
 #include "front/log_reader.hpp"
 #include "front/records.hpp"
 #include "kernel/finally.hpp"
@@ -254,7 +255,7 @@
 /// Restores the batch from the store's content; null if its submission can't be decoded.
 live_batch_ptr restore_batch(const std::shared_ptr<host>& self, batch_header header,
                              const stored_batch& stored) {
-    const auto submission_json = nlohmann::json::parse(*stored.submission, nullptr, false);
+    const auto submission_json = parse_json(*stored.submission, submission_limits);
     auto spec = self->platform_adapter.submission(submission_json);
     if (!spec) {
         log_event(*self, object_unreadable, {{"kind", "batches"}, {"id", header.id}});
--- a/src/front/batch_start.cpp
+++ b/src/front/batch_start.cpp
@@ -3,6 +3,7 @@
 #include "front/batch_drive.hpp"
 #include "front/batch_log.hpp"
 #include "front/batch_owner.hpp"
+#include "front/json.hpp"
 #include "front/records.hpp"
 #include "kernel/failures.hpp"
 #include "kernel/finally.hpp"
@@ -62,9 +63,8 @@
 std::optional<submitted_batch>
 decode_submission(const host& self, const transport::http_request& message, const std::string& id) {
     const auto record = transport::find_header(message.headers, record_header).value_or("");
-    auto header = decode_header(id, nlohmann::json::parse(record, nullptr, false));
-    auto spec =
-        self.platform_adapter.submission(nlohmann::json::parse(message.body, nullptr, false));
+    auto header = decode_header(id, parse_json(record));
+    auto spec = self.platform_adapter.submission(parse_json(message.body, submission_limits));
     if (!header || !spec || header.value().owner != self.settings.host) {
         return std::nullopt;
     }
--- a/src/front/batch_submit.cpp
+++ b/src/front/batch_submit.cpp
@@ -3,6 +3,7 @@
 #include "front/answers.hpp"
 #include "front/batch_log.hpp"
 #include "front/batch_start.hpp"
+#include "front/json.hpp"
 #include "front/records.hpp"
 #include "front/submission_answer.hpp"
 #include "loop/gather.hpp"
@@ -77,8 +78,7 @@
                               std::string account) {
     auto self = registry->self;
     auto& submission = request.message.body;
-    const auto spec =
-        self->platform_adapter.submission(nlohmann::json::parse(submission, nullptr, false));
+    const auto spec = self->platform_adapter.submission(parse_json(submission, submission_limits));
     if (!spec) {
         co_await reject(*self, request, caller.id, spec.error().detail, 400);
         co_return;
--- a/src/front/count_exchange.cpp
+++ b/src/front/count_exchange.cpp
@@ -1,5 +1,6 @@
 #include "front/count_exchange.hpp"
 
+#include "front/json.hpp"
 #include "kernel/number.hpp"
 #include "loop/gather.hpp"
 #include "loop/spawn.hpp"
@@ -58,8 +59,7 @@
 void merge_windows(host& self, window_counts& counts, const nlohmann::json& value) {
     const auto received = decode_windows(value);
     if (!received) {
-        log_event(self, object_unreadable,
-                  {{"kind", "counts"}, {"problem", received.error().detail}});
+        report_unreadable(self, "counts", {}, received.error().detail);
         return;
     }
     merge(counts, received.value());
@@ -162,10 +162,9 @@
     if (text.empty()) {
         return;
     }
-    const auto received = nlohmann::json::parse(text, nullptr, false);
+    const auto received = parse_json(text);
     if (!received.is_object()) {
-        log_event(self, object_unreadable,
-                  {{"kind", "counts"}, {"problem", "expected a JSON object"}});
+        report_unreadable(self, "counts", {}, "expected a JSON object");
         return;
     }
     merge_windows(self, self.usage, received.value("usage", nlohmann::json::object()));
--- a/src/front/crash_exchange.cpp
+++ b/src/front/crash_exchange.cpp
@@ -1,5 +1,6 @@
 #include "front/crash_exchange.hpp"
 
+#include "front/json.hpp"
 #include "loop/gather.hpp"
 #include "loop/spawn.hpp"
 
@@ -225,7 +226,7 @@
 
 kernel::result<decide::shared_crashes> decode_crashes(std::string_view text) {
     try {
-        const auto value = json::parse(text);
+        const auto value = parse_json(text);
         decide::shared_crashes out;
         for (const auto& record : value.at("records") | std::views::take(max_records_sent)) {
             out.records.push_back(decode_record(record));
@@ -264,8 +265,7 @@
 std::set<std::uint64_t> merge_crashes_of(host& self, std::string_view text, std::string_view from) {
     const auto received = decode_crashes(text);
     if (!received) {
-        log_event(self, object_unreadable,
-                  {{"kind", "crashes"}, {"problem", received.error().detail}});
+        report_unreadable(self, "crashes", {}, received.error().detail);
         return {};
     }
     merge_crashes_of(self, received.value(), from);
--- a/src/front/json.hpp
+++ b/src/front/json.hpp
@@ -4,6 +4,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <cstddef>
+#include <cstdint>
 #include <string_view>
 
 namespace cornelloom::front {
@@ -18,4 +20,9 @@
     return nlohmann::json::parse(text, nullptr, false);
 }
 
+/// Limits of a batch as its caller submits it, which may have thousands of items. A value takes
+/// some hundred bytes of memory at most.
+inline constexpr kernel::json_limits submission_limits{
+    .bytes = SIZE_MAX, .depth = 64, .values = std::size_t{1} << 19U};
+
 } // namespace cornelloom::front
--- a/src/front/slot_exchange.cpp
+++ b/src/front/slot_exchange.cpp
@@ -1,6 +1,7 @@
 #include "front/slot_exchange.hpp"
 
 #include "front/answers.hpp"
+#include "front/json.hpp"
 #include "loop/spawn.hpp"
 
 #include <algorithm>
@@ -151,11 +152,9 @@
 }
 
 loop::task<void> serve_claims(std::shared_ptr<host> self, loop::served_request& request) {
-    auto announcement =
-        decode_announcement(nlohmann::json::parse(request.message.body, nullptr, false));
+    auto announcement = decode_announcement(parse_json(request.message.body));
     if (!announcement) {
-        log_event(*self, object_unreadable,
-                  {{"kind", "claims"}, {"problem", announcement.error().detail}});
+        report_unreadable(*self, "claims", {}, announcement.error().detail);
         co_await answer_status(request, 400);
         co_return;
     }
--- /dev/null
+++ b/tests/front/message_limit_tests.cpp
@@ -0,0 +1,92 @@
+#include "front/batch_start.hpp"
+#include "front/count_exchange.hpp"
+#include "front/crash_exchange.hpp"
+#include "front/json.hpp"
+#include "front/slot_claims.hpp"
+#include "loop/spawn.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace cornelloom::front;
+namespace kernel = cornelloom::kernel;
+namespace loop = cornelloom::loop;
+namespace transport = cornelloom::transport;
+using namespace std::chrono_literals;
+
+namespace {
+
+std::string repeat(std::string_view part, std::size_t times) {
+    std::string out;
+    out.reserve(part.size() * times);
+    for (std::size_t i = 0; i < times; ++i) {
+        out += part;
+    }
+    return out;
+}
+
+std::string nested(std::size_t depth) {
+    return repeat("[", depth) + repeat("]", depth);
+}
+
+/// Largest number of values in a submission that reached the adapter.
+std::size_t values_decoded = 0; // NOLINT(*-avoid-non-const-global-variables): for its functions
+
+adapter counting_adapter() {
+    adapter out{};
+    out.submission = [](const nlohmann::json& body) -> kernel::result<batch_spec> {
+        values_decoded = std::max(values_decoded, body.is_discarded() ? 0 : body.size());
+        return kernel::error{kernel::error_code::invalid_input, "no batch"};
+    };
+    return out;
+}
+
+struct one_host {
+    loop::io_context io{};
+    adapter platform = counting_adapter();
+    std::shared_ptr<host> self{};
+
+    one_host() {
+        host_settings settings;
+        settings.host = "h1";
+        settings.zone = "z1";
+        self = std::make_shared<host>(io, platform, settings);
+    }
+};
+
+} // namespace
+
+TEST_CASE("counts of another host that are nested too deeply are refused", "[front][limits]") {
+    // Guards against a process that ends by an overflow of its stack while it copies them.
+    one_host world;
+    merge_counts(*world.self, R"({"usage":{"1":)" + nested(200'000) + "}}");
+    CHECK(world.self->usage.windows.empty());
+}
+
+TEST_CASE("crashes of another host that are nested too deeply are refused", "[front][limits]") {
+    // Guards against a process that ends while it copies a message of another host.
+    const auto decoded =
+        decode_crashes(R"({"records":[],"crashes":[],"x":)" + nested(200'000) + "}");
+    CHECK_FALSE(decoded);
+}
+
+TEST_CASE("a submission of millions of values is refused before it is parsed", "[front][limits]") {
+    // Guards against a host that is ended because one submission takes hundreds of megabytes.
+    one_host world;
+    const auto registry = std::make_shared<batch_registry>(world.self);
+    transport::http_request message;
+    message.method = "POST";
+    message.path = std::string(start_path) + "run";
+    message.query = "id=b1";
+    message.body = "[" + repeat("[],", 10'000'000) + "0]";
+    values_decoded = 0;
+    loop::spawn(world.io, "start",
+                loop::ignore_result(serve_start_call(registry, std::move(message))));
+    world.io.run_for(5s);
+    CHECK(values_decoded == 0);
+}
+
+TEST_CASE("a submission of thousands of items is within the limits", "[front][limits]") {
+    // Guards against large batches that are refused for their size.
+    const auto item = R"({"id":"i","path":"/t","headers":{"a":"b"},"body":"e30=","group":"g"},)";
+    CHECK_FALSE(parse_json("[" + repeat(item, 20'000) + "0]", submission_limits).is_discarded());
+}
