--- a/src/front/feed.cpp
+++ b/src/front/feed.cpp
@@ -19,6 +19,8 @@
 constexpr milliseconds watch_after_unserved_poll = feeder_avoidance_time;
 /// Response header with the time from when the data are, in milliseconds after the request arrived.
 constexpr std::string_view as_of_header = "Cornelloom-As-Of-Ms";
+/// Longer ages overflow when they are subtracted from a time of a clock.
+constexpr std::int64_t longest_age_ms = 1'000'000'000'000;
 /// Steps of changes that a feeder keeps for each kind. A host that asks for older ones gets the
 /// names of all objects and the objects that changed.
 constexpr std::size_t max_history_steps = 256;
@@ -269,7 +271,8 @@
 std::optional<milliseconds> stated_as_of(const std::vector<transport::http_header>& headers) {
     const auto text = transport::find_header(headers, as_of_header).value_or("");
     const auto stated = kernel::parse_integer<std::int64_t>(text);
-    return stated ? std::optional(milliseconds(*stated)) : std::nullopt;
+    const bool sound = stated && *stated >= -longest_age_ms && *stated <= longest_age_ms;
+    return sound ? std::optional(milliseconds(*stated)) : std::nullopt;
 }
 
 std::string encode_feed_response(const feed_response& response) {
@@ -357,7 +360,9 @@
     const auto hold_deadline = loop::after(feed_poll_wait);
     const auto& copy = self->copies[requested];
     const auto stated_age = find_number("age");
-    const auto known_as_of = stated_age ? arrived - milliseconds(*stated_age) : copy.confirmed_at;
+    const auto known_as_of =
+        stated_age ? arrived - milliseconds(std::min<std::uint64_t>(*stated_age, longest_age_ms))
+                   : copy.confirmed_at;
     // A host is told when this host's copy is confirmed again, not only of changes.
     while (can_serve(*self, requested) && !has_updates(cache, since) &&
            copy.confirmed_at <= known_as_of + min_age_gain &&
--- a/src/front/host.cpp
+++ b/src/front/host.cpp
@@ -53,6 +53,8 @@
 
 /// Answers that took longer say little about the time at the peer.
 constexpr milliseconds max_time_round_trip{100};
+/// Later times of day overflow in sums.
+constexpr std::int64_t latest_unix_ms = 1'000'000'000'000'000;
 constexpr std::chrono::seconds max_peer_age{10};
 
 std::int64_t steady_ms(time_point when) {
@@ -88,7 +90,8 @@
                       time_point sent) {
     const auto now = self.clock.boot_now();
     const auto round_trip = std::chrono::duration_cast<milliseconds>(now - sent);
-    if (round_trip <= max_time_round_trip) {
+    const bool sound = unix_ms >= 0 && unix_ms <= latest_unix_ms;
+    if (sound && round_trip <= max_time_round_trip) {
         const auto there_ms = unix_ms + round_trip.count() / 2;
         self.clocks.insert_or_assign(peer, peer_clock{there_ms - steady_ms(now), now});
     }
--- a/src/front/slot_claims.cpp
+++ b/src/front/slot_claims.cpp
@@ -120,6 +120,18 @@
     }
 }
 
+/// Items or runs that a host may claim; sums of them fit into an `int`.
+constexpr int max_items = 1'000'000;
+constexpr int max_version = 1'000'000'000;
+
+/// A number of another host; none is below zero.
+int bounded(const nlohmann::json& number, int most) {
+    if (number.is_number_unsigned()) {
+        return static_cast<int>(std::min<std::uint64_t>(number.get<std::uint64_t>(), most));
+    }
+    return static_cast<int>(std::clamp<std::int64_t>(number.get<std::int64_t>(), 0, most));
+}
+
 } // namespace
 
 nlohmann::json encode_announcement(const slot_announcement& announcement) {
@@ -160,14 +172,14 @@
         if (!sound) {
             return invalid("models/" + model + " is no pair of numbers");
         }
-        out.models[model] = {claim[0].get<int>(), claim[1].get<int>()};
+        out.models[model] = {bounded(claim[0], max_items), bounded(claim[1], max_version)};
     }
     const auto running = part("running");
     for (const auto& [target, runs] : running.items()) {
         if (!runs.is_number_integer()) {
             return invalid("running/" + target + " is no number");
         }
-        out.running[target] = std::max(runs.get<int>(), 0);
+        out.running[target] = bounded(runs, max_items);
     }
     return out;
 }
--- a/src/front/watch.cpp
+++ b/src/front/watch.cpp
@@ -309,7 +309,8 @@
     watched->at = std::max(watched->at, feeder_response.at);
     const auto as_of = stated_as_of(outcome.answer.headers);
     if (as_of && !feeder_response.partial) {
-        record_confirmed(*self, watched->kind, requested_at + *as_of);
+        record_confirmed(*self, watched->kind,
+                         std::min(requested_at + *as_of, self->clock.boot_now()));
         record_store_contact(*self, *watched, store_outcome::none);
     }
     co_return true;
--- a/src/front/window_counts.cpp
+++ b/src/front/window_counts.cpp
@@ -6,6 +6,13 @@
 
 using json = nlohmann::json;
 
+namespace {
+
+/// The start of a later window overflows.
+constexpr window_number last_window = 1'000'000'000'000;
+
+} // namespace
+
 window_number window_of(const window_counts& counts, std::int64_t unix_ms) {
     return unix_ms / counts.window_length.count();
 }
@@ -79,7 +86,11 @@
     try {
         window_counts out;
         for (const auto& [window, by_process] : value.items()) {
-            auto& decoded = out.windows[std::stoll(window)];
+            const auto number = std::stoll(window);
+            if (number < 0 || number > last_window) {
+                return kernel::error{kernel::error_code::invalid_input, "window out of range"};
+            }
+            auto& decoded = out.windows[number];
             for (const auto& [process, by_name] : by_process.items()) {
                 decoded[process] = by_name.get<named_counts>();
             }
--- a/tests/front/message_limit_tests.cpp
+++ b/tests/front/message_limit_tests.cpp
@@ -1,8 +1,10 @@
 #include "front/batch_start.hpp"
 #include "front/count_exchange.hpp"
 #include "front/crash_exchange.hpp"
+#include "front/feed.hpp"
 #include "front/json.hpp"
 #include "front/slot_claims.hpp"
+#include "front/window_counts.hpp"
 #include "loop/spawn.hpp"
 
 #include <catch2/catch.hpp>
@@ -90,3 +92,39 @@
     const auto item = R"({"id":"i","path":"/t","headers":{"a":"b"},"body":"e30=","group":"g"},)";
     CHECK_FALSE(parse_json("[" + repeat(item, 20'000) + "0]", submission_limits).is_discarded());
 }
+
+TEST_CASE("numbers in claims of another host are bounded", "[front][limits]") {
+    // Guards against sums that overflow, and against shares of slots that are negative.
+    const auto read = decode_announcement(nlohmann::json::parse(
+        R"({"host":"h2","models":{"m":[9223372036854775807,18446744073709551615],"n":[-5,-1]},)"
+        R"("running":{"t1":4294967297}})"));
+    REQUIRE(read);
+    CHECK(read.value().models.at("m") == model_claim{1'000'000, 1'000'000'000});
+    CHECK(read.value().models.at("n") == model_claim{0, 0});
+    CHECK(read.value().running.at("t1") == 1'000'000);
+}
+
+TEST_CASE("counts of windows beyond any time of day are refused", "[front][limits]") {
+    // Guards against the start of a window that overflows.
+    CHECK_FALSE(decode_windows({{"9223372036854775807", {{"p", {{"east", 1}}}}}}));
+    CHECK_FALSE(decode_windows({{"-1", {{"p", {{"east", 1}}}}}}));
+}
+
+TEST_CASE("an age that a feeder states beyond any clock is not used", "[front][limits]") {
+    // Guards against a copy that counts as confirmed in the future, and never as old.
+    const auto read = [](std::string text) {
+        return stated_as_of({{"Cornelloom-As-Of-Ms", std::move(text)}});
+    };
+    CHECK(read("-250") == -250ms);
+    CHECK_FALSE(read("9223372036854775807"));
+    CHECK_FALSE(read("-9223372036854775808"));
+}
+
+TEST_CASE("a time of day of another host beyond any clock is not used", "[front][limits]") {
+    // Guards against a clock that is corrected by a sum that has overflowed.
+    one_host world;
+    const auto sent = world.self->clock.boot_now();
+    record_peer_time(*world.self, {"127.70.1.2", 1}, INT64_MAX, sent);
+    record_peer_time(*world.self, {"127.70.1.3", 1}, INT64_MIN, sent);
+    CHECK(world.self->clocks.empty());
+}
--- a/tests/platform/adapter_tests.cpp
+++ b/tests/platform/adapter_tests.cpp
@@ -514,3 +514,15 @@
     CHECK(encode_retry_after(milliseconds(50)).value == "0.050");
     CHECK(encode_retry_after(milliseconds(2300)).value == "2.300");
 }
+
+TEST_CASE("a deadline beyond any clock is the longest one", "[platform][requests]") {
+    // Guards against requests whose deadline overflows and has passed before they are sent.
+    const auto time_left = [](std::string text) {
+        transport::http_request message;
+        message.headers = {{"X-Deadline-Ms", std::move(text)}};
+        return decode_request(message).time_left;
+    };
+    CHECK(time_left("1200") == milliseconds(1200));
+    CHECK(time_left("9223372036854775807") == milliseconds(1'000'000'000'000));
+    CHECK(time_left("-9223372036854775808") == milliseconds(0));
+}
