--- a/tests/platform/adapter_tests.cpp
+++ b/tests/platform/adapter_tests.cpp
@@ -526,3 +526,9 @@
     CHECK(time_left("9223372036854775807") == milliseconds(1'000'000'000'000));
     CHECK(time_left("-9223372036854775808") == milliseconds(0));
 }
+
+TEST_CASE("a report of a target that is nested too deeply is refused", "[platform][orders]") {
+    // Guards against a process that ends while it copies the report.
+    const auto deep = std::string(100'000, '[') + std::string(100'000, ']');
+    CHECK_FALSE(decode_report(R"({"sequence":1,"x":)" + deep + "}"));
+}
