Keep cornelloomd running after an error in one of its threads

Callers saw: a cornelloomd that ends by SIGABRT (rule FAULT) when an exception leaves a background task, a platform call, an attempt, a peer's handler or a tick; a thread that could not be started left its count raised, so that the end of the process waited for it for ever.

Cause: the bodies of the threads let exceptions through.

Threads other than the tasks and the platform calls are changed by reading only.

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -7,6 +7,7 @@
 #include "daemon/target_poller.hpp"
 #include "daemon/wire.hpp"
 #include "kernel/number.hpp"
+#include "kernel/run_guarded.hpp"
 #include "transport/http_server.hpp"
 #include "transport/platform_client.hpp"
 
@@ -339,7 +340,7 @@
     kernel::log(events::daemon_draining, {{"host", shared.settings.host.str()}});
     const auto tick_until = [this](kernel::time_point until, const auto& done) {
         while (shared.clock.now() < until && !done()) {
-            tick_fast();
+            kernel::run_guarded("fast tick", [this] { tick_fast(); });
             std::this_thread::sleep_for(fast_tick);
         }
     };
@@ -373,13 +374,13 @@
     auto next_list = shared.clock.now();
     while (!stop && !parts_->drain_asked) {
         const auto now = shared.clock.now();
-        parts_->tick_fast();
+        kernel::run_guarded("fast tick", [this] { parts_->tick_fast(); });
         if (now >= next_slow) {
-            parts_->tick_slow();
+            kernel::run_guarded("slow tick", [this] { parts_->tick_slow(); });
             next_slow = now + slow_tick;
         }
         if (now >= next_list) {
-            parts_->read_host_list();
+            kernel::run_guarded("host list", [this] { parts_->read_host_list(); });
             next_list = now + host_list_period;
         }
         std::this_thread::sleep_for(fast_tick);
--- a/src/daemon/platform_runner.cpp
+++ b/src/daemon/platform_runner.cpp
@@ -1,6 +1,7 @@
 #include "daemon/platform_runner.hpp"
 
 #include "daemon/events.hpp"
+#include "kernel/run_guarded.hpp"
 
 #include <algorithm>
 #include <future>
@@ -99,13 +100,15 @@
 }
 
 void platform_runner::perform(const job& next, transport::call_control* control) {
-    const auto answer = transport_(next.call, control);
+    coord::platform_answer answer{next.call.token, coord::call_unknown{}};
+    kernel::run_guarded("platform call", [&] { answer = transport_(next.call, control); });
     if (std::holds_alternative<coord::call_outage>(answer.outcome) ||
         std::holds_alternative<coord::call_unknown>(answer.outcome)) {
         kernel::log(events::platform_trouble, {{"kind", coord::to_string(next.call.kind)},
                                                {"outcome", coord::outcome_name(answer.outcome)}});
     }
-    next.done({next.call.token, answer.outcome});
+    kernel::run_guarded("answer of the platform",
+                        [&] { next.done({next.call.token, answer.outcome}); });
 }
 
 } // namespace cornelloom::daemon
--- a/src/daemon/request_runner.cpp
+++ b/src/daemon/request_runner.cpp
@@ -1,6 +1,7 @@
 #include "daemon/request_runner.hpp"
 
 #include "daemon/events.hpp"
+#include "kernel/run_guarded.hpp"
 
 #include <fmt/format.h>
 
@@ -175,13 +176,21 @@
     auto state = std::make_shared<running_sending>();
     sendings_.emplace(sending_key{what.request, what.attempt}, state);
     ++threads_;
-    std::thread([this, what, owner = it->second, state] {
-        run_sending(what, owner, state);
-        const std::lock_guard done(mutex_);
+    const auto end = [this, what] {
         sendings_.erase({what.request, what.attempt});
         --threads_;
         idle_.notify_all();
-    }).detach();
+    };
+    try {
+        std::thread([this, what, owner = it->second, state, end] {
+            kernel::run_guarded("attempt", [&] { run_sending(what, owner, state); });
+            const std::lock_guard done(mutex_);
+            end();
+        }).detach();
+    } catch (...) {
+        end();
+        throw;
+    }
 }
 
 void request_runner::run_sending(const decide::dispatch& what, const std::shared_ptr<entry>& owner,
@@ -316,9 +325,10 @@
             if (stopping_) {
                 return;
             }
-            todo = decide::tick(scheduler_, shared_.clock.now());
+            kernel::run_guarded("scheduler",
+                                [&] { todo = decide::tick(scheduler_, shared_.clock.now()); });
         }
-        carry_out(todo);
+        kernel::run_guarded("scheduler", [&] { carry_out(todo); });
     }
 }
 
--- a/src/daemon/target_poller.cpp
+++ b/src/daemon/target_poller.cpp
@@ -2,6 +2,7 @@
 
 #include "daemon/step_runner.hpp"
 #include "kernel/hash.hpp"
+#include "kernel/run_guarded.hpp"
 
 #include <algorithm>
 #include <set>
@@ -32,11 +33,13 @@
 void target_poller::loop() {
     while (!stopping_) {
         const auto round_start = shared_.clock.now();
-        for (const auto& id : due_targets()) {
+        std::vector<kernel::target_id> due;
+        kernel::run_guarded("target poller", [&] { due = due_targets(); });
+        for (const auto& id : due) {
             if (stopping_) {
                 return;
             }
-            poll(id);
+            kernel::run_guarded("target poller", [&] { poll(id); });
             std::this_thread::sleep_for(pause_between_polls);
         }
         const auto rest = shortest_round - (shared_.clock.now() - round_start);
--- a/src/daemon/tasks.cpp
+++ b/src/daemon/tasks.cpp
@@ -1,5 +1,7 @@
 #include "daemon/tasks.hpp"
 
+#include "kernel/run_guarded.hpp"
+
 #include <thread>
 
 namespace cornelloom::daemon {
@@ -16,12 +18,20 @@
         }
         ++running_;
     }
-    std::thread([this, work = std::move(work)] {
-        work();
+    const auto end = [this] {
         const std::lock_guard lock(mutex_);
         --running_;
         idle_.notify_all();
-    }).detach();
+    };
+    try {
+        std::thread([work = std::move(work), end] {
+            kernel::run_guarded("daemon task", work);
+            end();
+        }).detach();
+    } catch (...) {
+        end();
+        throw;
+    }
 }
 
 void tasks::finish() {
--- a/src/transport/internal/worker_pool.cpp
+++ b/src/transport/internal/worker_pool.cpp
@@ -1,5 +1,7 @@
 #include "transport/internal/worker_pool.hpp"
 
+#include "kernel/run_guarded.hpp"
+
 #include <chrono>
 #include <system_error>
 #include <thread>
@@ -55,7 +57,7 @@
         jobs_.pop_front();
         --idle_;
         lock.unlock();
-        work();
+        kernel::run_guarded("peer handler", work);
         lock.lock();
         ++idle_;
     }
--- a/src/transport/peer_client.cpp
+++ b/src/transport/peer_client.cpp
@@ -1,3 +1,4 @@
+#include "kernel/run_guarded.hpp"
 #include "transport/internal/peer_call.hpp"
 #include "transport/internal/peer_link.hpp"
 #include "transport/peer_stream.hpp"
@@ -50,7 +51,10 @@
 
 peer_client::peer_client(const peer_settings& settings)
     : state_(std::make_unique<state>(settings)) {
-    state_->runner = std::thread([s = state_.get()] { s->loop.run(); });
+    state_->runner = std::thread([s = state_.get()] {
+        while (!kernel::run_guarded("peer client", [s] { s->loop.run(); })) {
+        }
+    });
 }
 
 peer_client::~peer_client() {
--- a/src/transport/peer_server.cpp
+++ b/src/transport/peer_server.cpp
@@ -1,3 +1,4 @@
+#include "kernel/run_guarded.hpp"
 #include "transport/internal/stream_connection.hpp"
 #include "transport/internal/stream_key.hpp"
 #include "transport/internal/worker_pool.hpp"
@@ -199,7 +200,10 @@
                          peer_handler handler)
     : state_(std::make_unique<state>(listen, settings, std::move(handler))) {
     state_->accept();
-    state_->runner = std::thread([s = state_.get()] { s->loop.run(); });
+    state_->runner = std::thread([s = state_.get()] {
+        while (!kernel::run_guarded("peer server", [s] { s->loop.run(); })) {
+        }
+    });
 }
 
 peer_server::~peer_server() {
--- a/src/transport/udp_channel.cpp
+++ b/src/transport/udp_channel.cpp
@@ -1,5 +1,6 @@
 #include "transport/udp_channel.hpp"
 
+#include "kernel/run_guarded.hpp"
 #include "transport/shared_key.hpp"
 
 #include <boost/asio/executor_work_guard.hpp>
@@ -178,7 +179,10 @@
 void udp_channel::start(handler receive) {
     state_->handle = std::move(receive);
     state_->receive();
-    state_->runner = std::thread([s = state_.get()] { s->loop.run(); });
+    state_->runner = std::thread([s = state_.get()] {
+        while (!kernel::run_guarded("datagrams", [s] { s->loop.run(); })) {
+        }
+    });
 }
 
 void udp_channel::stop() {
--- a/tests/daemon/platform_runner_tests.cpp
+++ b/tests/daemon/platform_runner_tests.cpp
@@ -1,10 +1,13 @@
 #include "daemon/platform_runner.hpp"
+#include "daemon/tasks.hpp"
+#include "kernel/failures.hpp"
 
 #include <catch2/catch.hpp>
 
 #include <atomic>
 #include <chrono>
 #include <future>
+#include <stdexcept>
 #include <thread>
 
 using namespace cornelloom;
@@ -31,3 +34,29 @@
     platform.stop();
     CHECK(heard);
 }
+
+TEST_CASE("A platform call that fails by an error is answered as unknown", "[daemon][platform]") {
+    // Guards against a process that ends by an error in a thread, and calls that get no answer.
+    config::daemon_settings settings;
+    settings.host = kernel::host_id("host-1");
+    context shared(std::move(settings));
+    std::promise<coord::platform_answer> answered;
+    platform_runner platform(
+        shared,
+        [](const coord::platform_call&, transport::call_control*) -> coord::platform_answer {
+            throw std::runtime_error("can't read the answer");
+        });
+    platform.start({1, coord::call_kind::host_list, coord::list_hosts{}},
+                   [&](const coord::platform_answer& answer) { answered.set_value(answer); });
+    const auto answer = answered.get_future().get();
+    CHECK(std::holds_alternative<coord::call_unknown>(answer.outcome));
+}
+
+TEST_CASE("A task that fails by an error is reported and waited for", "[daemon][tasks]") {
+    // Guards against a process that ends by an error in a thread, or waits for ever for it.
+    const auto before = kernel::failure_counts()["daemon task"];
+    tasks background;
+    background.run([] { throw std::runtime_error("no answer"); });
+    background.finish();
+    CHECK(kernel::failure_counts()["daemon task"] == before + 1);
+}
