--- a/src/front/batch_submit.cpp
+++ b/src/front/batch_submit.cpp
@@ -27,6 +27,15 @@
     return new_header;
 }
 
+/// Ids that aren't can't be told apart in the store, whose objects are JSON text.
+bool is_utf8(std::string_view text) {
+    const auto quoted = [text](nlohmann::json::error_handler_t on_error) {
+        return nlohmann::json(text).dump(-1, ' ', false, on_error);
+    };
+    return quoted(nlohmann::json::error_handler_t::replace) ==
+           quoted(nlohmann::json::error_handler_t::ignore);
+}
+
 /// Withdraws the submission of a batch that could not be stored and tells the caller that it is not
 /// accepted.
 loop::task<void> answer_not_stored(std::shared_ptr<batch_registry> registry,
@@ -77,6 +86,10 @@
                               loop::served_request& request, caller_request caller,
                               std::string account) {
     auto self = registry->self;
+    if (!is_utf8(caller.id)) {
+        co_await reject(*self, request, {}, "the id is not UTF-8", 400);
+        co_return;
+    }
     auto& submission = request.message.body;
     const auto spec = self->platform_adapter.submission(parse_json(submission, submission_limits));
     if (!spec) {
--- a/tests/front/message_limit_tests.cpp
+++ b/tests/front/message_limit_tests.cpp
@@ -1,14 +1,18 @@
 #include "front/batch_start.hpp"
+#include "front/batch_submit.hpp"
 #include "front/count_exchange.hpp"
 #include "front/crash_exchange.hpp"
 #include "front/feed.hpp"
 #include "front/json.hpp"
 #include "front/slot_claims.hpp"
 #include "front/window_counts.hpp"
+#include "loop/listener.hpp"
 #include "loop/spawn.hpp"
 
 #include <catch2/catch.hpp>
 
+#include <stdexcept>
+
 using namespace cornelloom::front;
 namespace kernel = cornelloom::kernel;
 namespace loop = cornelloom::loop;
@@ -128,3 +132,39 @@
     record_peer_time(*world.self, {"127.70.1.3", 1}, INT64_MIN, sent);
     CHECK(world.self->clocks.empty());
 }
+
+TEST_CASE("a submission whose id is not UTF-8 is refused for good", "[front][limits]") {
+    // Guards against batches of different ids that are stored under one name.
+    one_host world;
+    world.platform.submission = [](const nlohmann::json&) -> kernel::result<batch_spec> {
+        return batch_spec{};
+    };
+    world.platform.create = [](object_kind, std::string_view, std::string_view) -> store_request {
+        throw std::runtime_error("reached the store");
+    };
+    const auto registry = std::make_shared<batch_registry>(world.self);
+    const auto server = std::make_shared<loop::listener>();
+    server->io = &world.io;
+    server->limits = [] { return loop::caller_limits{}; };
+    server->handler = [registry](loop::served_request& request) -> loop::task<void> {
+        caller_request caller;
+        caller.id = "b\xff";
+        co_await submit_batch(registry, request, caller, {});
+    };
+    const transport::endpoint where{"127.70.1.4", 17'941};
+    loop::start_listening(server, where);
+    int status = 0;
+    const auto submit = [&]() -> loop::task<void> {
+        transport::http_request message;
+        message.method = "POST";
+        message.path = "/batches/";
+        message.headers.push_back({"Host", "lots.example"});
+        message.body = "{}";
+        const auto outcome = co_await loop::call(world.self->connections, where, std::move(message),
+                                                 loop::after(2s), 1s);
+        status = loop::status_of(outcome);
+    };
+    loop::spawn(world.io, "submit", submit());
+    world.io.run_for(300ms);
+    CHECK(status == 400);
+}
--- a/tests/platform/adapter_tests.cpp
+++ b/tests/platform/adapter_tests.cpp
@@ -532,3 +532,12 @@
     const auto deep = std::string(100'000, '[') + std::string(100'000, ']');
     CHECK_FALSE(decode_report(R"({"sequence":1,"x":)" + deep + "}"));
 }
+
+TEST_CASE("names that are not UTF-8 can be sent to the store and to targets", "[platform][store]") {
+    // Guards against an exception that leaves the task which sends them.
+    CHECK_NOTHROW(encode_create(front::object_kind::batches, "b\xff", "{}"));
+    front::load_order order;
+    order.model = "m\xff";
+    CHECK_NOTHROW(encode_order(order, "i-1"));
+    CHECK_NOTHROW(encode_supply_order({"s\xff", "z", 1}, {}));
+}
