Let callers go on when a batch can't be loaded because of an error

Cause: the note that a batch is being loaded was removed by a line at the end, which an exception skips; every later call waits for that load. A guard removes it now.

--- a/src/front/batch_desk.cpp
+++ b/src/front/batch_desk.cpp
@@ -4,6 +4,7 @@
 #include "front/batch_drive.hpp"
 #include "front/batch_log.hpp"
 #include "front/batch_owner.hpp"
+#include "kernel/finally.hpp"
 
 #include <algorithm>
 #include <optional>
@@ -177,6 +178,10 @@
     }
     auto gate = std::make_shared<loop::gate>(registry->self->io);
     registry->loading.emplace(id, gate);
+    const kernel::finally end([&] {
+        registry->loading.erase(id);
+        gate->open();
+    });
     auto loaded = co_await load_batch(registry->self, id);
     if (loaded.batch) {
         loaded.batch->last_used = registry->self->now();
@@ -187,8 +192,6 @@
     if (started != registry->batches.end()) {
         loaded = {started->second, false};
     }
-    registry->loading.erase(id);
-    gate->open();
     co_return loaded;
 }
 
--- a/tests/front/task_error_tests.cpp
+++ b/tests/front/task_error_tests.cpp
@@ -1,3 +1,4 @@
+#include "front/batch_desk.hpp"
 #include "front/batch_log.hpp"
 #include "front/item_run.hpp"
 #include "front/key_lookup.hpp"
@@ -31,6 +32,9 @@
     out.list = [](object_kind, std::string_view, bool) -> store_request {
         throw std::runtime_error("can't encode the call");
     };
+    out.get = [](object_kind, std::string_view, bool) -> store_request {
+        throw std::runtime_error("can't encode the call");
+    };
     out.create = [](object_kind, std::string_view, std::string_view) -> store_request {
         throw std::runtime_error("can't encode the object");
     };
@@ -210,3 +214,12 @@
     CHECK_FALSE(world.self->crashes.stored.being_written);
     CHECK(world.self->crashes.store_at);
 }
+
+TEST_CASE("calls on a batch don't wait for a load that failed by an error", "[front][errors]") {
+    // Guards against callers that wait for ever for a batch that no one loads.
+    one_target world;
+    const auto registry = std::make_shared<batch_registry>(world.self);
+    loop::spawn(world.io, "load", loop::ignore_result(get_batch(registry, "b1")));
+    world.run_for(50ms);
+    CHECK(registry->loading.empty());
+}
