--- a/src/front/batch_log.cpp
+++ b/src/front/batch_log.cpp
@@ -3,6 +3,7 @@
 #include "front/json.hpp"
 #include "front/log_reader.hpp"
 #include "front/records.hpp"
+#include "kernel/finally.hpp"
 #include "loop/gather.hpp"
 
 #include <algorithm>
@@ -258,7 +259,7 @@
 /// Restores the batch from the store's content; null if its submission can't be decoded.
 live_batch_ptr restore_batch(const std::shared_ptr<host>& self, batch_header header,
                              const stored_batch& stored) {
-    const auto submission_json = parse_json(*stored.submission);
+    const auto submission_json = parse_json(*stored.submission, submission_limits);
     auto spec = self->platform_adapter.submission(submission_json);
     if (!spec) {
         report_unreadable(*self, "batches", header.id, spec.error().detail);
@@ -333,6 +334,11 @@
         }
     }
     batch->appending = true;
+    const kernel::finally end([&] {
+        batch->appending = false;
+        batch->state.last_flush = self->now();
+        batch->changed.open();
+    });
     auto written = append_outcome::number_taken;
     while (written == append_outcome::number_taken) {
         if (batch->state.ended) {
@@ -346,9 +352,6 @@
         entry->nonce = self->random();
         written = co_await store_entry(batch, std::move(*entry), deadline);
     }
-    batch->appending = false;
-    batch->state.last_flush = self->now();
-    batch->changed.open();
     co_return written == append_outcome::stored;
 }
 
--- a/src/front/crash_exchange.cpp
+++ b/src/front/crash_exchange.cpp
@@ -269,8 +269,7 @@
 std::set<std::uint64_t> merge_crashes_of(host& self, std::string_view text, std::string_view from) {
     const auto received = decode_crashes(text);
     if (!received) {
-        log_event(self, object_unreadable,
-                  {{"kind", "crashes"}, {"problem", received.error().detail}});
+        report_unreadable(self, "crashes", {}, received.error().detail);
         return {};
     }
     merge_crashes_of(self, received.value(), from);
--- a/tests/platform/adapter_tests.cpp
+++ b/tests/platform/adapter_tests.cpp
@@ -522,3 +522,30 @@
     odd["address"] = "10.128.0.9:0";
     CHECK_FALSE(decode_target(object_with(odd.dump())));
 }
+
+TEST_CASE("a deadline beyond any clock is the longest one", "[platform][requests]") {
+    // Guards against requests whose deadline overflows and has passed before they are sent.
+    const auto time_left = [](std::string text) {
+        transport::http_request message;
+        message.headers = {{"X-Deadline-Ms", std::move(text)}};
+        return decode_request(message).time_left;
+    };
+    CHECK(time_left("1200") == milliseconds(1200));
+    CHECK(time_left("9223372036854775807") == milliseconds(1'000'000'000'000));
+    CHECK(time_left("-9223372036854775808") == milliseconds(0));
+}
+
+TEST_CASE("a report of a target that is nested too deeply is refused", "[platform][orders]") {
+    // Guards against a process that ends while it copies the report.
+    const auto deep = std::string(100'000, '[') + std::string(100'000, ']');
+    CHECK_FALSE(decode_report(R"({"sequence":1,"x":)" + deep + "}"));
+}
+
+TEST_CASE("names that are not UTF-8 can be sent to the store and to targets", "[platform][store]") {
+    // Guards against an exception that leaves the task which sends them.
+    CHECK_NOTHROW(encode_create(front::object_kind::batches, "b\xff", "{}"));
+    front::load_order order;
+    order.model = "m\xff";
+    CHECK_NOTHROW(encode_order(order, "i-1"));
+    CHECK_NOTHROW(encode_supply_order({"s\xff", "z", 1}, {}));
+}
