--- a/src/front/process.cpp
+++ b/src/front/process.cpp
@@ -385,6 +385,16 @@
     }
 }
 
+/// Logs that the process is told to stop before it is a host.
+void log_early_stop(int signal) {
+    const auto sender = kernel::last_sender(signal).value_or(kernel::signal_sender{});
+    kernel::log(kernel::events::signal_received,
+                {{"signal", kernel::signal_name(signal)},
+                 {"sender", static_cast<std::int64_t>(sender.process)},
+                 {"user", static_cast<std::int64_t>(sender.user)}});
+    kernel::log(front_stopped, {});
+}
+
 /// Reads the settings. A file that is just being written is read again until it is sound, for a
 /// while; the error is that of the last attempt. Nothing if `stopped` is set meanwhile.
 kernel::result<std::optional<host_settings>> wait_for_settings(loop::io_context& io,
@@ -444,10 +454,15 @@
     bool stopped = false;
     std::shared_ptr<batch_registry> registry;
     stop_signals.async_wait([&](const boost::system::error_code& ec, int signal) {
-        if (!ec && registry) {
-            stop(io, registry, signal);
+        if (ec) {
+            return;
         }
         stopped = true;
+        if (registry) {
+            stop(io, registry, signal);
+        } else {
+            log_early_stop(signal);
+        }
     });
     const auto& wire = linked_adapter();
     auto settings = wait_for_settings(io, wire, options.settings_file, stopped);
