Start cornelloomd although an address or its settings are not to be had yet

Callers saw: a cornelloomd that was ended by SIGHUP at any time, that ended at once if an address was taken or its settings were being written, and whose fatal end left no line.

Cause: SIGHUP was not handled, other signals only once the settings were read, and each problem of a start was final. A start that failed destroyed members that threads of the peers' links still used.

--- a/cmake/cornelloom_targets.cmake
+++ b/cmake/cornelloom_targets.cmake
@@ -123,8 +123,9 @@
             # An object library comes along only when it is named.
             target_link_libraries(test_soak PRIVATE cornelloom_platform)
             target_compile_definitions(test_soak PRIVATE
-                CORNELLOOM_FRONTD="$<TARGET_FILE:cornelloom_frontd>")
-            add_dependencies(test_soak cornelloom_frontd)
+                CORNELLOOM_FRONTD="$<TARGET_FILE:cornelloom_frontd>"
+                CORNELLOOM_DAEMON="$<TARGET_FILE:cornelloomd>")
+            add_dependencies(test_soak cornelloom_frontd cornelloomd)
         endif()
         if(TARGET cornelloom_${name}_fake)
             target_link_libraries(test_${name} PRIVATE cornelloom_${name}_fake)
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -70,6 +70,8 @@
     parts(const parts&) = delete;
     parts& operator=(const parts&) = delete;
 
+    void start();
+    void stop();
     void on_hosts_changed();
     void on_configuration();
     void on_item(const coord::item_key& key, const coord::held_item& item);
@@ -154,6 +156,16 @@
                          static_cast<std::uint64_t>(shared.clock.wall_now().unix_ms),
                          std::to_string(notice.crashed_target), notice.remaining});
     });
+    try {
+        start();
+    } catch (...) {
+        // Threads use members that would be destroyed before them.
+        stop();
+        throw;
+    }
+}
+
+void daemon::parts::start() {
     links.start({[this](const auto& from, auto bytes) { members.on_datagram(from, bytes); },
                  [this](const auto& path, const auto& body) { return serve_peer(path, body); }});
     poller = std::make_unique<target_poller>(shared, requests, weights);
@@ -163,6 +175,10 @@
 }
 
 daemon::parts::~parts() {
+    stop();
+}
+
+void daemon::parts::stop() {
     http.reset();
     poller.reset();
     links.stop();
--- a/src/daemon/events.hpp
+++ b/src/daemon/events.hpp
@@ -13,6 +13,8 @@
 inline constexpr event daemon_draining{7002, "daemon_draining", event_level::info,
                                        "shutdown began, new work is refused"};
 inline constexpr event daemon_stopped{7003, "daemon_stopped", event_level::info, "the daemon ends"};
+inline constexpr event start_delayed{7004, "start_delayed", event_level::warning,
+                                     "an address can't be bound yet; the start is tried again"};
 inline constexpr event configuration_in_force{7010, "configuration_in_force", event_level::info,
                                               "another generation is in force on this host"};
 inline constexpr event configuration_alarm{7011, "configuration_alarm", event_level::error,
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
+#include <boost/system/system_error.hpp>
 
 #include <stdexcept>
 #include <thread>
@@ -35,9 +36,9 @@
             acceptor.set_option(tcp::acceptor::reuse_address(true));
             acceptor.bind({asio::ip::make_address(listen.address), listen.port});
             acceptor.listen();
-        } catch (const std::exception& failure) {
-            throw std::runtime_error("can't listen on " + to_string(listen) + ": " +
-                                     failure.what());
+        } catch (const boost::system::system_error& failure) {
+            throw boost::system::system_error(failure.code(),
+                                              "can't listen on " + to_string(listen));
         }
     }
 
--- a/src/transport/peer_server.cpp
+++ b/src/transport/peer_server.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/system/system_error.hpp>
 
 #include <optional>
 #include <set>
@@ -57,9 +58,9 @@
             acceptor.set_option(tcp::acceptor::reuse_address(true));
             acceptor.bind(local);
             acceptor.listen();
-        } catch (const std::exception& failure) {
-            throw std::runtime_error("can't listen on " + to_string(listen) + ": " +
-                                     failure.what());
+        } catch (const boost::system::system_error& failure) {
+            throw boost::system::system_error(failure.code(),
+                                              "can't listen on " + to_string(listen));
         }
     }
 
--- a/src/transport/udp_channel.cpp
+++ b/src/transport/udp_channel.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/system/system_error.hpp>
 #include <sodium.h>
 
 #include <array>
@@ -89,9 +90,9 @@
             socket.open(local.protocol());
             socket.bind(local);
             socket.non_blocking(true);
-        } catch (const std::exception& failure) {
-            throw std::runtime_error("can't bind UDP " + to_string(wanted.listen) + ": " +
-                                     failure.what());
+        } catch (const boost::system::system_error& failure) {
+            throw boost::system::system_error(failure.code(),
+                                              "can't bind UDP " + to_string(wanted.listen));
         }
     }
 
