--- a/src/front/item_run.cpp
+++ b/src/front/item_run.cpp
@@ -197,7 +197,7 @@
     } catch (const std::bad_alloc&) {
         return failed_exchange(loop::exchange_fault::no_memory);
     } catch (...) {
-        return {run_outcome::failed, "internal error"};
+        return {run_outcome::retry, "internal error"};
     }
 }
 
--- a/src/front/plain_call.cpp
+++ b/src/front/plain_call.cpp
@@ -230,7 +230,6 @@
         ++state.refusals;
         break;
     case attempt_end::no_valid_answer:
-        outcome.failures += result.reason == own_error ? 1 : 0;
         state.connection_failed = true;
         state.permitted = false;
         if (outcome.result == plain_outcome::state::not_run) {
