--- a/src/front/item_run.cpp
+++ b/src/front/item_run.cpp
@@ -19,6 +19,8 @@
 constexpr milliseconds retry_delay{30};
 /// The same, after an error of this host.
 constexpr milliseconds error_retry_delay{200};
+/// Reason of a run that an error of this host ended.
+constexpr std::string_view own_error_reason = "internal error";
 /// A target that refuses a request although it has free slots is loading weights. This is the delay
 /// before it gets another request for that model.
 constexpr milliseconds loading_retry_delay{200};
@@ -189,7 +191,7 @@
     return accounts_in_use ? std::optional(batch.state.header.account) : std::nullopt;
 }
 
-/// Reason of a run that an error of this host ended.
+/// The result of a run that an error of this host ended.
 run_result own_error(const std::exception_ptr& error) {
     kernel::report_failure("run item", error);
     try {
@@ -197,7 +199,7 @@
     } catch (const std::bad_alloc&) {
         return failed_exchange(loop::exchange_fault::no_memory);
     } catch (...) {
-        return {run_outcome::retry, "internal error"};
+        return {run_outcome::retry, std::string(own_error_reason)};
     }
 }
 
@@ -276,6 +278,7 @@
         const bool target_failed = result.kind == run_outcome::retry && !run.being_moved &&
                                    !result.reason.starts_with("not run") &&
                                    !result.reason.starts_with("version") &&
+                                   result.reason != own_error_reason &&
                                    result.reason != to_string(loop::exchange_fault::no_memory);
         if (target_failed && batch.owned && !is_over(batch.state)) {
             record_request_failure(target, self.now());
@@ -488,7 +491,11 @@
         co_await score_item(batch, index);
         break;
     case run_outcome::retry:
-        requeue_item(*batch, index);
+        if (result.reason == own_error_reason) {
+            restore_item(*batch, index);
+        } else {
+            requeue_item(*batch, index);
+        }
         break;
     case run_outcome::failed:
         record_failure(*batch, index, item_route, result.reason);
