Pass over interim answers

What callers saw: a target that sent 100, 102 or 103 before its sound 200 had the request fail, on all kinds of routes.

Cause: read_head took the first head on the connection for the answer.

Change: read_head starts a new parser after an interim answer, 16 of them at most and within the one deadline. More of them, or a 101, which no request asks for, are no answer (garbled).

--- a/src/loop/exchange.cpp
+++ b/src/loop/exchange.cpp
@@ -39,6 +39,10 @@
 /// trailers.
 constexpr std::size_t max_buffered_bytes = std::size_t{2} * header_bytes_most;
 
+/// Interim answers (status 1xx) before the answer itself.
+constexpr int max_interim_answers = 16;
+constexpr int status_switching_protocols = 101;
+
 void tune(tcp::socket& socket) {
     boost::system::error_code ignored; // tuning only: without it the connection still works
     ignored = socket.set_option(tcp::no_delay(true), ignored);
@@ -207,10 +211,8 @@
 
 task<exchange_fault> exchange::send(const transport::http_request& request, deadline until) {
     auto message = std::make_shared<request_message>(encode(request));
-    parser_.emplace();
-    parser_->body_limit(body_bytes_most);
-    parser_->header_limit(header_bytes_most);
-    parser_->skip(request.method == "HEAD");
+    answer_has_body_ = request.method != "HEAD";
+    start_parser();
     stream_->expires_at(until);
     if (request.body.size() > inline_body_bytes) {
         *body_written_ = false;
@@ -223,13 +225,30 @@
     co_return ec ? note(fault_of(ec)) : exchange_fault::none;
 }
 
+void exchange::start_parser() {
+    parser_.emplace();
+    parser_->body_limit(body_bytes_most);
+    parser_->header_limit(header_bytes_most);
+    parser_->skip(!answer_has_body_);
+}
+
 task<exchange_fault> exchange::read_head(deadline until) {
     stream_->expires_at(until);
-    boost::system::error_code ec;
-    co_await http::async_read_header(*stream_, buffer_, *parser_,
-                                     asio::redirect_error(asio::use_awaitable, ec));
-    if (ec) {
-        co_return note(fault_of(ec));
+    for (int interim_answers = 0;; ++interim_answers) {
+        boost::system::error_code ec;
+        co_await http::async_read_header(*stream_, buffer_, *parser_,
+                                         asio::redirect_error(asio::use_awaitable, ec));
+        if (ec) {
+            co_return note(fault_of(ec));
+        }
+        if (status() / 100 != 1) {
+            break;
+        }
+        // No request asks for another protocol.
+        if (status() == status_switching_protocols || interim_answers == max_interim_answers) {
+            co_return note(exchange_fault::garbled);
+        }
+        start_parser();
     }
     headers_.clear();
     for (const auto& field : parser_->get().base()) {
--- a/src/loop/exchange.hpp
+++ b/src/loop/exchange.hpp
@@ -46,6 +46,7 @@
     /// Writes the request; a long body goes on in the background, for a server may answer first.
     task<exchange_fault> send(const transport::http_request& request, deadline until);
 
+    /// Reads the head of the answer, passing over interim answers.
     task<exchange_fault> read_head(deadline until);
 
     /// The next bytes of the body; none once the body is complete.
@@ -76,6 +77,7 @@
 
 private:
     task<exchange_fault> connect(deadline until, bool reuse);
+    void start_parser();
     exchange_fault note(exchange_fault fault);
     void release_memory();
     void close(opening_cause cause);
@@ -89,6 +91,7 @@
     std::size_t reserved_bytes_ = 0;                   ///< Of that memory.
     boost::beast::flat_buffer buffer_; ///< Bounded: a head or framing may come without end.
     std::optional<boost::beast::http::response_parser<boost::beast::http::string_body>> parser_;
+    bool answer_has_body_ = true; ///< Unless to a HEAD request.
     std::vector<transport::http_header> headers_;
     std::shared_ptr<bool> body_written_ = std::make_shared<bool>(true);
     bool aborted_ = false;
--- a/tests/loop/loop_tests.cpp
+++ b/tests/loop/loop_tests.cpp
@@ -156,6 +156,59 @@
     });
 }
 
+TEST_CASE("interim answers come before the answer and are not taken for it", "[loop][exchange]") {
+    // Guards against a request that fails although its server sent a sound answer after a 1xx.
+    const std::string interim =
+        GENERATE("100 Continue\r\n", "102 Processing\r\n", "103 Early Hints\r\nLink: </a>\r\n");
+    const int count = GENERATE(1, 2, 16);
+    const std::string method = GENERATE("GET", "HEAD");
+    io_context io(1);
+    scripted_server server(io, [&](tcp::socket& socket) -> task<void> {
+        for (;;) {
+            co_await read_head(socket);
+            for (int i = 0; i < count; ++i) {
+                co_await write(socket, "HTTP/1.1 " + interim + "\r\n");
+            }
+            const std::string body = method == "HEAD" ? "" : "body";
+            co_await write(socket, "HTTP/1.1 200 OK\r\nX-A: 1\r\nContent-Length: 4\r\n"
+                                   "Keep-Alive: timeout=5\r\n\r\n" +
+                                       body);
+        }
+    });
+    connection_pool pool(io);
+    run(io, [&]() -> task<void> {
+        auto request = get();
+        request.method = method;
+        for (int i = 0; i < 2; ++i) {
+            const auto outcome = co_await call(pool, server.where(), request, after(1s), 500ms);
+            CHECK(outcome.fault == exchange_fault::none);
+            CHECK(outcome.answer.status == 200);
+            CHECK(outcome.answer.body == (method == "HEAD" ? "" : "body"));
+            CHECK(transport::find_header(outcome.answer.headers, "Link") == std::nullopt);
+        }
+        CHECK(server.connections == 1);
+    });
+}
+
+TEST_CASE("an answer that changes the protocol, or too many interim ones, is no answer",
+          "[loop][exchange]") {
+    // Guards against a caller that gets a 1xx as its answer, and one that waits for ever.
+    const std::string line =
+        GENERATE("HTTP/1.1 101 Switching Protocols\r\n\r\n", "HTTP/1.1 103 Early Hints\r\n\r\n");
+    io_context io(1);
+    scripted_server server(io, [&](tcp::socket& socket) -> task<void> {
+        co_await read_head(socket);
+        for (;;) {
+            co_await write(socket, line);
+        }
+    });
+    connection_pool pool(io);
+    run(io, [&]() -> task<void> {
+        const auto outcome = co_await call(pool, server.where(), get(), after(2s), 500ms);
+        CHECK(outcome.fault == exchange_fault::garbled);
+    });
+}
+
 TEST_CASE("a connection with bytes beyond the answer is not used again", "[loop][exchange]") {
     // A faulty target sends a second answer after the first. Kept, the connection would give these
     // bytes to the next request, whose caller would get somebody else's answer.
