Let an answer without a length end with the connection

What callers saw: an answer without a length that its target ended early, by an orderly close, came as a whole 200: with a Content-Length, or with the last chunk.

Change: an answer may state that it ends with the connection. It has neither a length nor chunks, the connection closes after it, and while it is written a close resets the connection, also one by the end of the process: only a body that came to its end ends orderly.

--- a/src/loop/exchange.hpp
+++ b/src/loop/exchange.hpp
@@ -117,7 +117,8 @@
     fresh, ///< A new one: an idle connection may have gone silent, and a long wait would not show.
 };
 
-/// Sends one request and reads its whole answer.
+/// Sends one request and reads its whole answer. An answer without a length is not known to be
+/// whole: it counts as broken.
 task<call_outcome> call(connection_pool& pool, transport::endpoint server,
                         transport::http_request request, deadline until, milliseconds connect_limit,
                         connection_use use = connection_use::any);
--- a/src/loop/listener.cpp
+++ b/src/loop/listener.cpp
@@ -85,6 +85,12 @@
     });
 }
 
+/// An orderly close would end an answer without a length; a process that ends closes, too.
+void reset_on_close(tcp::socket& socket, bool reset) {
+    boost::system::error_code ignored; // the connection may be lost already
+    ignored = socket.set_option(asio::socket_base::linger(reset, 0), ignored);
+}
+
 int status_of(const boost::system::error_code& ec) {
     if (ec == http::error::header_limit || ec == http::error::buffer_overflow) {
         return 431;
@@ -127,25 +133,42 @@
     for (const auto& header : response.headers) {
         out.insert(header.name, header.value);
     }
+    if (response.ends_with_connection) {
+        end_with_connection();
+    } else {
+        out.content_length(response.body.size());
+    }
     out.keep_alive(keep_open_);
     out.body() = std::move(response.body);
-    out.content_length(out.body().size());
     started_ = true;
     stream_->expires_after(write_limit);
     boost::system::error_code ec;
     co_await http::async_write(*stream_, out, asio::redirect_error(asio::use_awaitable, ec));
-    answered_ = !ec;
+    answered_ = !ec || (response.ends_with_connection && ec == http::error::end_of_stream);
+    if (answered_) {
+        reset_on_close(stream_->socket(), false);
+    }
 }
 
-task<void> served_request::begin(int status, std::vector<transport::http_header> headers) {
+void served_request::end_with_connection() {
+    framing_ = body_framing::ends_with_connection;
+    keep_open_ = false;
+    reset_on_close(stream_->socket(), true);
+}
+
+task<void> served_request::begin(int status, std::vector<transport::http_header> headers,
+                                 body_framing framing) {
     http::response<http::empty_body> out;
     out.version(11);
     out.result(static_cast<unsigned>(status));
     for (const auto& header : headers) {
         out.insert(header.name, header.value);
     }
+    if (framing == body_framing::ends_with_connection || !takes_chunks_) {
+        end_with_connection();
+    }
     out.keep_alive(keep_open_);
-    out.chunked(true);
+    out.chunked(framing_ == body_framing::chunked);
     http::response_serializer<http::empty_body> writer(out);
     started_ = true;
     stream_->expires_after(write_limit);
@@ -159,7 +182,7 @@
     if (bytes.empty() || gone()) {
         co_return;
     }
-    const auto framed = chunk(bytes);
+    const auto framed = framing_ == body_framing::chunked ? chunk(bytes) : std::string(bytes);
     stream_->expires_after(write_limit);
     boost::system::error_code ec;
     co_await asio::async_write(*stream_, asio::buffer(framed),
@@ -168,6 +191,11 @@
 }
 
 task<void> served_request::end() {
+    if (framing_ == body_framing::ends_with_connection) {
+        answered_ = !gone();
+        reset_on_close(stream_->socket(), !answered_);
+        co_return;
+    }
     const std::string last = "0\r\n\r\n";
     stream_->expires_after(write_limit);
     boost::system::error_code ec;
@@ -287,7 +315,9 @@
             co_return false;
         }
         const bool keep = parser.get().keep_alive() && !server->closing();
+        const bool takes_chunks = parser.get().version() >= 11;
         served_request request(stream, to_request(parser.release()), keep);
+        request.takes_chunks_ = takes_chunks;
         auto watch = std::make_shared<close_watch>();
         watch->gone = request.gone_;
         watch->notify = request.notify_;
--- a/src/loop/listener.hpp
+++ b/src/loop/listener.hpp
@@ -14,6 +14,12 @@
 
 namespace cornelloom::loop {
 
+/// How a caller learns where the body of an answer ends.
+enum class body_framing {
+    chunked,
+    ends_with_connection, ///< Promises nothing: the body may have been cut.
+};
+
 /// One request of a caller, and the way to answer it. Lives until its handler has returned.
 class served_request {
 public:
@@ -26,7 +32,8 @@
     task<void> answer(transport::http_response response);
 
     /// Starts an answer whose body follows in pieces.
-    task<void> begin(int status, std::vector<transport::http_header> headers);
+    task<void> begin(int status, std::vector<transport::http_header> headers,
+                     body_framing framing = body_framing::chunked);
     task<void> piece(std::string_view bytes);
     /// Ends the body; without it the caller sees an answer that broke off.
     task<void> end();
@@ -49,12 +56,18 @@
 
 private:
     friend struct session;
+
+    /// The connection ends with the body of this answer, and by a reset if it ends before.
+    void end_with_connection();
+
     boost::beast::tcp_stream* stream_;
     std::shared_ptr<bool> gone_ = std::make_shared<bool>(false);
     std::shared_ptr<std::function<void()>> notify_ = std::make_shared<std::function<void()>>();
     bool keep_open_;
     bool started_ = false; ///< Some of an answer may have been written.
     bool answered_ = false;
+    bool takes_chunks_ = true; ///< Unknown to callers of HTTP/1.0.
+    body_framing framing_ = body_framing::chunked;
     bool abandoned_ = false;
 };
 
--- a/src/transport/http.hpp
+++ b/src/transport/http.hpp
@@ -44,6 +44,8 @@
     int status = 200;
     std::vector<http_header> headers{};
     std::string body{};
+    /// No length was stated: only the end of the connection ends the body, so it may have been cut.
+    bool ends_with_connection = false;
 };
 
 /// The first header of that name, compared without case.
--- a/tests/loop/loop_tests.cpp
+++ b/tests/loop/loop_tests.cpp
@@ -1,6 +1,7 @@
 #include "loop/loop.hpp"
 
 #include <boost/asio/detached.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 
@@ -143,6 +144,44 @@
     });
 }
 
+TEST_CASE("an answer that is cut at any byte never counts as whole", "[loop][exchange]") {
+    // Guards against half an answer, or none, that is passed on as the whole one.
+    const std::string bytes =
+        GENERATE(as<std::string>{}, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody",
+                 "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+                 "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody",
+                 "HTTP/1.1 200 OK\nContent-Length: 4\n\nbody",
+                 "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nbody");
+    const bool reset = GENERATE(false, true);
+    const bool used_before = GENERATE(false, true);
+    CAPTURE(bytes, reset, used_before);
+    const bool has_length = bytes.find("close") == std::string::npos;
+    io_context io(1);
+    std::size_t size = 0;
+    scripted_server server(io, [&](tcp::socket& socket) -> task<void> {
+        if (used_before) {
+            co_await read_head(socket);
+            co_await write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n"
+                                   "Keep-Alive: timeout=5\r\n\r\nother");
+        }
+        co_await read_head(socket);
+        co_await write(socket, bytes.substr(0, size));
+        socket.set_option(asio::socket_base::linger(reset, 0));
+    });
+    connection_pool pool(io);
+    run(io, [&]() -> task<void> {
+        for (; size < bytes.size() + (has_length ? 0 : 1); ++size) {
+            CAPTURE(size);
+            if (used_before) {
+                const auto other = co_await call(pool, server.where(), get(), after(1s), 500ms);
+                CHECK(other.answer.body == "other");
+            }
+            const auto outcome = co_await call(pool, server.where(), get(), after(1s), 500ms);
+            CHECK(outcome.fault != exchange_fault::none);
+        }
+    });
+}
+
 TEST_CASE("bytes that are no answer are told from a connection that broke", "[loop][exchange]") {
     io_context io(1);
     scripted_server server(io, [](tcp::socket& socket) -> task<void> {
@@ -513,6 +552,89 @@
     });
 }
 
+TEST_CASE("an answer of unknown length ends with the connection, a broken one with a reset",
+          "[loop][listener]") {
+    // Guards against a caller that takes the answer of a target that stopped for a whole one.
+    const std::string version = GENERATE("1.0", "1.1");
+    const std::string path = GENERATE("/plain", "/stream", "/broken", "/failed");
+    CAPTURE(version, path);
+    io_context io(1);
+    auto server = std::make_shared<listener>();
+    server->io = &io;
+    server->limits = [] { return caller_limits{}; };
+    server->handler = [&](served_request& request) -> task<void> {
+        if (path == "/plain") {
+            transport::http_response answer{200, {}, "half"};
+            answer.ends_with_connection = true;
+            co_await request.answer(std::move(answer));
+            co_return;
+        }
+        co_await request.begin(200, {}, body_framing::ends_with_connection);
+        co_await request.piece("half");
+        co_await pause_for(io, 50ms); // the caller reads it before a reset drops it
+        if (path == "/broken") {
+            request.abandon();
+            co_return;
+        }
+        if (path == "/failed") {
+            throw std::runtime_error("handler");
+        }
+        co_await request.end();
+    };
+    tcp::acceptor probe(io, tcp::endpoint(tcp::v4(), 0));
+    const transport::endpoint where{"127.0.0.1", probe.local_endpoint().port()};
+    probe.close();
+    start_listening(server, where);
+    run(io, [&]() -> task<void> {
+        tcp::socket socket(io);
+        const tcp::endpoint address(asio::ip::make_address(where.address), where.port);
+        co_await socket.async_connect(address, asio::use_awaitable);
+        co_await write(socket,
+                       "GET / HTTP/" + version + "\r\nHost: h\r\nConnection: keep-alive\r\n\r\n");
+        std::string bytes;
+        boost::system::error_code ec;
+        co_await asio::async_read(socket, asio::dynamic_buffer(bytes),
+                                  asio::redirect_error(asio::use_awaitable, ec));
+        const bool whole = path == "/plain" || path == "/stream";
+        CHECK(ec == (whole ? boost::system::error_code(asio::error::eof)
+                           : boost::system::error_code(asio::error::connection_reset)));
+        CHECK(bytes.ends_with("\r\n\r\nhalf"));
+        CHECK(bytes.find("Content-Length") == std::string::npos);
+        CHECK(bytes.find("chunked") == std::string::npos);
+        CHECK(bytes.find("Connection: close") != std::string::npos);
+    });
+}
+
+TEST_CASE("a stream has no chunks for a caller that knows none", "[loop][listener]") {
+    // Guards against the sizes of chunks in what a caller of HTTP/1.0 takes for the body.
+    io_context io(1);
+    auto server = std::make_shared<listener>();
+    server->io = &io;
+    server->limits = [] { return caller_limits{}; };
+    server->handler = [](served_request& request) -> task<void> {
+        co_await request.begin(200, {});
+        co_await request.piece("one");
+        co_await request.piece("two");
+        co_await request.end();
+    };
+    tcp::acceptor probe(io, tcp::endpoint(tcp::v4(), 0));
+    const transport::endpoint where{"127.0.0.1", probe.local_endpoint().port()};
+    probe.close();
+    start_listening(server, where);
+    run(io, [&]() -> task<void> {
+        tcp::socket socket(io);
+        const tcp::endpoint address(asio::ip::make_address(where.address), where.port);
+        co_await socket.async_connect(address, asio::use_awaitable);
+        co_await write(socket, "GET / HTTP/1.0\r\nHost: h\r\n\r\n");
+        std::string bytes;
+        boost::system::error_code ec;
+        co_await asio::async_read(socket, asio::dynamic_buffer(bytes),
+                                  asio::redirect_error(asio::use_awaitable, ec));
+        CHECK(ec == asio::error::eof);
+        CHECK(bytes.ends_with("\r\n\r\nonetwo"));
+    });
+}
+
 TEST_CASE("bad input gets the status that names it, and nothing runs", "[loop][listener]") {
     io_context io(1);
     auto server = std::make_shared<listener>();
