Pass on targets' answers without a length as such (compiled, not run)

Plain answers and streams keep the framing of the target; a chunked stream that goes on at a target without a length is broken off, not ended.

--- a/src/front/plain_call.cpp
+++ b/src/front/plain_call.cpp
@@ -131,6 +131,7 @@
     answer.status = exchange->status();
     answer.headers = exchange->headers();
     const bool ended_by_close = exchange->ended_by_close();
+    answer.ends_with_connection = ended_by_close;
     result = classify_answer(*state, std::move(answer));
     // A connection that gave the answer to another request may give another one.
     if (result.end == attempt_end::no_valid_answer) {
--- a/src/front/stream_call.cpp
+++ b/src/front/stream_call.cpp
@@ -27,6 +27,7 @@
     std::set<std::string, std::less<>> tried_targets{};
     std::int64_t last_event = 0; ///< Id of the last event sent to the caller.
     bool head_sent = false;      ///< The response head was sent to the caller.
+    loop::body_framing framing = loop::body_framing::chunked; ///< Of the response body.
     int may_have_run = 0;
     int refusals = 0;
     std::string reason{};
@@ -76,10 +77,17 @@
             stream.last_event = std::max(stream.last_event, event.id);
         }
     }
+    const bool ended_by_close = stream.exchange->ended_by_close();
+    stream.end_of_run = ended_by_close ? run_end::broken : run_end::survived;
+    // The last chunk would tell the caller that the stream is whole.
+    const bool claims_more = ended_by_close && stream.framing == loop::body_framing::chunked;
+    if (claims_more || (ended_by_close && !pending.empty())) {
+        stream.reason = "stream without length ended";
+        co_return stream_end::broken_off;
+    }
     if (!pending.empty()) {
         co_await stream.request->piece(pending);
     }
-    stream.end_of_run = stream.exchange->ended_by_close() ? run_end::broken : run_end::survived;
     co_return stream_end::complete;
 }
 
@@ -94,6 +102,7 @@
         co_return stream_end::broken_off;
     }
     answer.headers = stream.self->platform_adapter.answer_headers(stream.exchange->headers());
+    answer.ends_with_connection = stream.exchange->ended_by_close();
     stream.exchange->finish();
     co_await stream.request->answer(std::move(answer));
     co_return stream_end::error_forwarded;
@@ -143,9 +152,13 @@
     }
     if (!stream.head_sent) {
         stream.head_sent = true;
+        if (stream.exchange->ended_by_close()) {
+            stream.framing = loop::body_framing::ends_with_connection;
+        }
         count_usage(*stream.self, stream.account, stream.self->now());
         co_await stream.request->begin(
-            status, stream.self->platform_adapter.answer_headers(stream.exchange->headers()));
+            status, stream.self->platform_adapter.answer_headers(stream.exchange->headers()),
+            stream.framing);
     }
     const auto end = co_await forward_body(stream);
     co_return end;
