List a text without a length once a further run adds nothing (compiled, not run)

An item's stream without a length that ends may have been cut: the item is run again after its last event, and counts as whole if that run adds none.

--- a/src/front/batch.hpp
+++ b/src/front/batch.hpp
@@ -39,7 +39,9 @@
     time_point held_since{};     ///< Since when crashes of its targets delay it; zero: they don't.
     double memory_tokens = 0;    ///< Memory that its run is expected to take at its target.
     std::uint64_t digest = 0;    ///< Of its content; 0: not computed yet.
-    bool is_try = false;         ///< It runs although it may crash its target; see `begin_try`.
+    /// The last event when a run ended without having stated a length; 0: none did.
+    std::int64_t unconfirmed_end = 0;
+    bool is_try = false; ///< It runs although it may crash its target; see `begin_try`.
 };
 
 /// One entry of a batch's log.
--- a/src/front/item_run.cpp
+++ b/src/front/item_run.cpp
@@ -26,6 +26,9 @@
 /// earlier.
 constexpr milliseconds near_deadline_window{2000};
 
+/// Not counted as a failure of the target, which may have sent the whole text.
+constexpr std::string_view unconfirmed_end_reason = "stream without length ended";
+
 /// A longer text can't be written to the log.
 std::size_t max_text_bytes(const live_batch& batch) {
     return batch.local_host->settings.max_value_bytes;
@@ -103,6 +106,21 @@
            contains(item.output.versions, version);
 }
 
+/// A stream without a length ends alike where its target stopped: the text counts as whole once a
+/// run that starts after the last event adds nothing. A text without events is never known to be.
+run_result judge_end_by_close(live_batch& batch, std::size_t index) {
+    auto& item = batch.state.items[index];
+    const auto last_event = item.output.last_event;
+    if (last_event == 0) {
+        return {run_outcome::retry, "stream without events ended", run_end::broken};
+    }
+    if (batch.runs.at(index).events == 0 && item.unconfirmed_end == last_event) {
+        return {run_outcome::complete, {}, run_end::survived};
+    }
+    item.unconfirmed_end = last_event;
+    return {run_outcome::retry, std::string(unconfirmed_end_reason), run_end::broken};
+}
+
 loop::task<run_result> read_events(live_batch_ptr batch, std::size_t index, route item_route,
                                    int version) {
     auto& run = batch->runs.at(index);
@@ -145,9 +163,11 @@
                             run.last_event - run.first_event);
         }
     }
-    const auto end = exchange->ended_by_close() ? run_end::broken : run_end::survived;
-    co_return buffer.empty() ? run_result{run_outcome::complete, {}, end}
-                             : run_result{run_outcome::retry, "stream ended inside an event"};
+    if (!buffer.empty()) {
+        co_return run_result{run_outcome::retry, "stream ended inside an event"};
+    }
+    co_return exchange->ended_by_close() ? judge_end_by_close(*batch, index)
+                                         : run_result{run_outcome::complete, {}, run_end::survived};
 }
 
 run_result handle_error_status(live_batch& batch, std::size_t index, const target_answer& reply,
@@ -262,6 +282,7 @@
         const bool target_failed = result.kind == run_outcome::retry && !run.being_moved &&
                                    !result.reason.starts_with("not run") &&
                                    !result.reason.starts_with("version") &&
+                                   result.reason != unconfirmed_end_reason &&
                                    result.reason != to_string(loop::exchange_fault::no_memory);
         if (target_failed && batch.owned && !is_over(batch.state)) {
             record_request_failure(target, self.now());
