--- a/src/front/item_run.cpp
+++ b/src/front/item_run.cpp
@@ -295,12 +295,11 @@
     const auto found = self.targets.by_id.find(run.target);
     if (found != self.targets.by_id.end()) {
         auto& target = found->second;
-        const bool target_failed = result.kind == run_outcome::retry && !run.being_moved &&
-                                   !result.reason.starts_with("not run") &&
-                                   !result.reason.starts_with("version") &&
-                                   result.reason != own_error_reason &&
-                                   result.reason != unconfirmed_end_reason &&
-                                   result.reason != to_string(loop::exchange_fault::no_memory);
+        const bool target_failed =
+            result.kind == run_outcome::retry && !run.being_moved &&
+            !result.reason.starts_with("not run") && !result.reason.starts_with("version") &&
+            result.reason != own_error_reason && result.reason != unconfirmed_end_reason &&
+            result.reason != to_string(loop::exchange_fault::no_memory);
         if (target_failed && batch.owned && !is_over(batch.state)) {
             record_request_failure(target, self.now());
         }
