--- a/src/front/item_run.cpp
+++ b/src/front/item_run.cpp
@@ -313,7 +313,7 @@
                    {"events", run.events},
                    {"hint", batch.state.spec.items[index].expected_output_tokens},
                    {"most", batch.state.spec.items[index].max_output_tokens},
-                   {"first_ms", ms_between(run.sent, run.first_event)},
+                   {"first_ms", run.events == 0 ? 0.0 : ms_between(run.sent, run.first_event)},
                    {"ms", ms_between(run.sent, self.now())},
                    {"age_ms", ms_between(batch.state.submitted, self.now())}});
     } else {
--- a/tests/soak/answer_end_tests.cpp
+++ b/tests/soak/answer_end_tests.cpp
@@ -73,7 +73,8 @@
         played.target->troubles.answers_to_cut = played.target->models.empty() ? 0 : cuts;
     }
     play(rig, [&]() -> loop::task<void> {
-        const auto plan = make_plan("step", 4, 10);
+        constexpr int events = 10;
+        const auto plan = make_plan("step", 4, events);
         const int submitted = co_await submit(rig, 0, plan);
         CHECK(submitted == 202);
         const auto until = loop::after(15s);
@@ -84,8 +85,9 @@
         CHECK(read.items.size() == plan.items.size());
         const auto batch = known_batch(rig, 0, plan);
         REQUIRE(batch != nullptr);
-        CHECK(std::ranges::all_of(batch->state.items, [](const front::item_state& item) {
-            return item.output.last_event == 10;
-        }));
+        for (const auto& result : batch->state.logged_results) {
+            CHECK(result.completed);
+            CHECK(std::ranges::count(result.text, '\n') + 1 == events);
+        }
     });
 }
--- a/tests/soak/start_tests.cpp
+++ b/tests/soak/start_tests.cpp
@@ -80,7 +80,7 @@
         ready_after = co_await ask_ready(rig, 0);
     });
     CHECK(restart_ended(rig) == 0);
-    CHECK(ready_while_taken == (port == 7101 ? 503 : port == 7102 ? 0 : 200));
+    CHECK(ready_while_taken == (port == 7102 ? 0 : 503));
     CHECK(ready_after == 200);
     CHECK(count_served(rig, 0, freed) > 0);
 }
