--- a/src/front/item_dispatch.cpp
+++ b/src/front/item_dispatch.cpp
@@ -93,6 +93,31 @@
     return item.prompt_tokens + expected_tokens(item);
 }
 
+void start_scoring(const live_batch_ptr& batch, std::size_t index) {
+    batch->state.items[index].phase = item_phase::scoring;
+    try {
+        loop::spawn(batch->local_host->io, "score item", score_item(batch, index));
+    } catch (...) {
+        restore_item(*batch, index);
+        throw;
+    }
+}
+
+/// Starts the run of an item that is counted at the target.
+void start_run(const live_batch_ptr& batch, std::size_t index, const std::string& target_id) {
+    auto& self = *batch->local_host;
+    const auto& item = batch->state.spec.items[index];
+    decide::earn_move(self.moves);
+    try {
+        decide::record_start(self.account_costs, batch->state.header.account, cost_of(item));
+        loop::spawn(self.io, "run item", run_item(batch, index, target_id));
+    } catch (...) {
+        leave_target(*batch, index, target_id);
+        restore_item(*batch, index);
+        throw;
+    }
+}
+
 /// Starts the item on a target if one has capacity for it.
 void dispatch_item(const live_batch_ptr& batch, std::size_t index, placement_round& round) {
     auto& self = *batch->local_host;
@@ -102,13 +127,7 @@
         return;
     }
     if (state.output.whole) {
-        state.phase = item_phase::scoring;
-        try {
-            loop::spawn(self.io, "score item", score_item(batch, index));
-        } catch (...) {
-            restore_item(*batch, index);
-            throw;
-        }
+        start_scoring(batch, index);
         return;
     }
     const auto* item_route = route_of_item(*batch, item);
@@ -153,15 +172,7 @@
     ++target->awaiting_first_event;
     state.memory_tokens = requirements.memory_tokens;
     target->memory_tokens += state.memory_tokens;
-    decide::earn_move(self.moves);
-    try {
-        decide::record_start(self.account_costs, batch->state.header.account, cost_of(item));
-        loop::spawn(self.io, "run item", run_item(batch, index, target->entry.id));
-    } catch (...) {
-        leave_target(*batch, index, target->entry.id);
-        restore_item(*batch, index);
-        throw;
-    }
+    start_run(batch, index, target->entry.id);
 }
 
 decide::item_progress progress_of(const item_state& state, time_point now) {
--- a/src/front/item_run.cpp
+++ b/src/front/item_run.cpp
@@ -527,6 +527,16 @@
     batch->changed.open();
 }
 
+/// Makes the call, which ends early when the batch ends.
+loop::task<plain_outcome> run_scoring_call(live_batch_ptr batch, std::size_t index,
+                                           plain_call call) {
+    const auto control = std::make_shared<call_control>();
+    const kernel::finally end([&] { batch->scoring_calls.erase(index); });
+    batch->scoring_calls.insert_or_assign(index, control);
+    auto outcome = co_await run_plain_call(batch->local_host, std::move(call), control);
+    co_return outcome;
+}
+
 loop::task<void> try_score(live_batch_ptr batch, std::size_t index) {
     auto self = batch->local_host;
     const auto scoring = batch->state.spec.items[index].scoring;
@@ -550,13 +560,7 @@
         const auto* batch_route = route_of(*batch);
         const int max_failures =
             std::max(scoring_route->attempts, batch_route != nullptr ? batch_route->attempts : 1);
-        const auto control = std::make_shared<call_control>();
-        plain_outcome outcome;
-        {
-            const kernel::finally end([&] { batch->scoring_calls.erase(index); });
-            batch->scoring_calls.insert_or_assign(index, control);
-            outcome = co_await run_plain_call(self, std::move(call), control);
-        }
+        const auto outcome = co_await run_scoring_call(batch, index, std::move(call));
         if (batch->state.items[index].phase != item_phase::scoring) {
             co_return;
         }
--- a/src/kernel/process_end.cpp
+++ b/src/kernel/process_end.cpp
@@ -19,7 +19,8 @@
 #include <unistd.h>
 
 // Of the linker: where the program is loaded.
-extern "C" const char __executable_start; // NOLINT(bugprone-reserved-identifier)
+// NOLINTNEXTLINE(bugprone-reserved-identifier,readability-identifier-naming)
+extern "C" const char __executable_start;
 
 namespace cornelloom::kernel {
 
@@ -27,7 +28,7 @@
 
 /// The log's thread goes on while a signal is handled. It gets this long to write its queue.
 constexpr int queue_wait_ms = 100;
-constexpr std::size_t signal_stack_bytes = 64 * 1024;
+constexpr std::size_t signal_stack_bytes = std::size_t{64} * 1024;
 constexpr std::size_t max_line_bytes = 1024;
 constexpr int max_signals = 65;
 
--- a/src/loop/spawn.cpp
+++ b/src/loop/spawn.cpp
@@ -40,7 +40,8 @@
 } // namespace
 
 void spawn(asio::any_io_executor executor, std::string name, task<void> work) {
-    asio::co_spawn(std::move(executor), std::move(work),
+    const auto where = std::move(executor);
+    asio::co_spawn(where, std::move(work),
                    [name = std::move(name)](const std::exception_ptr& error) {
                        if (error) {
                            kernel::report_failure(name, error);
@@ -57,7 +58,8 @@
 }
 
 void keep_running(io_context& io, std::string name, std::function<task<void>()> start) {
-    spawn(io, name, restart(io, name, std::move(start)));
+    const auto task_name = std::move(name);
+    spawn(io, task_name, restart(io, task_name, std::move(start)));
 }
 
 void run(io_context& io) {
--- a/tests/front/message_limit_tests.cpp
+++ b/tests/front/message_limit_tests.cpp
@@ -63,7 +63,7 @@
 
 TEST_CASE("counts of another host that are nested too deeply are refused", "[front][limits]") {
     // Guards against a process that ends by an overflow of its stack while it copies them.
-    one_host world;
+    const one_host world;
     merge_counts(*world.self, R"({"usage":{"1":)" + nested(200'000) + "}}");
     CHECK(world.self->usage.windows.empty());
 }
@@ -126,7 +126,7 @@
 
 TEST_CASE("a time of day of another host beyond any clock is not used", "[front][limits]") {
     // Guards against a clock that is corrected by a sum that has overflowed.
-    one_host world;
+    const one_host world;
     const auto sent = world.self->clock.boot_now();
     record_peer_time(*world.self, {"127.70.1.2", 1}, INT64_MAX, sent);
     record_peer_time(*world.self, {"127.70.1.3", 1}, INT64_MIN, sent);
--- a/tests/soak/daemon_start_tests.cpp
+++ b/tests/soak/daemon_start_tests.cpp
@@ -109,7 +109,7 @@
     // Guards against a start that can't be stopped.
     const bool settings_wrong = GENERATE(false, true);
     loop::io_context io;
-    loop::tcp::acceptor taken(io, {loop::asio::ip::make_address(address), http_port});
+    const loop::tcp::acceptor taken(io, {loop::asio::ip::make_address(address), http_port});
     child_process one("daemon");
     write_key(one);
     one.write("json", settings_wrong ? std::string() : settings_text(one));
