Accept the header of a batch that is not stored yet

Callers saw, had it landed: batches that begin late, since the message that starts one was refused. Its header has no parts yet, and the bound of stored headers asked for one at least. The test of stored headers named 0 parts as odd; it is what start messages have, so it now asks that these are accepted.

--- a/src/front/records.cpp
+++ b/src/front/records.cpp
@@ -125,7 +125,7 @@
         BOOST_OUTCOME_TRY(owner_at, decode_endpoint(value, "owner_at"));
         out.owner_at = std::move(owner_at);
         const auto received_ms = decode_integer(value, "received_ms", 0, max_unix_ms);
-        const auto parts = decode_integer(value, "parts", 1, max_parts);
+        const auto parts = decode_integer(value, "parts", 0, max_parts);
         if (!received_ms || !parts) {
             return invalid_input_error("batch: a number is out of range");
         }
