Read each object of the platform's lists on its own

The watch then failed again and again, so versions and hosts were learned no more.

Cause: read_listing and read_hosts parsed the answer as one value and converted it in one piece. Each element is now split off without parsing, bounded in depth, and parsed alone. One that can't be read is logged (5004) and counted; where its name can be read it stays in the listing without a value, so that a head of the configuration that is odd counts as unreadable and not as missing.

--- a/src/transport/events.hpp
+++ b/src/transport/events.hpp
@@ -14,4 +14,8 @@
 inline constexpr event platform_call_refused{5003, "platform_call_refused", event_level::error,
                                              "a call to the platform can't be sent as it is"};
 
+inline constexpr event platform_object_unreadable{5004, "platform_object_unreadable",
+                                                  event_level::warning,
+                                                  "an object of the platform can't be read"};
+
 } // namespace cornelloom::transport::events
--- a/src/transport/platform_client.cpp
+++ b/src/transport/platform_client.cpp
@@ -67,7 +67,7 @@
     const auto response = transport::call(settings_.platform, request.value(), options);
     coord::platform_outcome outcome = coord::call_outage{};
     if (response) {
-        outcome = internal::read_answer(call.operation, response.value());
+        outcome = internal::read_answer(call.operation, response.value(), metrics_);
     } else if (response.error().code != kernel::error_code::unavailable) {
         outcome = internal::lost_answer(call.operation);
     }
--- a/tests/transport/platform_client_tests.cpp
+++ b/tests/transport/platform_client_tests.cpp
@@ -130,3 +130,47 @@
     platform_client client({.platform = {"127.0.0.1", 1}}, t.clock, t.metrics);
     CHECK(coord::outcome_name(client.perform({1, call_kind::status, bad}).outcome) == "outage");
 }
+
+TEST_CASE("An object of a list that can't be read costs only itself", "[transport][platform]") {
+    // Guards against a daemon that follows a list no more since one entry of another writer in it
+    // is odd.
+    constexpr std::size_t levels = 100'000;
+    const auto odd =
+        GENERATE_COPY(std::string(R"({"kind":"pool","name":"odd","version":1e999999})"),
+                      std::string(R"({"kind":"pool","name":"odd","version":-1})"),
+                      std::string(R"({"kind":"pool","name":"odd","version":1,"value":"\ud800"})"),
+                      std::string(R"({"kind":"pool","name":"odd","version":1,"value":7})"),
+                      std::string(R"({"kind":"pool","name":"odd"})"),
+                      R"({"kind":"pool","name":"odd","version":1,"more":)" +
+                          std::string(levels, '[') + std::string(levels, ']') + "}");
+    CAPTURE(odd.substr(0, 64));
+    trial t;
+    const auto outcome =
+        t.outcome_of(coord::list_objects{"pool"},
+                     reply("200", R"({"revision":8,"objects":[)" + odd +
+                                      R"(,{"kind":"pool","name":"a","version":3,"value":"x"}]})"));
+    const auto& objects = std::get<coord::call_listing>(outcome).objects;
+    REQUIRE(objects.size() == 2);
+    CHECK(objects.at(0).key.name == "odd");
+    CHECK(objects.at(0).value.empty());
+    CHECK(objects.at(1).key.name == "a");
+    CHECK(objects.at(1).value == "x");
+    const std::array labels{kernel::label{"kind", "pool"}};
+    CHECK(t.metrics.value("cornelloom_unreadable_objects_total", labels) == 1);
+}
+
+TEST_CASE("An element of a list without a name is left out", "[transport][platform]") {
+    // Guards against a list that is lost since one of its elements is no object.
+    const std::string odd = GENERATE("5", "[]", "\"pool\"", "{}", R"({"name":7})");
+    trial t;
+    const auto listing =
+        t.outcome_of(coord::list_objects{"pool"},
+                     reply("200", R"({"revision":8,"objects":[)" + odd +
+                                      R"(,{"kind":"pool","name":"a","version":3,"value":"x"}]})"));
+    CHECK(std::get<coord::call_listing>(listing).objects.size() == 1);
+    const auto hosts =
+        t.outcome_of(coord::list_hosts{},
+                     reply("200", R"({"hosts":[)" + odd +
+                                      R"(,{"id":"h","address":"a","zone":"z","region":"r"}]})"));
+    CHECK(std::get<coord::call_hosts>(hosts).hosts.size() == 1);
+}
