Bound the depth and the numbers of engines' answers

An engine's list of cache events with 200,000 levels was copied by recursion in cornelloomd; a negative number of slots became 4 billion, and ages and counts that do not fit were converted all the same.

Cause: answers were parsed without a bound and numbers cast. Answers that are nested too deeply count as damaged, counts that do not fit are not taken, ages are bounded.

Before: the test of depth did not end within 10 s and was ended by hand, 13 checks of the tests of numbers failed. Now all pass.

--- a/src/targets/engine_target.cpp
+++ b/src/targets/engine_target.cpp
@@ -1,9 +1,14 @@
 /// Model engines, by the protocol of docs/OUTSIDE.md.
 
+#include "kernel/json_text.hpp"
 #include "targets/target_kind.hpp"
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+#include <limits>
+#include <type_traits>
+
 namespace cornelloom::targets {
 
 namespace {
@@ -11,8 +16,15 @@
 using nlohmann::json;
 using transport::http_request;
 
-// Untrusted answers: parsing must not throw on damaged bytes.
+/// The oldest report that an engine may give.
+constexpr std::chrono::milliseconds max_report_age = std::chrono::hours(24);
+
+// Untrusted answers: parsing must not throw on damaged bytes, and a value that is nested deeply
+// would be copied by recursion.
 json parse_or_null(std::string_view text) {
+    if (!kernel::find_excess(text, {}).empty()) {
+        return {};
+    }
     auto value = json::parse(text, nullptr, false);
     return value.is_discarded() ? json() : value;
 }
@@ -26,8 +38,14 @@
         return it->is_string() ? it->template get<T>() : otherwise;
     } else if constexpr (std::is_same_v<T, bool>) {
         return it->is_boolean() ? it->template get<T>() : otherwise;
-    } else {
+    } else if constexpr (std::is_floating_point_v<T>) {
         return it->is_number() ? it->template get<T>() : otherwise;
+    } else {
+        // A count or a version: other numbers do not fit, or wrap.
+        const bool fits = it->is_number_unsigned() &&
+                          it->template get<std::uint64_t>() <=
+                              static_cast<std::uint64_t>(std::numeric_limits<T>::max());
+        return fits ? it->template get<T>() : otherwise;
     }
 }
 
@@ -124,15 +142,17 @@
     if (answer.value().status != 200 || !value.is_object() || !value.contains("version")) {
         return kernel::error{kernel::error_code::invalid_input, "load report is not one"};
     }
-    return load{.version = read_field(value, "version", std::int64_t{0}),
-                .running = read_field(value, "running", 0),
-                .queued = read_field(value, "queued", 0),
-                .capacity = read_field(value, "capacity", 0),
-                .tokens_per_second = read_field(value, "tokens_per_second", 0.0),
-                .loading = read_field(value, "loading", false),
-                .age = std::chrono::milliseconds{read_field(value, "age_ms", std::int64_t{0})},
-                .role = read_field(value, "role", std::string()),
-                .adapters = read_names(value, "adapters")};
+    return load{
+        .version = read_field(value, "version", std::int64_t{0}),
+        .running = read_field(value, "running", 0),
+        .queued = read_field(value, "queued", 0),
+        .capacity = read_field(value, "capacity", 0),
+        .tokens_per_second = std::max(0.0, read_field(value, "tokens_per_second", 0.0)),
+        .loading = read_field(value, "loading", false),
+        .age = std::min(std::chrono::milliseconds{read_field(value, "age_ms", std::int64_t{0})},
+                        max_report_age),
+        .role = read_field(value, "role", std::string()),
+        .adapters = read_names(value, "adapters")};
 }
 
 json order_body(const order& given) {
