Bound the depth of messages between hosts

A message in MessagePack that is nested a million deep ended cornelloomd by SIGSEGV: the parser recurses. JSON of that depth did when a field of another type was quoted, and text that is no UTF-8 in such a field was thrown out of the decoder.

Before: test_daemon [claims] and test_rollout [codec] end by SIGSEGV. Now they pass.

--- a/src/daemon/claims_codec.cpp
+++ b/src/daemon/claims_codec.cpp
@@ -1,5 +1,7 @@
 #include "daemon/claims_codec.hpp"
 
+#include "kernel/packed_json.hpp"
+
 #include <nlohmann/json.hpp>
 
 namespace cornelloom::daemon {
@@ -38,6 +40,11 @@
     return {bytes.begin(), bytes.end()};
 }
 
+/// An empty value, which has no fields, if the bytes can't be read.
+json parse(std::string_view bytes) {
+    return kernel::parse_packed(bytes).value_or(json::object());
+}
+
 kernel::error damaged(const char* what) {
     return {kernel::error_code::invalid_input, std::string("message of another host: ") + what};
 }
@@ -61,7 +68,7 @@
 
 kernel::result<claimed_call> decode_claimed_call(std::string_view bytes) {
     try {
-        const auto value = json::from_msgpack(bytes);
+        const auto value = parse(bytes);
         const auto priority = value.at("priority").get<int>();
         if (priority < 0 || priority >= static_cast<int>(decide::priority_class_count)) {
             return damaged("priority out of range");
@@ -94,7 +101,7 @@
 
 kernel::result<transport::http_response> decode_response(std::string_view bytes) {
     try {
-        const auto value = json::from_msgpack(bytes);
+        const auto value = parse(bytes);
         return transport::http_response{value.at("status").get<int>(),
                                         to_headers(value.at("headers")),
                                         from_binary(value.at("body"))};
--- a/src/rollout/internal/field_reader.hpp
+++ b/src/rollout/internal/field_reader.hpp
@@ -83,7 +83,9 @@
         if (fits<T>(value)) {
             return value.get<T>();
         }
-        fault(name, "is " + value.dump().substr(0, longest_quote), expected<T>());
+        // The text of a message in MessagePack may be no UTF-8.
+        const auto quote = value.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+        fault(name, "is " + quote.substr(0, longest_quote), expected<T>());
         return std::nullopt;
     }
 
--- a/src/rollout/internal/json_parts.cpp
+++ b/src/rollout/internal/json_parts.cpp
@@ -1,5 +1,8 @@
 #include "rollout/internal/json_parts.hpp"
 
+#include "kernel/json_text.hpp"
+#include "kernel/packed_json.hpp"
+
 namespace cornelloom::rollout::internal {
 
 namespace {
@@ -144,6 +147,10 @@
 }
 
 json parse_text(std::string_view text, kernel::findings& faults) {
+    if (!kernel::find_excess(text, {}).empty()) {
+        fault_unparsed(faults, "JSON nested less deeply");
+        return json::object();
+    }
     auto message = json::parse(text, nullptr, false);
     if (message.is_discarded()) {
         fault_unparsed(faults, "JSON");
@@ -153,12 +160,12 @@
 }
 
 json parse_packed(std::string_view bytes, kernel::findings& faults) {
-    auto message = json::from_msgpack(bytes, true, false);
-    if (message.is_discarded()) {
+    auto message = kernel::parse_packed(bytes);
+    if (!message) {
         fault_unparsed(faults, "MessagePack");
         return json::object();
     }
-    return message;
+    return std::move(*message);
 }
 
 std::string pack(const json& message) {
--- a/tests/daemon/claims_codec_tests.cpp
+++ b/tests/daemon/claims_codec_tests.cpp
@@ -40,3 +40,12 @@
     cut.pop_back();
     CHECK_FALSE(decode_claimed_call(cut).has_value());
 }
+
+TEST_CASE("A message of another host that is nested too deeply is an error", "[daemon][claims]") {
+    // Guards against a daemon whose stack overflows when it reads a message.
+    constexpr std::size_t levels = 1'000'000;
+    constexpr char array_of_one = '\x91';
+    const std::string deep(levels, array_of_one);
+    CHECK_FALSE(decode_claimed_call(deep).has_value());
+    CHECK_FALSE(decode_response(deep).has_value());
+}
--- a/tests/rollout/codec_tests.cpp
+++ b/tests/rollout/codec_tests.cpp
@@ -140,3 +140,22 @@
     CHECK(samples == 10);
     CHECK(parts == 2);
 }
+
+TEST_CASE("A message that is nested too deeply is an error", "[rollout][codec]") {
+    // Guards against a daemon whose stack overflows when it reads a message, or when it quotes a
+    // field of another type.
+    constexpr std::size_t levels = 1'000'000;
+    const std::string packed(levels, '\x91');
+    CHECK_FALSE(decode_hold_answer(packed).has_value());
+    const auto text = R"({"trainer":)" + std::string(levels, '[') + std::string(levels, ']') + "}";
+    CHECK_FALSE(decode_manifest(text).has_value());
+}
+
+TEST_CASE("A field of a packed message with another type and no UTF-8 is an error",
+          "[rollout][codec]") {
+    // Guards against an error message that can't be encoded and is thrown out of the decoder.
+    const std::string packed = "\x81\xa5"
+                               "epoch"
+                               "\xa2\xff\xfe";
+    CHECK_FALSE(decode_hold_answer(packed).has_value());
+}
