Tests: reset signal handlers in a child before its program runs

The output holds two totals, of 13 and of 14 cases: the first is the report of a child that was still a copy of the test runner, with the runner's handlers.

Boost.Process waits for the exec by a pipe, which limit_handles closes early, so the test could signal a child before its exec. Children now get the default handlers first, and handles are limited last. The check is as it was: such a child ends by the signal, as a process does that is not yet running.

--- a/tests/soak/child_process.cpp
+++ b/tests/soak/child_process.cpp
@@ -1,6 +1,7 @@
 #include "child_process.hpp"
 
 #include <boost/process/args.hpp>
+#include <boost/process/extend.hpp>
 #include <boost/process/handles.hpp>
 #include <boost/process/io.hpp>
 
@@ -27,6 +28,14 @@
 constexpr std::size_t status_begin = 9;
 constexpr std::size_t status_end = 12;
 
+/// The handlers of the test runner would report a signal that comes before the program runs as a
+/// failure of the test.
+void reset_signals() {
+    for (const int number : {SIGTERM, SIGINT, SIGSEGV, SIGABRT, SIGFPE, SIGILL}) {
+        std::signal(number, SIG_DFL);
+    }
+}
+
 } // namespace
 
 child_process::child_process(std::string_view its_name)
@@ -47,8 +56,11 @@
     end.reset();
     std::filesystem::remove(file("out"));
     std::filesystem::remove(file("err"));
-    process = bp::child(program, bp::args = arguments, bp::limit_handles,
-                        bp::std_out > file("out").string(), bp::std_err > file("err").string());
+    // `limit_handles` lets this function return before the program runs, so it comes last.
+    process = bp::child(program, bp::args = arguments,
+                        bp::extend::on_exec_setup = [](auto&) { reset_signals(); },
+                        bp::std_out > file("out").string(), bp::std_err > file("err").string(),
+                        bp::limit_handles);
 }
 
 std::filesystem::path child_process::file(std::string_view kind) const {
