--- a/apps/front/cornelloom_frontd.cpp
+++ b/apps/front/cornelloom_frontd.cpp
@@ -29,7 +29,7 @@
         ->envname("CORNELLOOM_SETTINGS")
         ->required();
     app.add_option("--metrics-port", options.metrics_port,
-                   "Port that serves metrics; 0 disables them")
+                   "Port of the host's address that serves metrics; 0 disables them")
         ->check(CLI::Range(0, 65535));
     CLI11_PARSE(app, argc, argv);
     cornelloom::front::run_process(options);
--- a/src/front/process.cpp
+++ b/src/front/process.cpp
@@ -340,6 +340,12 @@
                {"batches", static_cast<std::uint64_t>(self.running_batches.size())}});
 }
 
+/// At the host's own address, so that hosts that share a machine can have the same port.
+transport::endpoint metrics_endpoint(const host_settings& settings, std::uint16_t port) {
+    const auto& own = settings.peer_endpoint.address;
+    return {own.empty() ? "0.0.0.0" : own, port};
+}
+
 /// Handles SIGHUP: checks the settings file and logs the result. Settings take effect at the next
 /// start only; open connections stay.
 void handle_reloads(const std::shared_ptr<host>& self, boost::asio::signal_set& signals,
@@ -518,10 +524,9 @@
     registry = start_host(io, wire, std::move(*settings.value()));
     const auto& self = registry->self;
     if (options.metrics_port != 0) {
-        const transport::endpoint address{"0.0.0.0", options.metrics_port};
-        start_internal_listener(self, address, [self](loop::served_request& request) {
-            return answer_metrics(self, request);
-        });
+        start_internal_listener(
+            self, metrics_endpoint(self->settings, options.metrics_port),
+            [self](loop::served_request& request) { return answer_metrics(self, request); });
     }
     handle_reloads(self, reload_signals, options.settings_file);
     log_event(*self, front_started,
--- a/tests/soak/start_tests.cpp
+++ b/tests/soak/start_tests.cpp
@@ -59,6 +59,22 @@
     CHECK(eventually([&] { return has_event(one, "address_bound"); }));
 }
 
+TEST_CASE("processes at two addresses of one machine serve metrics at the same port",
+          "[soak][starts]") {
+    // Guards against a host without metrics since another host of its machine has the port.
+    lone_daemon one(6);
+    lone_daemon other(7);
+    for (auto* each : {&one, &other}) {
+        write_settings(*each);
+        start(*each, metrics_port);
+    }
+    for (const auto* address : {"127.60.1.6", "127.60.1.7"}) {
+        CHECK(eventually([&] { return get_status({address, metrics_port}, "/metrics") == 200; }));
+    }
+    CHECK_FALSE(has_event(one, "address_unavailable"));
+    CHECK_FALSE(has_event(other, "address_unavailable"));
+}
+
 TEST_CASE("a process whose address is taken at the start serves once it is free",
           "[soak][starts]") {
     // Guards against a host that ends since the process before it is not quite gone, and against
