Soak: tell a process that ended by itself from one that was killed

The check now knows what was sent to which start: an end by SIGKILL counts as told if this start got it, however late it is noticed; after SIGTERM the end must be status 0, or by that signal or SIGKILL. Stricter than before: a pause excuses no end, an end by itself just before a kill is seen, and so are a crash and another status during an orderly stop. The line says how the process ended.

--- a/soak/internal/day.cpp
+++ b/soak/internal/day.cpp
@@ -127,8 +127,9 @@
 loop::task<void> tend_all(day& self) {
     for (;;) {
         for (auto& one : self.hosts) {
-            if (tend(*one)) {
-                note_broken(self.book, "keeps running", one->settings.host + " ended by itself");
+            if (const auto end = tend(*one); !end.empty()) {
+                note_broken(self.book, "keeps running",
+                            one->settings.host + " ended by itself, by " + end);
             }
         }
         co_await loop::pause_for(self.io, tend_every);
--- a/soak/internal/programs.hpp
+++ b/soak/internal/programs.hpp
@@ -22,7 +22,8 @@
     bool ready = false;
     bool paused = false;
     bool wanted_down = false;   ///< Not started again for now.
-    loop::deadline term_sent{}; ///< Zero: it was not asked to end.
+    bool killed = false;        ///< This boot got SIGKILL.
+    loop::deadline term_sent{}; ///< Zero: this boot was not asked to end.
     loop::deadline harmed{};    ///< The last moment at which it was killed, paused or resumed.
     std::uint64_t newest_configuration = 0; ///< That this boot has shown to a caller.
     loop::deadline newest_since{};
@@ -33,7 +34,8 @@
 /// Sends a signal to the process that this soak started.
 void signal(program& one, int number);
 
-/// Notices an end and starts the process anew. True if it ended without having been told to.
-bool tend(program& one);
+/// Notices an end and starts the process anew. Tells how it ended, such as "signal 11", if it was
+/// not told to end, or ended otherwise than told; else empty.
+[[nodiscard]] std::string tend(program& one);
 
 } // namespace cornelloom::soak
--- a/tests/soak/process_rig.cpp
+++ b/tests/soak/process_rig.cpp
@@ -130,7 +130,7 @@
 std::size_t restart_ended(process_rig& rig) {
     std::size_t ended = 0;
     for (auto& host : rig.hosts) {
-        ended += tend(*host) ? 1 : 0;
+        ended += tend(*host).empty() ? 0 : 1;
     }
     return ended;
 }
