--- a/tests/platform/adapter_tests.cpp
+++ b/tests/platform/adapter_tests.cpp
@@ -2,6 +2,7 @@
 #include "transport/bearer_token.hpp"
 
 #include <catch2/catch.hpp>
+#include <cmath>
 #include <rapidcheck/catch.h>
 
 #include <algorithm>
@@ -120,6 +121,26 @@
     CHECK_FALSE(read.value().duties);
 }
 
+TEST_CASE("times and limits in settings that can't be are bounded", "[platform][settings]") {
+    // Guards against a process that computes deadlines from a time that no clock can hold.
+    const auto* odd = GENERATE("inf", "-inf", "nan", "1e300", "-5", "9223372036854775807");
+    CAPTURE(odd);
+    const std::string value(odd);
+    const auto read =
+        read_settings("node = \"n\"\nzone = \"z\"\nheartbeat-interval-ms = " + value +
+                      "\n[platform]\naddress = \"1.2.3.4:5\"\n[bounds]\ngrace-period-s = " + value +
+                      "\n[limits]\nmemory-mb = " + value + "\nfile-descriptors = " + value +
+                      "\ncpu-share = " + value + "\n");
+    REQUIRE(read);
+    constexpr milliseconds longest = std::chrono::hours(24);
+    for (const auto time : {read.value().heartbeat_interval, read.value().grace_period}) {
+        CHECK(time >= milliseconds::zero());
+        CHECK(time <= longest);
+    }
+    CHECK(read.value().file_descriptors >= 0);
+    CHECK(std::isfinite(read.value().cpu_share));
+}
+
 TEST_CASE("duties without an address are a fault with its place", "[platform][settings]") {
     const auto read =
         read_settings("node = \"n\"\nzone = \"z\"\n[platform]\naddress = \"1.2.3.4:5\"\n"
