Tests: give the tests of starts addresses of their own

Another process answered. The tests of starts and of batch logs, which ctest runs at the same time, used the networks 60, 61 and 63 both.

--- a/tests/soak/daemon_start_tests.cpp
+++ b/tests/soak/daemon_start_tests.cpp
@@ -15,7 +15,7 @@
 
 namespace {
 
-constexpr const char* address = "127.63.1.1";
+constexpr const char* address = "127.114.1.1";
 constexpr std::uint16_t http_port = 7201;
 constexpr std::uint16_t peer_port = 7203;
 
--- a/tests/soak/lone_daemon.cpp
+++ b/tests/soak/lone_daemon.cpp
@@ -9,7 +9,7 @@
 using namespace std::chrono_literals;
 
 lone_daemon::lone_daemon(int number) : child_process("lone-" + std::to_string(number)) {
-    const auto address = "127.60.1." + std::to_string(number);
+    const auto address = "127.112.1." + std::to_string(number);
     settings.host = name;
     settings.zone = "zone-a";
     settings.region = "region";
--- a/tests/soak/lone_daemon.hpp
+++ b/tests/soak/lone_daemon.hpp
@@ -9,7 +9,7 @@
 
 namespace cornelloom::soak {
 
-/// A cornelloom_frontd that has no store, at 127.60.1.NUMBER.
+/// A cornelloom_frontd that has no store, at 127.112.1.NUMBER.
 struct lone_daemon : child_process {
     explicit lone_daemon(int number);
 
--- a/tests/soak/start_tests.cpp
+++ b/tests/soak/start_tests.cpp
@@ -55,7 +55,7 @@
     CHECK(has_event(one, "address_unavailable"));
     CHECK_FALSE(one.status());
     taken.close();
-    CHECK(eventually([&] { return get_status({"127.60.1.1", metrics_port}, "/metrics") == 200; }));
+    CHECK(eventually([&] { return get_status({"127.112.1.1", metrics_port}, "/metrics") == 200; }));
     CHECK(eventually([&] { return has_event(one, "address_bound"); }));
 }
 
@@ -68,7 +68,7 @@
         write_settings(*each);
         start(*each, metrics_port);
     }
-    for (const auto* address : {"127.60.1.6", "127.60.1.7"}) {
+    for (const auto* address : {"127.112.1.6", "127.112.1.7"}) {
         CHECK(eventually([&] { return get_status({address, metrics_port}, "/metrics") == 200; }));
     }
     CHECK_FALSE(has_event(one, "address_unavailable"));
@@ -82,8 +82,8 @@
     const std::uint16_t port =
         GENERATE(std::uint16_t{7101}, std::uint16_t{7102}, std::uint16_t{7103});
     INFO("port " << port);
-    process_rig rig(61);
-    auto taken = take(rig.io, {"127.61.1.1", port});
+    process_rig rig(113);
+    auto taken = take(rig.io, {"127.113.1.1", port});
     start_processes(rig, 1);
     int ready_while_taken = 0;
     int ready_after = 0;
