--- a/src/kernel/packed_json.cpp
+++ b/src/kernel/packed_json.cpp
@@ -42,13 +42,13 @@
     json value;
     bounded_builder builder(value);
     try {
-        if (json::sax_parse(bytes.begin(), bytes.end(), &builder, json::input_format_t::msgpack)) {
-            return value;
-        }
+        return json::sax_parse(bytes.begin(), bytes.end(), &builder, json::input_format_t::msgpack)
+                   ? std::optional(std::move(value))
+                   : std::nullopt;
     } catch (const json::exception&) {
-        // An array or map that claims more elements than memory could hold.
+        // An array or map claims more elements than memory could hold.
+        return std::nullopt;
     }
-    return std::nullopt;
 }
 
 } // namespace cornelloom::kernel
