Keep the limit of loads a number after a load of no time

A load that ends within a millisecond was recorded with 0 ms. The slowdown, 0 / 0, is no number, and neither is any mean of it from then on: the limit stays where it is until the process ends, 2 loads at once for a fresh one, the log says nan, and the expected duration is a cast of it to 64 bits, which is undefined.

Durations count as 1 ms at least.

Before: 3 checks of the new test fail (slowdown not finite, 2 loads instead of 100 and more). All 184 cases of test_front pass now.

--- a/src/front/load_limit.cpp
+++ b/src/front/load_limit.cpp
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr double min_allowed = 1;
+/// Durations are whole milliseconds, so a shorter load is seen as one of 0.
+constexpr double min_duration_ms = 1;
 /// Weight of the newest load in the moving means.
 constexpr double newest_weight = 0.25;
 /// Above this, loads are considered to slow each other down. Smaller values may just result from
@@ -53,7 +55,7 @@
 }
 
 void record_load(load_limit& limit, const observed_load& load) {
-    const auto duration_ms = static_cast<double>(load.duration.count());
+    const auto duration_ms = std::max(static_cast<double>(load.duration.count()), min_duration_ms);
     const auto concurrent_loads = static_cast<double>(std::max<std::size_t>(load.concurrent, 1));
     update_shortest(limit, duration_ms, concurrent_loads);
     const double stretch = duration_ms / limit.shortest_ms;
--- a/tests/front/load_limit_tests.cpp
+++ b/tests/front/load_limit_tests.cpp
@@ -134,3 +134,18 @@
     }
     CHECK(sampled.max_loads > each.max_loads * 0.95);
 }
+
+TEST_CASE("a load that took no measurable time does not stop the limit from adapting",
+          "[front][load_limit]") {
+    // Guards against a mean that is no number any more: it never changes again, and neither does
+    // the limit.
+    load_limit limit;
+    record_load(limit, {milliseconds(0), 1, 0});
+    CHECK(std::isfinite(limit.slowdown));
+    CHECK(expected_load_duration(limit) >= milliseconds(0));
+    for (int load = 0; load < 200; ++load) {
+        record_load(limit, {milliseconds(0), max_concurrent_loads(limit), limit.times_lowered});
+    }
+    CHECK(std::isfinite(limit.slowdown));
+    CHECK(limit.max_loads >= 100);
+}
