Sum the targets of all zones without overflow

A configuration may state minimums whose sum over the zones exceeds an int. The sum turned negative, undefined by the language, and the plan made up the difference target by target up to the maximum: more targets than the minimum were ordered, in one step of the loop that serves callers, of up to two thousand million rounds.

The sum has 64 bits.

How long the loop was blocked was not measured.

--- a/src/front/target_supply.cpp
+++ b/src/front/target_supply.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <cstdint>
 #include <numeric>
 
 namespace cornelloom::front {
@@ -28,8 +29,8 @@
         out.push_back(std::clamp(current, std::min(bounds.min_targets, bounds.max_targets),
                                  bounds.max_targets));
     }
-    int missing = static_cast<int>(targets_needed_for(demand.peak_items, demand.slots)) -
-                  std::accumulate(out.begin(), out.end(), 0);
+    auto missing = static_cast<std::int64_t>(targets_needed_for(demand.peak_items, demand.slots)) -
+                   std::accumulate(out.begin(), out.end(), std::int64_t{0});
     while (missing > 0) {
         // The zone with the fewest targets, so that a zone outage affects no more than an equal
         // share; among equals the cheapest.
--- a/tests/front/target_supply_tests.cpp
+++ b/tests/front/target_supply_tests.cpp
@@ -54,3 +54,13 @@
 TEST_CASE("a service without zones gets no orders", "[front][target_supply]") {
     CHECK(plan_supply(bounds, {}, {500, 8}).empty());
 }
+
+TEST_CASE("minimums whose sum exceeds an int order no targets beyond them",
+          "[front][target_supply]") {
+    // Guards against a sum that overflows: the negative total is made up target by target, up to
+    // the maximum, and the host serves nothing meanwhile.
+    constexpr int min_targets = 1'073'741'900;
+    const scaling_bounds huge{min_targets, min_targets + 1000, milliseconds(4000), {}};
+    const auto zones = std::vector<zone_supply>{{"a", 0, 0}, {"b", 0, 0}};
+    CHECK(plan_supply(huge, zones, {0, 8}) == std::vector{min_targets, min_targets});
+}
