Ignore SIGXFSZ

A daemon whose output is a file that reaches the limit of file sizes (the platform sets one) was ended by SIGXFSZ, without a line that says so: the signal is not among those that event 1002 reports. Callers saw connections that broke.

Both daemons ignore it, as they do SIGPIPE: the write fails, and the line is lost.

--- a/apps/cornelloomd.cpp
+++ b/apps/cornelloomd.cpp
@@ -124,7 +124,7 @@
 
     std::signal(SIGTERM, ask_to_stop);
     std::signal(SIGINT, ask_to_stop);
-    std::signal(SIGPIPE, SIG_IGN);
+    kernel::ignore_write_signals();
     kernel::report_fatal_ends(STDERR_FILENO, kernel::log_format::text);
     const auto settings = wait_for_settings(file);
     if (!settings) {
--- a/src/front/process.cpp
+++ b/src/front/process.cpp
@@ -495,7 +495,7 @@
     loop::io_context io(1);
     boost::asio::signal_set stop_signals(io, SIGTERM, SIGINT);
     boost::asio::signal_set reload_signals(io, SIGHUP);
-    std::signal(SIGPIPE, SIG_IGN);
+    kernel::ignore_write_signals();
     kernel::record_signal_senders({SIGTERM, SIGINT, SIGHUP});
     kernel::report_fatal_ends(STDOUT_FILENO, kernel::log_format::json);
     start_log();
--- a/src/kernel/process_end.cpp
+++ b/src/kernel/process_end.cpp
@@ -34,6 +34,9 @@
 
 constexpr std::array fatal_signals{SIGSEGV, SIGBUS, SIGFPE, SIGILL, SIGABRT};
 
+/// Of a connection that is closed, and of a file that reaches the limit of its size.
+constexpr std::array write_signals{SIGPIPE, SIGXFSZ};
+
 struct end_report {
     std::atomic<int> descriptor{-1};
     std::atomic<bool> json{false};
@@ -220,6 +223,12 @@
     std::set_terminate(on_terminate);
 }
 
+void ignore_write_signals() {
+    for (const int signal : write_signals) {
+        std::signal(signal, SIG_IGN);
+    }
+}
+
 void record_signal_senders(std::initializer_list<int> signals) {
     for (const int signal : signals) {
         struct sigaction before{};
--- a/src/kernel/process_end.hpp
+++ b/src/kernel/process_end.hpp
@@ -15,6 +15,9 @@
 /// gets a signal stack of its own, so that the line is written after a stack overflow, too.
 void report_fatal_ends(int descriptor, log_format format);
 
+/// Ignores the signals of writes that fail, which end a process: the write returns an error.
+void ignore_write_signals();
+
 struct signal_sender {
     pid_t process = 0; ///< 0: the kernel, such as a terminal or a timer.
     uid_t user = 0;
--- a/tests/soak/child_process.cpp
+++ b/tests/soak/child_process.cpp
@@ -11,6 +11,7 @@
 #include <iterator>
 #include <thread>
 
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/time.h>
 #include <sys/wait.h>
@@ -125,6 +126,11 @@
     return std::atoi(answer.c_str() + status_begin);
 }
 
+void end_file_growth(pid_t process) {
+    const rlimit none{0, RLIM_INFINITY};
+    ::prlimit(process, RLIMIT_FSIZE, &none, nullptr);
+}
+
 bool survives(pid_t process, int signal) {
     constexpr std::string_view::size_type label = 7;
     constexpr int hexadecimal = 16;
--- a/tests/soak/child_process.hpp
+++ b/tests/soak/child_process.hpp
@@ -52,6 +52,9 @@
 /// The status of the answer to a GET; 0: none.
 [[nodiscard]] int get_status(const transport::endpoint& where, std::string_view path);
 
+/// Lets that process write no more to files, as if they had reached the limit of their size.
+void end_file_growth(pid_t process);
+
 /// Whether that process has run so far that this signal is ignored or handled.
 [[nodiscard]] bool survives(pid_t process, int signal);
 
--- a/tests/soak/daemon_start_tests.cpp
+++ b/tests/soak/daemon_start_tests.cpp
@@ -87,6 +87,22 @@
     CHECK(has_event(one, "process_crashed"));
 }
 
+TEST_CASE("cornelloomd whose log has reached the limit of file sizes stops in order",
+          "[soak][starts]") {
+    // Guards against a daemon that is ended by SIGXFSZ since it has logged too much.
+    child_process one("daemon");
+    write_key(one);
+    one.write("json", settings_text(one));
+    start(one);
+    REQUIRE(eventually(serves));
+    end_file_growth(one.id());
+    one.signal(SIGTERM);
+    const auto status = one.wait_for_end(10s);
+    REQUIRE(status);
+    CHECK(WIFEXITED(*status));
+    CHECK(WEXITSTATUS(*status) == 0);
+}
+
 TEST_CASE("cornelloomd waits for an address that is taken", "[soak][starts]") {
     // Guards against a daemon that ends since the process before it is not quite gone.
     const std::uint16_t port = GENERATE(http_port, peer_port);
--- a/tests/soak/start_tests.cpp
+++ b/tests/soak/start_tests.cpp
@@ -205,6 +205,27 @@
     }
 }
 
+TEST_CASE("a process whose log has reached the limit of file sizes serves and stops in order",
+          "[soak][starts]") {
+    // Guards against a process that is ended by SIGXFSZ since it has logged too much.
+    lone_daemon one(8);
+    write_settings(one);
+    start(one);
+    REQUIRE(eventually([&] { return has_event(one, "front_started"); }));
+    end_file_growth(one.id());
+    const auto written = one.read("out").size();
+    one.signal(SIGHUP);
+    std::this_thread::sleep_for(500ms);
+    CHECK_FALSE(one.status());
+    CHECK(answers(one));
+    CHECK(one.read("out").size() == written);
+    one.signal(SIGTERM);
+    const auto status = one.wait_for_end(usual_patience);
+    REQUIRE(status);
+    CHECK(WIFEXITED(*status));
+    CHECK(WEXITSTATUS(*status) == 0);
+}
+
 TEST_CASE("a process that gets a fatal signal says so in its output", "[soak][starts]") {
     // Guards against a process that ends without a line that says why.
     lone_daemon one(5);
