Bound the numbers in the log entries of a batch

Numbers of an entry were cast to their type whatever they were: a version was read as 3, and casts of 1e300 are undefined. An entry whose text is at event 2^63 - 1 was taken, though the next event has no number (an overflow), and after a negative one no event fits; 2^31 - 1 failed attempts overflow with the next one.

Such an entry is unreadable, as one with a missing field is: it is logged and counted.

--- a/src/front/records.cpp
+++ b/src/front/records.cpp
@@ -26,22 +26,62 @@
             {"score", result.score}, {"scored", result.scored}};
 }
 
-item_result decode_result(const json& value) {
+/// Far more events than a text may have; the next one has a number, too.
+constexpr std::int64_t max_events = 1'000'000'000;
+/// An item is given up long before.
+constexpr std::int64_t max_failures = 1'000'000;
+
+/// The whole number that a value is; nothing if it is none within the bounds.
+std::optional<std::int64_t> decode_integer(const json& given, std::int64_t least,
+                                           std::int64_t most) {
+    const bool fits = given.is_number_unsigned()
+                          ? given.get<std::uint64_t>() <= std::numeric_limits<std::int64_t>::max()
+                          : given.is_number_integer();
+    const auto number = fits ? given.get<std::int64_t>() : 0;
+    return fits && number >= least && number <= most ? std::optional(number) : std::nullopt;
+}
+
+std::optional<std::vector<int>> decode_versions(const json& value) {
+    if (!value.is_array()) {
+        return std::nullopt;
+    }
+    std::vector<int> out;
+    for (const auto& each : value) {
+        const auto version =
+            decode_integer(each, std::numeric_limits<int>::min(), std::numeric_limits<int>::max());
+        if (!version) {
+            return std::nullopt;
+        }
+        out.push_back(static_cast<int>(*version));
+    }
+    return out;
+}
+
+std::optional<item_result> decode_result(const json& value) {
+    auto versions = decode_versions(value.at("versions"));
+    if (!versions) {
+        return std::nullopt;
+    }
     item_result out;
     out.id = value.at("id").get<std::string>();
     out.completed = value.at("completed").get<bool>();
     out.text = value.at("text").get<std::string>();
-    out.versions = value.at("versions").get<std::vector<int>>();
+    out.versions = std::move(*versions);
     out.score = value.at("score").get<std::string>();
     out.scored = value.at("scored").get<bool>();
     return out;
 }
 
-partial_text decode_partial(const json& value) {
+std::optional<partial_text> decode_partial(const json& value) {
+    const auto last_event = decode_integer(value.at("last_event"), 0, max_events);
+    auto versions = decode_versions(value.at("versions"));
+    if (!last_event || !versions) {
+        return std::nullopt;
+    }
     partial_text out;
-    out.last_event = value.at("last_event").get<std::int64_t>();
+    out.last_event = *last_event;
     out.text = value.at("text").get<std::string>();
-    out.versions = value.at("versions").get<std::vector<int>>();
+    out.versions = std::move(*versions);
     out.whole = value.at("whole").get<bool>();
     return out;
 }
@@ -81,17 +121,6 @@
     return parsed;
 }
 
-/// The whole number of a field; nothing if it is none within the bounds.
-std::optional<std::int64_t> decode_integer(const json& value, const char* field, std::int64_t least,
-                                           std::int64_t most) {
-    const auto& given = value.at(field);
-    const bool fits = given.is_number_unsigned()
-                          ? given.get<std::uint64_t>() <= std::numeric_limits<std::int64_t>::max()
-                          : given.is_number_integer();
-    const auto number = fits ? given.get<std::int64_t>() : 0;
-    return fits && number >= least && number <= most ? std::optional(number) : std::nullopt;
-}
-
 /// The number of a field; nothing if it is none between 0 and `most`.
 std::optional<double> decode_amount(const json& value, const char* field, double most) {
     const auto found = value.find(field);
@@ -124,8 +153,8 @@
         out.owner = value.at("owner").get<std::string>();
         BOOST_OUTCOME_TRY(owner_at, decode_endpoint(value, "owner_at"));
         out.owner_at = std::move(owner_at);
-        const auto received_ms = decode_integer(value, "received_ms", 0, max_unix_ms);
-        const auto parts = decode_integer(value, "parts", 0, max_parts);
+        const auto received_ms = decode_integer(value.at("received_ms"), 0, max_unix_ms);
+        const auto parts = decode_integer(value.at("parts"), 0, max_parts);
         if (!received_ms || !parts) {
             return invalid_input_error("batch: a number is out of range");
         }
@@ -165,13 +194,31 @@
         out.writer = value.at("writer").get<std::string>();
         out.nonce = value.at("nonce").get<std::uint64_t>();
         for (const auto& result : value.value("results", json::array())) {
-            out.results.push_back(decode_result(result));
+            auto decoded = decode_result(result);
+            if (!decoded) {
+                return invalid_input_error("log entry: a number of a result is out of range");
+            }
+            out.results.push_back(std::move(*decoded));
         }
         const auto partials = value.value("partials", json::object());
         for (const auto& [id, partial] : partials.items()) {
-            out.partials.emplace(id, decode_partial(partial));
+            auto decoded = decode_partial(partial);
+            if (!decoded) {
+                return invalid_input_error("log entry: a number of a text is out of range");
+            }
+            out.partials.emplace(id, std::move(*decoded));
+        }
+        const auto failures = value.value("failures", json::object());
+        if (!failures.is_object()) {
+            return invalid_input_error("log entry: failures are no map");
+        }
+        for (const auto& [id, count] : failures.items()) {
+            const auto decoded = decode_integer(count, 0, max_failures);
+            if (!decoded) {
+                return invalid_input_error("log entry: a number of failures is out of range");
+            }
+            out.failures.emplace(id, static_cast<int>(*decoded));
         }
-        out.failures = value.value("failures", json::object()).get<decltype(out.failures)>();
         out.ends = value.value("ends", false);
         out.new_owner = value.value("new_owner", "");
         if (!out.new_owner.empty()) {
--- a/tests/front/odd_record_tests.cpp
+++ b/tests/front/odd_record_tests.cpp
@@ -76,6 +76,44 @@
     }
 }
 
+TEST_CASE("a log entry with impossible numbers of events, versions or failures is unreadable",
+          "[front][records][odd]") {
+    // Guards against an item that waits for an event that never comes, such as the one after the
+    // largest number, that is given up after one failure, or whose text has other versions.
+    log_entry entry;
+    entry.writer = "host-a";
+    entry.nonce = 7;
+    entry.results.push_back({"done", true, "text", {3}, "", false});
+    entry.partials["begun"] = {12, "text", {3, 4}, false};
+    entry.failures["begun"] = 2;
+    const auto sound = json::parse(encode_entry(entry));
+    REQUIRE(decode_entry(sound));
+    CHECK(decode_entry(sound).value().failures.at("begun") == 2);
+    CHECK(decode_entry(sound).value().partials.at("begun").versions == std::vector{3, 4});
+    for (const auto* event : {"9223372036854775807", "-9223372036854775808", "-1", "1e300", "1.5",
+                              "18446744073709551615", "\"3\"", "null"}) {
+        INFO(event);
+        auto odd = sound;
+        odd["partials"]["begun"]["last_event"] = json::parse(event);
+        CHECK_FALSE(decode_entry(odd));
+    }
+    for (const auto* failures : {"2147483647", "-1", "1e300", "4294967297", "null"}) {
+        INFO(failures);
+        auto odd = sound;
+        odd["failures"]["begun"] = json::parse(failures);
+        CHECK_FALSE(decode_entry(odd));
+    }
+    for (const auto* version : {"4294967299", "-4294967299", "1e300", "2.5", "null", "[3]"}) {
+        INFO(version);
+        auto odd = sound;
+        odd["partials"]["begun"]["versions"][0] = json::parse(version);
+        CHECK_FALSE(decode_entry(odd));
+        odd = sound;
+        odd["results"][0]["versions"][0] = json::parse(version);
+        CHECK_FALSE(decode_entry(odd));
+    }
+}
+
 TEST_CASE("an entry of a host has an address and a possible processor share, or is none",
           "[front][records][odd]") {
     // Guards against an entry that is first in the feeder order of its zone for ever.
