End a host whose log nobody reads

A host that is told to stop while its output is a full pipe never ended: close_log() waits for the log's thread, which waits for the reader.

end_process() waits 200 ms for the log, then ends the process.

--- a/src/front/process.cpp
+++ b/src/front/process.cpp
@@ -482,12 +482,6 @@
     }
 }
 
-[[noreturn]] void end_process(int status) {
-    // Coroutines still wait on the loop and never finish, so the process exits without unwinding.
-    kernel::close_log();
-    std::_Exit(status);
-}
-
 } // namespace
 
 void run_process(const process_options& options) {
@@ -516,10 +510,10 @@
     auto settings = wait_for_settings(io, wire, options.settings_file, stopped);
     if (!settings) {
         std::cerr << options.settings_file << ": " << settings.error().detail << std::endl;
-        end_process(exit_invalid_settings);
+        kernel::end_process(exit_invalid_settings);
     }
     if (!settings.value()) {
-        end_process(0);
+        kernel::end_process(0);
     }
     registry = start_host(io, wire, std::move(*settings.value()));
     const auto& self = registry->self;
@@ -535,7 +529,8 @@
                {"serves_callers", self->settings.serves_callers},
                {"process", static_cast<std::int64_t>(::getpid())}});
     loop::run(io);
-    end_process(0);
+    // Coroutines still wait on the loop and never finish.
+    kernel::end_process(0);
 }
 
 } // namespace cornelloom::front
--- a/src/kernel/process_end.cpp
+++ b/src/kernel/process_end.cpp
@@ -13,6 +13,10 @@
 #include <cstdlib>
 #include <cstring>
 #include <exception>
+#include <future>
+#include <memory>
+#include <system_error>
+#include <thread>
 
 #include <poll.h>
 #include <ucontext.h>
@@ -28,6 +32,8 @@
 
 /// The log's thread goes on while a signal is handled. It gets this long to write its queue.
 constexpr int queue_wait_ms = 100;
+/// The queue of the log is written in less, unless nobody reads it.
+constexpr std::chrono::milliseconds log_close_patience{200};
 constexpr std::size_t signal_stack_bytes = std::size_t{64} * 1024;
 constexpr std::size_t max_line_bytes = 1024;
 constexpr int max_signals = 65;
@@ -229,6 +235,19 @@
     }
 }
 
+void end_process(int status) {
+    const auto closed = std::make_shared<std::promise<void>>();
+    try {
+        std::thread([closed] {
+            close_log();
+            closed->set_value();
+        }).detach();
+        closed->get_future().wait_for(log_close_patience);
+    } catch (const std::system_error&) { // no thread: the lines that wait are lost
+    }
+    std::_Exit(status);
+}
+
 void record_signal_senders(std::initializer_list<int> signals) {
     for (const int signal : signals) {
         struct sigaction before{};
--- a/src/kernel/process_end.hpp
+++ b/src/kernel/process_end.hpp
@@ -18,6 +18,10 @@
 /// Ignores the signals of writes that fail, which end a process: the write returns an error.
 void ignore_write_signals();
 
+/// Ends the process without destructors, once the log is written or its reader is too slow. Call
+/// when nothing else writes to the log.
+[[noreturn]] void end_process(int status);
+
 struct signal_sender {
     pid_t process = 0; ///< 0: the kernel, such as a terminal or a timer.
     uid_t user = 0;
--- a/tests/soak/child_process.cpp
+++ b/tests/soak/child_process.cpp
@@ -11,8 +11,10 @@
 #include <iterator>
 #include <thread>
 
+#include <fcntl.h>
 #include <sys/resource.h>
 #include <sys/socket.h>
+#include <sys/stat.h>
 #include <sys/time.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -55,8 +57,11 @@
 
 void child_process::start(const std::string& program, const std::vector<std::string>& arguments) {
     end.reset();
-    std::filesystem::remove(file("out"));
-    std::filesystem::remove(file("err"));
+    for (const auto* kind : {"out", "err"}) {
+        if (!std::filesystem::is_fifo(file(kind))) {
+            std::filesystem::remove(file(kind));
+        }
+    }
     // `limit_handles` lets this function return before the program runs, so it comes last.
     process = bp::child(
         program, bp::args = arguments, bp::extend::on_exec_setup = [](auto&) { reset_signals(); },
@@ -126,6 +131,20 @@
     return std::atoi(answer.c_str() + status_begin);
 }
 
+full_pipe::full_pipe(std::filesystem::path where) : file(std::move(where)) {
+    std::filesystem::remove(file);
+    ::mkfifo(file.c_str(), S_IRUSR | S_IWUSR);
+    descriptor = ::open(file.c_str(), O_RDWR | O_NONBLOCK | O_CLOEXEC);
+    const char filler = ' ';
+    while (::write(descriptor, &filler, 1) == 1) {
+    }
+}
+
+full_pipe::~full_pipe() {
+    ::close(descriptor);
+    std::filesystem::remove(file);
+}
+
 void end_file_growth(pid_t process) {
     const rlimit none{0, RLIM_INFINITY};
     ::prlimit(process, RLIMIT_FSIZE, &none, nullptr);
--- a/tests/soak/child_process.hpp
+++ b/tests/soak/child_process.hpp
@@ -52,6 +52,17 @@
 /// The status of the answer to a GET; 0: none.
 [[nodiscard]] int get_status(const transport::endpoint& where, std::string_view path);
 
+/// A pipe in place of a file of a process; it is full, and nobody reads it.
+struct full_pipe {
+    explicit full_pipe(std::filesystem::path where);
+    ~full_pipe();
+    full_pipe(const full_pipe&) = delete;
+    full_pipe& operator=(const full_pipe&) = delete;
+
+    std::filesystem::path file;
+    int descriptor = -1;
+};
+
 /// Lets that process write no more to files, as if they had reached the limit of their size.
 void end_file_growth(pid_t process);
 
--- a/tests/soak/start_tests.cpp
+++ b/tests/soak/start_tests.cpp
@@ -226,6 +226,21 @@
     CHECK(WEXITSTATUS(*status) == 0);
 }
 
+TEST_CASE("a process whose log nobody reads serves and ends within its grace period",
+          "[soak][starts]") {
+    // Guards against a process that is told to stop and waits for the reader of its log.
+    lone_daemon one(9);
+    const full_pipe unread(one.file("out"));
+    write_settings(one);
+    start(one);
+    REQUIRE(eventually([&] { return answers(one); }));
+    one.signal(SIGTERM);
+    const auto status = one.wait_for_end(one.settings.grace_period + 500ms);
+    REQUIRE(status);
+    CHECK(WIFEXITED(*status));
+    CHECK(WEXITSTATUS(*status) == 0);
+}
+
 TEST_CASE("a process that gets a fatal signal says so in its output", "[soak][starts]") {
     // Guards against a process that ends without a line that says why.
     lone_daemon one(5);
