--- a/apps/cornelloomd.cpp
+++ b/apps/cornelloomd.cpp
@@ -53,9 +53,14 @@
 [[gnu::section(".preinit_array"),
   gnu::used]] void (*const before_constructors)(int, char**, char**) = ignore_early_reload;
 
+/// The bytes of a file; none if it can't be read.
 std::string read_file(const std::string& name) {
-    std::ifstream in(name, std::ios::binary);
-    return {std::istreambuf_iterator<char>(in), std::istreambuf_iterator<char>()};
+    try {
+        std::ifstream in(name, std::ios::binary);
+        return {std::istreambuf_iterator<char>(in), std::istreambuf_iterator<char>()};
+    } catch (const std::exception&) { // a folder, for example
+        return {};
+    }
 }
 
 /// Reads the settings; a file that is just being written is read again until it is sound, for a
--- a/tests/soak/daemon_start_tests.cpp
+++ b/tests/soak/daemon_start_tests.cpp
@@ -152,6 +152,20 @@
     CHECK(eventually(serves));
 }
 
+TEST_CASE("cornelloomd whose settings file is a folder waits for a file", "[soak][starts]") {
+    // Guards against a daemon that is ended by SIGABRT by a file that can't be read.
+    child_process one("daemon");
+    one.start(program(), {one.folder.string()});
+    REQUIRE(eventually([&] { return !one.read("err").empty(); }));
+    std::this_thread::sleep_for(500ms);
+    CHECK_FALSE(one.status());
+    one.signal(SIGTERM);
+    const auto status = one.wait_for_end(2s);
+    REQUIRE(status);
+    CHECK(WIFEXITED(*status));
+    CHECK(WEXITSTATUS(*status) == 0);
+}
+
 TEST_CASE("cornelloomd whose settings stay wrong ends with status 2", "[soak][starts]") {
     // Guards against a daemon that waits for ever.
     child_process one("daemon");
