Receive on after a datagram whose handler fails

cornelloomd: an error that left the handler of a datagram left udp_channel::receive() unarmed. Each datagram is guarded on its own.

--- a/src/transport/udp_channel.cpp
+++ b/src/transport/udp_channel.cpp
@@ -106,17 +106,18 @@
     void drop(std::string_view reason) { count("cornelloom_udp_dropped_total", "reason", reason); }
 
     void receive() {
-        socket.async_receive_from(asio::buffer(buffer), sender,
-                                  [this](error_code failure, std::size_t size) {
-                                      if (failure == asio::error::operation_aborted) {
-                                          return;
-                                      }
-                                      // Other errors belong to a datagram that was sent.
-                                      if (!failure) {
-                                          take(std::span(buffer).first(size));
-                                      }
-                                      receive();
-                                  });
+        socket.async_receive_from(
+            asio::buffer(buffer), sender, [this](error_code failure, std::size_t size) {
+                if (failure == asio::error::operation_aborted) {
+                    return;
+                }
+                // Other errors belong to a datagram that was sent.
+                if (!failure) {
+                    kernel::run_guarded("datagram",
+                                        [this, size] { take(std::span(buffer).first(size)); });
+                }
+                receive();
+            });
     }
 
     void take(std::span<const unsigned char> datagram) {
--- a/tests/transport/udp_channel_tests.cpp
+++ b/tests/transport/udp_channel_tests.cpp
@@ -6,6 +6,7 @@
 
 #include <condition_variable>
 #include <deque>
+#include <future>
 #include <mutex>
 
 using namespace cornelloom;
@@ -69,6 +70,24 @@
     CHECK_FALSE(left.channel.send("x", {"localhost", 1}));
 }
 
+TEST_CASE("A datagram whose handler fails does not stop the channel", "[transport][udp]") {
+    // Guards against a host that hears nothing of the others any more, with nothing to show for it.
+    node left("a secret");
+    const kernel::runtime_clock clock(kernel::runtime_clock::mode::paused);
+    kernel::metrics metrics;
+    udp_channel right({.listen = {"127.0.0.1", 0}, .secret = "a secret"}, clock, metrics);
+    std::promise<void> heard;
+    right.start([&](std::span<const std::byte> payload, const endpoint&) {
+        if (payload.size() == 1) {
+            throw std::runtime_error("odd datagram");
+        }
+        heard.set_value();
+    });
+    CHECK(left.channel.send("x", {"127.0.0.1", right.port()}));
+    CHECK(left.channel.send("next", {"127.0.0.1", right.port()}));
+    CHECK(heard.get_future().wait_for(5s) == std::future_status::ready);
+}
+
 TEST_CASE("Datagrams of strangers, cut, changed or old ones are dropped and counted",
           "[transport][udp]") {
     // Somebody in the network sends gossip of his own, or repeats what he recorded an hour ago: the
