Guard the threads of the HTTP server, and accept on after an error

Where a guard was there already (peer_server) an error while a connection is opened ended the accepts for good.

The accepts after an error are read, not shown by a run.

--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -1,5 +1,6 @@
 #include "transport/http_server.hpp"
 
+#include "kernel/run_guarded.hpp"
 #include "transport/internal/http_session.hpp"
 
 #include <boost/asio/executor_work_guard.hpp>
@@ -52,7 +53,7 @@
                 pause.async_wait([this](error_code) { accept(); });
                 return;
             }
-            open(std::move(s));
+            kernel::run_guarded("connection", [&] { open(std::move(s)); });
             accept();
         });
     }
@@ -98,7 +99,10 @@
     : state_(std::make_unique<state>(listen, std::move(handler), limits)) {
     asio::post(state_->acceptor.get_executor(), [s = state_.get()] { s->accept(); });
     for (int i = 0; i < io_threads; ++i) {
-        state_->threads.emplace_back([s = state_.get()] { s->loop.run(); });
+        state_->threads.emplace_back([s = state_.get()] {
+            while (!kernel::run_guarded("http server", [s] { s->loop.run(); })) {
+            }
+        });
     }
 }
 
--- a/src/transport/peer_server.cpp
+++ b/src/transport/peer_server.cpp
@@ -79,7 +79,7 @@
                 });
                 return;
             }
-            open(std::move(socket));
+            kernel::run_guarded("peer connection", [&] { open(std::move(socket)); });
             accept();
         });
     }
--- a/tests/transport/http_server_tests.cpp
+++ b/tests/transport/http_server_tests.cpp
@@ -188,6 +188,20 @@
     CHECK(nlohmann::json::parse(reply.value().body).at("state") == "unknown");
 }
 
+TEST_CASE("An answer that can't be written costs its connection only", "[transport][server]") {
+    // Guards against a server whose process is ended by an error that leaves one of its threads.
+    constexpr int no_status = 1000;
+    const http_server server({"127.0.0.1", 0}, [](const http_request& request) {
+        return http_response{request.path == "/odd" ? no_status : 200, {}, {}};
+    });
+    http_request odd;
+    odd.path = "/odd";
+    CHECK_FALSE(call({"127.0.0.1", server.port()}, odd));
+    const auto reply = call({"127.0.0.1", server.port()}, {});
+    REQUIRE(reply);
+    CHECK(reply.value().status == 200);
+}
+
 TEST_CASE("Waiting handlers do not hold up others, and a full server refuses at once",
           "[transport][server]") {
     std::atomic<int> waiting{0};
