--- a/src/kernel/process_end.cpp
+++ b/src/kernel/process_end.cpp
@@ -243,7 +243,7 @@
             closed->set_value();
         }).detach();
         closed->get_future().wait_for(log_close_patience);
-    } catch (const std::system_error&) { // no thread: the lines that wait are lost
+    } catch (const std::system_error&) { // NOLINT(bugprone-empty-catch): queued lines are lost
     }
     std::_Exit(status);
 }
