Forget hosts whose entries are removed from the list

Hosts that were gone stayed peers of all others until these restarted, although their entries had been removed: they were polled as feeders and got claims and counts.

Deletions of entries were skipped. The list of hosts is now kept as the store has it, by changes and by lists; an entry that can't be read leaves what is known. As the others now forget a host whose entry is removed by mistake, a running host announces itself again when its entry, which was listed, is no more.

--- a/src/front/follower.cpp
+++ b/src/front/follower.cpp
@@ -261,6 +261,34 @@
     return loop::milliseconds{1500};
 }
 
+/// Announces this host again if its entry was listed and is no more.
+void check_own_entry(const std::shared_ptr<host>& self, bool& listed, bool listed_now) {
+    if (listed && !listed_now && !self->stopping) {
+        loop::spawn(self->io, "announce host", announce_host(self));
+    }
+    listed = listed_now;
+}
+
+watched_kind watch_hosts(const std::shared_ptr<host>& self) {
+    auto out = apply_to(self, object_kind::hosts, hosts_delay, &host::peers, apply_peer);
+    const auto own_listed = std::make_shared<bool>(false);
+    out.on_list = [self, own_listed, apply = out.on_list](std::span<const stored_object> all) {
+        apply(all);
+        const auto own = std::ranges::find(all, self->settings.host, &stored_object::name);
+        check_own_entry(self, *own_listed, own != all.end());
+    };
+    out.on_changes = [self, own_listed,
+                      apply = out.on_changes](std::span<const object_change> changes) {
+        apply(changes);
+        for (const auto& change : changes) {
+            if (change.object.name == self->settings.host) {
+                check_own_entry(self, *own_listed, !change.deleted);
+            }
+        }
+    };
+    return out;
+}
+
 /// Announces this host, lists what it needs to serve requests, and then watches all kinds.
 loop::task<void> start_watches(std::shared_ptr<host> self) {
     loop::spawn(self->io, "announce host", announce_host(self));
@@ -276,7 +304,7 @@
         start_watch(self, configuration); // a running peer may have the configuration
     }
     co_await loop::pause_for(self->io, startup_delay);
-    start_watch(self, apply_each(self, object_kind::hosts, hosts_delay, apply_peer));
+    start_watch(self, watch_hosts(self));
     co_await loop::pause_for(self->io, startup_delay / 4);
     if (has_configuration) {
         start_watch(self, configuration);
--- a/tests/soak/dead_host_tests.cpp
+++ b/tests/soak/dead_host_tests.cpp
@@ -78,3 +78,64 @@
     REQUIRE(next_owner < rig.hosts.size());
     CHECK(rig.hosts[next_owner]->self->settings.host == named);
 }
+
+namespace {
+
+std::size_t count_dead(const front::host& self) {
+    return static_cast<std::size_t>(std::ranges::count_if(
+        self.peers, [](const auto& peer) { return peer.first.starts_with("a-dead-"); }));
+}
+
+} // namespace
+
+TEST_CASE("a host whose entry is removed is no peer any more", "[soak][odd]") {
+    // Guards against hosts that are gone and are asked first until the others restart.
+    crash_rig rig(89);
+    start_targets(rig, 1, 0);
+    list_dead_hosts(rig, "zone-a");
+    start_hosts(rig, 3);
+    std::vector<std::size_t> listed;
+    std::vector<std::size_t> left;
+    const auto count_all = [&rig] {
+        std::vector<std::size_t> out;
+        std::ranges::transform(rig.hosts, std::back_inserter(out),
+                               [](const auto& host) { return count_dead(*host->self); });
+        return out;
+    };
+    play(rig, [&]() -> loop::task<void> {
+        co_await loop::pause_for(rig.io, 4s);
+        listed = count_all();
+        for (int number = 1; number <= dead_hosts; ++number) {
+            standins::remove(*rig.platform, "cornelloom-hosts", dead_name("zone-a", number));
+        }
+        co_await loop::pause_for(rig.io, 6s);
+        left = count_all();
+    });
+    CHECK(listed == std::vector<std::size_t>{50, 50, 50});
+    CHECK(left == std::vector<std::size_t>{0, 0, 0});
+    for (const auto& host : rig.hosts) {
+        CHECK(host->self->peers.size() == rig.hosts.size() - 1);
+    }
+}
+
+TEST_CASE("a host whose entry is removed by mistake announces itself again", "[soak][odd]") {
+    // Guards against a running host that the others no longer know.
+    crash_rig rig(94);
+    start_targets(rig, 1, 0);
+    start_hosts(rig, 3);
+    play(rig, [&]() -> loop::task<void> {
+        co_await loop::pause_for(rig.io, 2s);
+        const auto name = rig.hosts[2]->self->settings.host;
+        standins::remove(*rig.platform, "cornelloom-hosts", name);
+        SECTION("while it is watched") {}
+        SECTION("while the store has lost its history") {
+            standins::forget_history(*rig.platform);
+        }
+        co_await loop::pause_for(rig.io, 8s);
+        CHECK(rig.platform->kinds["cornelloom-hosts"].contains(name));
+    });
+    for (const auto& host : rig.hosts) {
+        INFO(host->self->settings.host);
+        CHECK(host->self->peers.size() == rig.hosts.size() - 1);
+    }
+}
