Refuse answers whose status is below 100

What callers saw: a target's answer with the status 000 or 099 was taken for an answer, passed on with that status, and its connection was kept.

Cause: the parser of heads takes any three digits, and the exchange took what it gave.

Change: such an answer is garbled: it costs its attempt only, and its connection is closed.

--- a/src/loop/exchange.cpp
+++ b/src/loop/exchange.cpp
@@ -42,6 +42,7 @@
 /// Interim answers (status 1xx) before the answer itself.
 constexpr int max_interim_answers = 16;
 constexpr int status_switching_protocols = 101;
+constexpr int least_status = 100;
 
 void tune(tcp::socket& socket) {
     boost::system::error_code ignored; // tuning only: without it the connection still works
@@ -241,6 +242,9 @@
         if (ec) {
             co_return note(fault_of(ec));
         }
+        if (status() < least_status) {
+            co_return note(exchange_fault::garbled);
+        }
         if (status() / 100 != 1) {
             break;
         }
