--- a/tests/soak/crash_rig.cpp
+++ b/tests/soak/crash_rig.cpp
@@ -99,6 +99,7 @@
     engine.models = {"model"};
     standins::write_configuration(*rig.platform, 1, rig_host,
                                   {{"/look/", "plain", "safe", 2, true},
+                                   {"/once/", "plain", "unsafe", 2, true},
                                    {"/stream/", "engines", "streaming", 2, true},
                                    {"/steps/", "engines", "rollout", 2, true}},
                                   {plain, engine}, {{"trainers", {std::string(rig_key)}}});
--- a/tests/soak/crash_rig.hpp
+++ b/tests/soak/crash_rig.hpp
@@ -46,7 +46,7 @@
 };
 
 /// Starts the store, `services` plain targets and `engines` model engines, and writes a
-/// configuration with the routes /look/ (idempotent), /stream/ and /steps/.
+/// configuration with the routes /look/ (idempotent), /once/, /stream/ and /steps/.
 void start_targets(crash_rig& rig, int services, int engines);
 void start_hosts(crash_rig& rig, int count);
 
