Refuse requests that the memory does not hold

What callers saw: 400 callers that sent 200 kB each to a host whose address space was nearly used up ended cornelloom_frontd by SIGABRT (events 1003, 1002); all requests in progress were lost.

Cause: Beast's string body reserves the announced length of a body when its first bytes are parsed. These are often in the buffer already, so that happens while Asio starts the read, in a noexcept await_suspend: std::bad_alloc ends the process. Small allocations of operations that start fail there alike. Nothing bounded the sum of the bodies that a host held, and a caller could have memory reserved by announcing a length.

Change: bodies take memory for what arrives, and report a lack of it as an error of the read. The bodies of callers share an eighth of limits.memory-mb, those of other hosts another eighth; what doesn't fit is refused with 503 and Retry-After (a request that is alone is always read), logged (9071) and counted. An answer of a server that memory lacks for is no fault of that server. The listener goes on after an error while it pauses.

--- a/src/front/events.hpp
+++ b/src/front/events.hpp
@@ -18,6 +18,9 @@
 inline constexpr event settings_unreadable{
     9070, "settings_unreadable", event_level::warning,
     "the settings file can't be read at the start; it is read again for a while"};
+inline constexpr event listener_refused{
+    9071, "listener_refused", event_level::warning,
+    "a connection or a request is refused before it is read, for want of room"};
 inline constexpr event lines_dropped{9005, "lines_dropped", event_level::warning,
                                      "log lines of an event were dropped by its rate limit"};
 inline constexpr event loop_delayed{9006, "loop_delayed", event_level::warning,
--- a/src/front/host.cpp
+++ b/src/front/host.cpp
@@ -24,6 +24,9 @@
 constexpr std::size_t answer_memory_divisor = 4;
 /// Answers of the largest size for which there is room.
 constexpr std::size_t answers_in_memory = 8;
+/// Bodies of requests may take a quarter, too, those of callers and of other hosts an eighth each:
+/// a body is copied to be sent on.
+constexpr std::size_t body_memory_divisor = 8;
 
 } // namespace
 
@@ -37,6 +40,8 @@
         connections.memory->max_total_bytes = settings.memory_bytes / answer_memory_divisor;
         connections.memory->max_answer_bytes =
             connections.memory->max_total_bytes / answers_in_memory;
+        caller_bodies->max_bytes = settings.memory_bytes / body_memory_divisor;
+        peer_bodies->max_bytes = settings.memory_bytes / body_memory_divisor;
     }
     if (settings.duties) {
         usage.window_length = settings.duties->usage_window;
--- a/src/front/host.hpp
+++ b/src/front/host.hpp
@@ -88,6 +88,8 @@
     kernel::runtime_clock clock{};
     kernel::metrics metrics{};
     loop::connection_pool connections;
+    std::shared_ptr<loop::body_memory> caller_bodies = std::make_shared<loop::body_memory>();
+    std::shared_ptr<loop::body_memory> peer_bodies = std::make_shared<loop::body_memory>();
     store_client store;
     std::mt19937_64 random;
     std::uint64_t salt = random();
--- a/src/front/process.cpp
+++ b/src/front/process.cpp
@@ -17,6 +17,7 @@
 
 #include "kernel/events.hpp"
 #include "kernel/failures.hpp"
+#include "kernel/memory_reserve.hpp"
 #include "kernel/process_end.hpp"
 #include "kernel/progress_watch.hpp"
 
@@ -193,6 +194,22 @@
     co_await serve_caller(registry, request);
 }
 
+/// Before a refused caller tries again.
+constexpr loop::milliseconds shortage_retry_delay{1000};
+
+/// Logs and counts what the listener refuses for want of room.
+void report_refusals(const std::shared_ptr<host>& self, loop::listener& server,
+                     std::string_view listener) {
+    // The host outlives its listeners.
+    auto* owner = self.get();
+    server.on_refusal = [owner, listener](loop::shortage what) {
+        const std::array labels{kernel::label{"listener", listener},
+                                kernel::label{"lacking", to_string(what)}};
+        owner->metrics.count("cornelloom_listener_refusals_total", labels);
+        log_event(*owner, listener_refused, {{"listener", listener}, {"lacking", to_string(what)}});
+    };
+}
+
 listener_ptr listen_for_callers(const std::shared_ptr<batch_registry>& registry) {
     auto self = registry->self;
     auto server = std::make_shared<loop::listener>();
@@ -204,6 +221,10 @@
         return self->routes ? self->routes->config.bounds : loop::caller_limits{};
     };
     server->closing = [self] { return self->stopping; };
+    server->bodies = self->caller_bodies;
+    server->has_memory = kernel::fill_memory_reserve;
+    server->retry_headers = {self->platform_adapter.retry_after(shortage_retry_delay)};
+    report_refusals(self, *server, "callers");
     server->open_connections_most = static_cast<std::size_t>(
         std::max(self->settings.file_descriptors - reserved_descriptors, 100));
     loop::keep_listening(server, self->settings.caller_endpoint);
@@ -257,6 +278,8 @@
         limits.idle_time = peer_idle_timeout;
         return limits;
     };
+    server->bodies = self->peer_bodies;
+    report_refusals(self, *server, "internal");
     loop::keep_listening(server, address);
     return server;
 }
@@ -499,6 +522,7 @@
     kernel::record_signal_senders({SIGTERM, SIGINT, SIGHUP});
     kernel::report_fatal_ends(STDOUT_FILENO, kernel::log_format::json);
     start_log();
+    kernel::keep_memory_reserve();
     bool stopped = false;
     std::shared_ptr<batch_registry> registry;
     stop_signals.async_wait([&](const boost::system::error_code& ec, int signal) {
--- a/src/loop/exchange.cpp
+++ b/src/loop/exchange.cpp
@@ -4,6 +4,7 @@
 #include "loop/spawn.hpp"
 
 #include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 
 #include <netinet/tcp.h>
@@ -161,6 +162,9 @@
         ec == http::error::buffer_overflow) {
         return exchange_fault::too_large;
     }
+    if (ec == boost::system::errc::not_enough_memory) {
+        return exchange_fault::no_memory;
+    }
     const auto& category = http::make_error_code(http::error::bad_version).category();
     const bool ended = ec == http::error::partial_message || ec == http::error::end_of_stream;
     if (ec.category() == category && !ended) {
@@ -268,7 +272,7 @@
         if (ec) {
             co_return note(fault_of(ec));
         }
-        piece = std::exchange(parser_->get().body(), {});
+        piece = std::exchange(parser_->get().body().text, {});
     }
     co_return exchange_fault::none;
 }
--- a/src/loop/exchange.hpp
+++ b/src/loop/exchange.hpp
@@ -1,12 +1,12 @@
 #pragma once
 
 #include "loop/connection_pool.hpp"
+#include "loop/received_body.hpp"
 #include "loop/task.hpp"
 #include "transport/http.hpp"
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 
 #include <limits>
 #include <memory>
@@ -90,7 +90,7 @@
     std::shared_ptr<answer_memory> memory_;            ///< Of the pool.
     std::size_t reserved_bytes_ = 0;                   ///< Of that memory.
     boost::beast::flat_buffer buffer_; ///< Bounded: a head or framing may come without end.
-    std::optional<boost::beast::http::response_parser<boost::beast::http::string_body>> parser_;
+    std::optional<boost::beast::http::response_parser<received_body>> parser_;
     bool answer_has_body_ = true; ///< Unless to a HEAD request.
     std::vector<transport::http_header> headers_;
     std::shared_ptr<bool> body_written_ = std::make_shared<bool>(true);
--- a/src/loop/listener.cpp
+++ b/src/loop/listener.cpp
@@ -42,8 +42,10 @@
 
 /// Promises nothing: the request may have run.
 constexpr int status_internal_error = 500;
+/// The request has not run.
+constexpr int status_unavailable = 503;
 
-using request_parser = http::request_parser<http::string_body>;
+using request_parser = http::request_parser<received_body>;
 
 std::string chunk(std::string_view bytes) {
     constexpr std::string_view digits = "0123456789abcdef";
@@ -91,6 +93,10 @@
     ignored = socket.set_option(asio::socket_base::linger(reset, 0), ignored);
 }
 
+bool is_no_memory(const boost::system::error_code& ec) {
+    return ec == boost::system::errc::not_enough_memory;
+}
+
 int status_of(const boost::system::error_code& ec) {
     if (ec == http::error::header_limit || ec == http::error::buffer_overflow) {
         return 431;
@@ -106,7 +112,7 @@
            ec != http::error::end_of_stream && ec != http::error::partial_message;
 }
 
-transport::http_request to_request(http::request<http::string_body>&& in) {
+transport::http_request to_request(http::request<received_body>&& in) {
     transport::http_request out;
     out.method = std::string(in.method_string());
     const std::string target(in.target());
@@ -116,12 +122,26 @@
     for (const auto& field : in.base()) {
         out.headers.push_back({std::string(field.name_string()), std::string(field.value())});
     }
-    out.body = std::move(in.body());
+    out.body = std::move(in.body().text);
     return out;
 }
 
 } // namespace
 
+std::string_view to_string(shortage what) {
+    switch (what) {
+    case shortage::memory:
+        return "memory";
+    case shortage::body_memory:
+        return "body_memory";
+    case shortage::connections:
+        return "connections";
+    case shortage::descriptors:
+        return "descriptors";
+    }
+    return "unknown";
+}
+
 served_request::served_request(beast::tcp_stream& stream, transport::http_request received,
                                bool keep_open)
     : message(std::move(received)), stream_(&stream), keep_open_(keep_open) {}
@@ -248,6 +268,10 @@
         if (ec) {
             co_return ec;
         }
+        const auto announced = parser.content_length();
+        if (announced && !parser.get().body().share.fits(*announced)) {
+            co_return make_error_code(boost::system::errc::not_enough_memory);
+        }
         if (parser.get()[http::field::expect] == "100-continue") {
             const std::string go_on = "HTTP/1.1 100 Continue\r\n\r\n";
             co_await asio::async_write(stream, asio::buffer(go_on),
@@ -271,10 +295,18 @@
         served_request fault(stream, {}, false);
         // GCC 12 destroys a braced temporary of a co_await expression twice, so it has a name.
         transport::http_response answer{status, {}, {}};
+        if (status == status_unavailable) {
+            answer.headers = server->retry_headers;
+        }
         co_await fault.answer(std::move(answer));
         co_await linger();
     }
 
+    task<void> refuse_for(shortage what) {
+        server->on_refusal(what);
+        co_await refuse(status_unavailable);
+    }
+
     /// Reads what the caller still sends, so that closing does not reset the answer away.
     task<void> linger() {
         boost::system::error_code ec;
@@ -306,8 +338,17 @@
         if (!alive) {
             co_return false;
         }
+        if (!server->has_memory()) {
+            co_await refuse_for(shortage::memory);
+            co_return false;
+        }
         request_parser parser;
+        parser.get().body().share = body_share(server->bodies);
         const auto ec = co_await read(parser, limits);
+        if (is_no_memory(ec)) {
+            co_await refuse_for(shortage::body_memory);
+            co_return false;
+        }
         if (ec) {
             if (is_protocol_fault(ec)) {
                 co_await refuse(status_of(ec));
@@ -316,7 +357,9 @@
         }
         const bool keep = parser.get().keep_alive() && !server->closing();
         const bool takes_chunks = parser.get().version() >= 11;
-        served_request request(stream, to_request(parser.release()), keep);
+        auto received = parser.release();
+        auto share = std::move(received.body().share);
+        served_request request(stream, to_request(std::move(received)), keep);
         request.takes_chunks_ = takes_chunks;
         auto watch = std::make_shared<close_watch>();
         watch->gone = request.gone_;
@@ -324,6 +367,8 @@
         watch_close(stream.socket(), watch);
         const bool handled = co_await handle(request);
         watch->over = true;
+        request.message = {};
+        share = {};
         if (!handled && request.started_) {
             co_return false; // the caller sees that the answer broke off
         }
@@ -360,6 +405,23 @@
     co_await one.run();
 }
 
+/// What keeps the listener from serving a further connection.
+std::optional<shortage> shortage_of(const listener& server) {
+    const auto most = server.open_connections_most;
+    if (most != 0 && server.open_connections >= most) {
+        return shortage::connections;
+    }
+    return server.has_memory() ? std::nullopt : std::optional(shortage::memory);
+}
+
+void serve_or_refuse(const std::shared_ptr<listener>& server, tcp::socket socket) {
+    if (const auto lacking = shortage_of(*server)) {
+        server->on_refusal(*lacking);
+    } else {
+        spawn(*server->io, "connection", serve(server, std::move(socket)));
+    }
+}
+
 task<void> accept_all(std::shared_ptr<listener> server, tcp::acceptor acceptor) {
     for (;;) {
         boost::system::error_code ec;
@@ -369,14 +431,12 @@
             server->listening = false;
             co_return;
         }
-        if (ec) {
-            co_await pause_for(*server->io, accept_pause);
-            continue;
-        }
         try {
-            const auto most = server->open_connections_most;
-            if (most == 0 || server->open_connections < most) {
-                spawn(*server->io, "connection", serve(server, std::move(socket)));
+            if (ec) {
+                server->on_refusal(shortage::descriptors);
+                co_await pause_for(*server->io, accept_pause);
+            } else {
+                serve_or_refuse(server, std::move(socket));
             }
         } catch (...) {
             kernel::report_failure("listener", std::current_exception());
--- a/src/loop/listener.hpp
+++ b/src/loop/listener.hpp
@@ -1,16 +1,19 @@
 #pragma once
 
 #include "loop/caller_limits.hpp"
+#include "loop/received_body.hpp"
 #include "loop/task.hpp"
 #include "transport/http.hpp"
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace cornelloom::loop {
 
@@ -71,6 +74,16 @@
     bool abandoned_ = false;
 };
 
+/// What a listener lacks when it refuses.
+enum class shortage : std::uint8_t {
+    memory,      ///< Of the process.
+    body_memory, ///< For the bodies of requests.
+    connections, ///< As many are open as may be.
+    descriptors  ///< The system gives no further connection, most often for want of descriptors.
+};
+
+[[nodiscard]] std::string_view to_string(shortage what);
+
 using request_handler = std::function<task<void>(served_request&)>;
 
 /// Accepts connections and serves their requests one after another.
@@ -83,6 +96,13 @@
     bool listening = false; ///< The address is bound.
     std::size_t open_connections = 0;
     std::size_t open_connections_most = 0; ///< 0: no bound. Beyond it, connections are reset.
+    /// Requests whose bodies don't fit are refused with 503.
+    std::shared_ptr<body_memory> bodies = std::make_shared<body_memory>();
+    /// Asked for each connection and request: when false, they are refused.
+    std::function<bool()> has_memory = [] { return true; };
+    std::vector<transport::http_header> retry_headers{}; ///< Of a refusal with 503.
+    /// Told of each connection and request that is refused for want of room.
+    std::function<void(shortage)> on_refusal = [](shortage) {};
 };
 
 /// Binds and serves until the loop ends. Throws when the address can't be bound.
