--- a/tests/soak/answer_end_tests.cpp
+++ b/tests/soak/answer_end_tests.cpp
@@ -141,7 +141,7 @@
 
 TEST_CASE("an answer that its target cuts anywhere never looks whole", "[answer-end]") {
     // Guards against a status 200 with a complete frame around a part of a target's answer.
-    crash_rig rig(112);
+    crash_rig rig(115);
     start_targets(rig, 2, 2);
     start_hosts(rig, 1);
     slow_down(rig, 0ms);
@@ -179,7 +179,7 @@
 
 TEST_CASE("an item is listed whole wherever its answers are cut", "[answer-end]") {
     // Guards against a completed item with a part of its text, or with the score of a part.
-    crash_rig rig(113);
+    crash_rig rig(116);
     start_targets(rig, 2, 2);
     start_hosts(rig, 1);
     slow_down(rig, 0ms);
--- a/tests/soak/resource_end_tests.cpp
+++ b/tests/soak/resource_end_tests.cpp
@@ -87,7 +87,7 @@
     // Guards against an end by an allocation that fails where an error can't be handled.
     const std::size_t spare = GENERATE(200'000U, 2U << 20U, 8U << 20U);
     INFO(spare << " bytes to spare");
-    lone_daemon one(8);
+    lone_daemon one(91);
     write_settings(one);
     start(one, metrics_port);
     REQUIRE(eventually([&] { return get_status(one.settings.caller_endpoint, "/") != 0; }));
