Serve small requests while a large one has the memory for bodies

One request larger than its share of the memory is read when it is alone. While it ran, all others were refused, also those without a body. Requests of up to 4 KiB are now always read; of as many as there are descriptors these take 17 MB.

The new test checks that small ones are served beside a large one, and that others are refused.

--- a/src/loop/received_body.hpp
+++ b/src/loop/received_body.hpp
@@ -48,10 +48,12 @@
     }
 
     /// Whether so many bytes would be granted now. A request that is alone gets what it needs, so
-    /// that one larger than the whole memory is served at some time.
+    /// that one larger than the whole memory is served at some time, and small ones are served
+    /// beside it.
     [[nodiscard]] bool fits(std::size_t bytes) const {
+        constexpr std::size_t small_body_bytes = 4096;
         const auto others = memory_ ? memory_->bytes - bytes_ : 0;
-        return others == 0 ||
+        return others == 0 || bytes <= small_body_bytes ||
                (others <= memory_->max_bytes && bytes <= memory_->max_bytes - others);
     }
 
--- a/tests/loop/body_memory_tests.cpp
+++ b/tests/loop/body_memory_tests.cpp
@@ -124,6 +124,21 @@
     CHECK(read_answer(world, large).ends_with("\r\n\r\n300000"));
 }
 
+TEST_CASE("small requests are served while one has more than the memory for bodies",
+          "[loop][listener]") {
+    // Guards against a large request that keeps all others out for as long as it runs.
+    small_server world;
+    auto large = begin_request(world, "/held", 3 * max_bytes, 3 * max_bytes);
+    world.io.run_for(100ms);
+    CHECK(world.server->bodies->bytes >= 3 * max_bytes);
+    for (const std::size_t size : {0U, 1000U}) {
+        auto small = begin_request(world, "/now", size, size);
+        CHECK(read_answer(world, small).ends_with("\r\n\r\n" + std::to_string(size)));
+    }
+    auto other = begin_request(world, "/now", 10'000, 10'000);
+    CHECK(read_answer(world, other).starts_with("HTTP/1.1 503"));
+}
+
 TEST_CASE("a listener without memory for a connection closes it, and serves the next",
           "[loop][listener]") {
     // Guards against a listener that serves nobody after it has refused.
