Bound the last counts of a host that stops by its grace period

A host that counts usage sent its last counts to two hosts of its zone in turn, up to 0.6 s each, after 0.95 of the grace period: with two silent hosts (frozen, cut off) it ended up to 1.2 s later, 8.8 s after SIGTERM with a grace period of 8 s, and was killed.

The two calls run side by side and end at 0.97 of the grace period at the latest.

--- a/src/front/count_exchange.cpp
+++ b/src/front/count_exchange.cpp
@@ -98,15 +98,15 @@
 
 /// Whether the peer has taken the counts.
 loop::task<bool> push_counts(std::shared_ptr<host> self, transport::endpoint where,
-                             std::string body) {
+                             std::string body, loop::deadline until) {
     transport::http_request message;
     message.method = "POST";
     message.path = counts_path;
     message.headers.push_back({"Host", "peer"});
     message.body = std::move(body);
     const auto sent = self->clock.boot_now();
-    const auto outcome = co_await loop::call(self->connections, where, std::move(message),
-                                             loop::after(counts_timeout), counts_connect_timeout);
+    const auto outcome = co_await loop::call(self->connections, where, std::move(message), until,
+                                             counts_connect_timeout);
     record_time_of(*self, where, sent, outcome);
     co_return loop::status_of(outcome) == 200;
 }
@@ -117,7 +117,8 @@
     const auto hosts = ranked_zone_hosts(self->settings.zone, self->peers);
     std::size_t taken = 0;
     for (const auto& peer : hosts) {
-        const bool answered = co_await push_counts(self, peer.address, body);
+        const bool answered =
+            co_await push_counts(self, peer.address, body, loop::after(counts_timeout));
         taken += answered ? 1 : 0;
         if (taken == max_zone_hosts_asked) {
             break;
@@ -195,16 +196,19 @@
     co_return std::ranges::all_of(answered, std::identity{});
 }
 
-loop::task<void> send_all_counts(std::shared_ptr<host> self) {
+loop::task<void> send_all_counts(std::shared_ptr<host> self, loop::deadline until) {
     const auto hosts = ranked_zone_hosts(self->settings.zone, self->peers);
     if (self->usage.windows.empty() || hosts.empty()) {
         co_return;
     }
     const auto newest = window_of(self->usage, unix_now(*self));
     const auto body = encode_counts(*self, oldest_window(*self), newest);
+    const auto limit = std::min(until, loop::after(counts_timeout));
+    std::vector<loop::task<bool>> calls;
     for (const auto& peer : hosts | std::views::take(max_zone_hosts_asked)) {
-        co_await push_counts(self, peer.address, body);
+        calls.push_back(push_counts(self, peer.address, body, limit));
     }
+    co_await loop::gather(self->io, std::move(calls));
 }
 
 void record_demand(host& self,
--- a/src/front/count_exchange.hpp
+++ b/src/front/count_exchange.hpp
@@ -27,8 +27,9 @@
 /// Requests the counts of a window from the feeders of each zone. False if a zone did not respond.
 loop::task<bool> gather_counts(std::shared_ptr<host> self, window_number window);
 
-/// Sends all counts to other hosts of the zone before this process ends.
-loop::task<void> send_all_counts(std::shared_ptr<host> self);
+/// Sends all counts to other hosts of the zone before this process ends; waits no longer than that
+/// for them.
+loop::task<void> send_all_counts(std::shared_ptr<host> self, loop::deadline until);
 
 /// Records the number of items in progress on this host, by model.
 void record_demand(host& self,
--- a/src/front/process.cpp
+++ b/src/front/process.cpp
@@ -53,6 +53,8 @@
 /// and not answered is lost to its caller.
 constexpr double serving_share = 0.8;
 constexpr double draining_share = 0.95;
+/// Other hosts may take until then to receive the counts. The rest is for the log.
+constexpr double counts_share = 0.97;
 constexpr loop::milliseconds drain_poll_interval{20};
 constexpr loop::milliseconds listening_check_interval{50};
 /// A loop that does not go on for so many checks is logged as blocked.
@@ -317,7 +319,9 @@
     while (self->in_flight > 0 && self->now() < shutdown_started + grace_share(draining_share)) {
         co_await loop::pause_for(self->io, drain_poll_interval);
     }
-    co_await send_all_counts(self);
+    const auto used =
+        std::chrono::duration_cast<loop::milliseconds>(self->now() - shutdown_started);
+    co_await send_all_counts(self, loop::after(grace_share(counts_share) - used));
     log_event(*self, front_stopped,
               {{"host", self->settings.host},
                {"in_flight", self->in_flight},
