Take answers without a length that are known to be whole

What users saw: answers of the store that state no length and end with their connection counted as no answer at all, so that a host behind such a store learns nothing; a target whose reports came so was never ordered to load weights; and a usage report or an order for targets that the platform accepted with such an answer was sent again and again.

Cause: `loop::call` counts an answer without a length as broken, since a server that stopped ends its answer alike, and nobody looked further.

Change: such an answer still counts as broken, but its parts are there for those who can tell. Of the store, and for reports of targets, a status of 400 or above counts without a body that may be cut, and another status if the body is a whole JSON object: no part of one is another. Answers to orders, to usage reports and to orders for targets count by their status alone. Cut bodies, and a 200 without any body, count as broken as before. Calls between hosts are not changed: hosts state lengths.

--- a/src/front/order_giver.cpp
+++ b/src/front/order_giver.cpp
@@ -5,6 +5,7 @@
 #include "front/load_plan.hpp"
 #include "front/placement.hpp"
 #include "front/target_supply.hpp"
+#include "front/unframed_answer.hpp"
 #include "loop/spawn.hpp"
 
 #include <algorithm>
@@ -173,9 +174,9 @@
 
 loop::task<std::optional<target_report>> read_report(std::shared_ptr<host> self, std::string id,
                                                      transport::endpoint where) {
-    const auto outcome =
+    const auto outcome = take_if_whole(
         co_await loop::call(self->connections, where, self->platform_adapter.report(id),
-                            loop::after(order_timeout), connect_timeout);
+                            loop::after(order_timeout), connect_timeout));
     if (outcome.fault != loop::exchange_fault::none || outcome.answer.status != 200) {
         co_return std::nullopt;
     }
@@ -310,9 +311,9 @@
     load_order order{planned.model,         planned.version,
                      planned.order_mode,    self->settings.host,
                      self->lead.view.fence, target_order.accepted_orders.value_or(0)};
-    auto outcome = co_await loop::call(self->connections, where,
-                                       self->platform_adapter.order(order, planned.target),
-                                       loop::after(order_timeout), connect_timeout);
+    auto outcome = take_status(co_await loop::call(
+        self->connections, where, self->platform_adapter.order(order, planned.target),
+        loop::after(order_timeout), connect_timeout));
     apply_order_answer(scheduler, planned.target, order, where, outcome);
     self->metrics.count("cornelloom_orders_total");
     log_event(*self, order_given,
--- a/src/front/store_client.cpp
+++ b/src/front/store_client.cpp
@@ -1,5 +1,7 @@
 #include "front/store_client.hpp"
 
+#include "front/unframed_answer.hpp"
+
 #include <algorithm>
 
 namespace cornelloom::front {
@@ -38,6 +40,7 @@
 }
 
 store_response to_store_response(loop::call_outcome outcome) {
+    outcome = take_if_whole(std::move(outcome));
     if (outcome.fault == loop::exchange_fault::none) {
         return {fault_of_status(outcome.answer.status), std::move(outcome.answer.body)};
     }
@@ -161,6 +164,7 @@
     request.path.erase(0, relay_path.size());
     auto outcome = co_await loop::call(*client.connections, client.address, std::move(request),
                                        loop::after(timeout), connect_timeout);
+    outcome = take_if_whole(std::move(outcome));
     if (outcome.fault == loop::exchange_fault::none) {
         outcome.answer.headers.clear();
         co_return std::move(outcome.answer);
--- a/src/front/target_supplier.cpp
+++ b/src/front/target_supplier.cpp
@@ -2,6 +2,7 @@
 
 #include "front/count_exchange.hpp"
 #include "front/target_supply.hpp"
+#include "front/unframed_answer.hpp"
 #include "loop/spawn.hpp"
 
 #include <algorithm>
@@ -40,9 +41,9 @@
     auto self = state.self;
     const duty_sender sender{self->settings.host, self->lead.view.fence};
     const supply_order order{service_config.name, zone, count};
-    const auto outcome = co_await loop::call(self->connections, self->settings.duties->address,
-                                             self->platform_adapter.supply(order, sender),
-                                             loop::after(order_timeout), connect_timeout);
+    const auto outcome = take_status(co_await loop::call(
+        self->connections, self->settings.duties->address,
+        self->platform_adapter.supply(order, sender), loop::after(order_timeout), connect_timeout));
     const int status = status_of(outcome);
     log_event(*self, targets_ordered,
               {{"service", service_config.name},
--- a/src/front/usage_reporter.cpp
+++ b/src/front/usage_reporter.cpp
@@ -1,6 +1,7 @@
 #include "front/usage_reporter.hpp"
 
 #include "front/count_exchange.hpp"
+#include "front/unframed_answer.hpp"
 #include "front/usage_report.hpp"
 #include "loop/spawn.hpp"
 
@@ -108,9 +109,10 @@
     auto self = state.self;
     const auto report = state.last_stored->report;
     const duty_sender sender{self->settings.host, self->lead.view.fence};
-    const auto outcome = co_await loop::call(self->connections, self->settings.duties->address,
-                                             self->platform_adapter.usage(report, sender),
-                                             loop::after(report_timeout), connect_timeout);
+    const auto outcome =
+        take_status(co_await loop::call(self->connections, self->settings.duties->address,
+                                        self->platform_adapter.usage(report, sender),
+                                        loop::after(report_timeout), connect_timeout));
     const int status = status_of(outcome);
     const auto window_end_ms = window_start(self->usage, report.window + 1);
     log_event(*self, usage_reported,
--- a/src/loop/exchange.cpp
+++ b/src/loop/exchange.cpp
@@ -357,13 +357,14 @@
     if (out.fault == exchange_fault::none) {
         out.fault = co_await one.read_rest(until, out.answer.body);
     }
-    if (out.fault == exchange_fault::none && one.ended_by_close()) {
-        out.fault = exchange_fault::broken;
-    }
     if (out.fault == exchange_fault::none) {
         out.answer.status = one.status();
         out.answer.headers = one.headers();
         one.finish();
+        if (one.ended_by_close()) {
+            out.fault = exchange_fault::broken;
+            out.answer.ends_with_connection = true;
+        }
     }
     co_return out;
 }
--- a/src/loop/exchange.hpp
+++ b/src/loop/exchange.hpp
@@ -118,7 +118,7 @@
 };
 
 /// Sends one request and reads its whole answer. An answer without a length is not known to be
-/// whole: it counts as broken.
+/// whole: it counts as broken, and tells that it `ends_with_connection`.
 task<call_outcome> call(connection_pool& pool, transport::endpoint server,
                         transport::http_request request, deadline until, milliseconds connect_limit,
                         connection_use use = connection_use::any);
--- a/tests/soak/answer_end_tests.cpp
+++ b/tests/soak/answer_end_tests.cpp
@@ -221,3 +221,23 @@
         CHECK(cuts->made_on_new + cuts->made_on_used >= least_cuts);
     });
 }
+
+TEST_CASE("targets whose orders are answered without a length load weights", "[answer-end]") {
+    // Guards against orders that are never given although each report came whole.
+    crash_rig rig(114);
+    start_targets(rig, 1, 1);
+    for (auto& played : rig.targets) {
+        played.target->troubles.states_no_length = true;
+    }
+    start_hosts(rig, 2);
+    play(rig, [&]() -> loop::task<void> {
+        standins::name_version(*rig.platform, "model", 2);
+        const auto until = loop::after(8s);
+        while (rig.targets.back().target->versions["model"] != 2 &&
+               loop::steady_clock::now() < until) {
+            co_await loop::pause_for(rig.io, 20ms);
+        }
+        CHECK(rig.targets.back().target->versions["model"] == 2);
+        CHECK(rig.targets.back().target->orders == 1);
+    });
+}
