Send no body where an answer may have none

What callers saw: after an answer to a HEAD request, or one with status 204 or 304, bytes that they read as the next answer on their connection: a streaming route passed on a target's 204 with chunks and a last chunk, and refusals with a body were written to HEAD requests whole.

Cause: the listener framed an answer without regard to its request's method and its status.

Change: such answers have a head only.

Test programs beside test_loop were not built with this change.

--- a/src/loop/listener.cpp
+++ b/src/loop/listener.cpp
@@ -101,6 +101,11 @@
     return 400;
 }
 
+/// A body after these would be read as the next answer.
+bool may_have_body(int status) {
+    return status != 204 && status != 304;
+}
+
 bool is_protocol_fault(const boost::system::error_code& ec) {
     return ec.category() == http::make_error_code(http::error::bad_version).category() &&
            ec != http::error::end_of_stream && ec != http::error::partial_message;
@@ -124,7 +129,8 @@
 
 served_request::served_request(beast::tcp_stream& stream, transport::http_request received,
                                bool keep_open)
-    : message(std::move(received)), stream_(&stream), keep_open_(keep_open) {}
+    : message(std::move(received)), stream_(&stream), keep_open_(keep_open),
+      to_head_(message.method == "HEAD") {}
 
 task<void> served_request::answer(transport::http_response response) {
     http::response<http::string_body> out;
@@ -139,7 +145,9 @@
         out.content_length(response.body.size());
     }
     out.keep_alive(keep_open_);
-    out.body() = std::move(response.body);
+    if (may_have_body(response.status) && !to_head_) {
+        out.body() = std::move(response.body);
+    }
     started_ = true;
     stream_->expires_after(write_limit);
     boost::system::error_code ec;
@@ -168,7 +176,8 @@
         end_with_connection();
     }
     out.keep_alive(keep_open_);
-    out.chunked(framing_ == body_framing::chunked);
+    has_body_ = may_have_body(status) && !to_head_;
+    out.chunked(has_body_ && framing_ == body_framing::chunked);
     http::response_serializer<http::empty_body> writer(out);
     started_ = true;
     stream_->expires_after(write_limit);
@@ -179,7 +188,7 @@
 }
 
 task<void> served_request::piece(std::string_view bytes) {
-    if (bytes.empty() || gone()) {
+    if (bytes.empty() || gone() || !has_body_) {
         co_return;
     }
     const auto framed = framing_ == body_framing::chunked ? chunk(bytes) : std::string(bytes);
@@ -196,6 +205,10 @@
         reset_on_close(stream_->socket(), !answered_);
         co_return;
     }
+    if (!has_body_) {
+        answered_ = !gone();
+        co_return;
+    }
     const std::string last = "0\r\n\r\n";
     stream_->expires_after(write_limit);
     boost::system::error_code ec;
--- a/src/loop/listener.hpp
+++ b/src/loop/listener.hpp
@@ -64,6 +64,8 @@
     std::shared_ptr<bool> gone_ = std::make_shared<bool>(false);
     std::shared_ptr<std::function<void()>> notify_ = std::make_shared<std::function<void()>>();
     bool keep_open_;
+    bool to_head_; ///< A HEAD request: its answer has no body.
+    bool has_body_ = true;
     bool started_ = false; ///< Some of an answer may have been written.
     bool answered_ = false;
     bool takes_chunks_ = true; ///< Unknown to callers of HTTP/1.0.
--- a/tests/loop/odd_answer_tests.cpp
+++ b/tests/loop/odd_answer_tests.cpp
@@ -1,6 +1,7 @@
 #include "loop/loop.hpp"
 
 #include <boost/asio/detached.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 
@@ -177,3 +178,48 @@
         co_await check_next_call(pool, server.where());
     });
 }
+
+TEST_CASE("an answer that may have no body has none", "[loop][listener][odd-answer]") {
+    // Guards against a body or a last chunk that a caller reads as the next answer.
+    const bool is_head = GENERATE(false, true);
+    const bool in_pieces = GENERATE(false, true);
+    const int status = is_head ? 200 : GENERATE(204, 304);
+    CAPTURE(is_head, in_pieces, status);
+    io_context io(1);
+    auto server = std::make_shared<listener>();
+    server->io = &io;
+    server->limits = [] { return caller_limits{}; };
+    server->handler = [&](served_request& request) -> task<void> {
+        if (request.message.path == "/next" || !in_pieces) {
+            transport::http_response answer;
+            answer.status = request.message.path == "/next" ? 200 : status;
+            answer.body = "body";
+            co_await request.answer(std::move(answer));
+            co_return;
+        }
+        co_await request.begin(status, {});
+        co_await request.piece("body");
+        co_await request.end();
+    };
+    tcp::acceptor probe(io, tcp::endpoint(tcp::v4(), 0));
+    const transport::endpoint where{"127.0.0.1", probe.local_endpoint().port()};
+    probe.close();
+    start_listening(server, where);
+    run(io, [&]() -> task<void> {
+        tcp::socket socket(io);
+        const tcp::endpoint address(asio::ip::make_address(where.address), where.port);
+        co_await socket.async_connect(address, asio::use_awaitable);
+        const std::string requests = std::string(is_head ? "HEAD" : "GET") +
+                                     " / HTTP/1.1\r\nHost: h\r\n\r\n"
+                                     "GET /next HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
+        co_await asio::async_write(socket, asio::buffer(requests), asio::use_awaitable);
+        std::string bytes;
+        boost::system::error_code ec;
+        co_await asio::async_read(socket, asio::dynamic_buffer(bytes),
+                                  asio::redirect_error(asio::use_awaitable, ec));
+        const auto second = bytes.find("\r\n\r\n") + 4;
+        CAPTURE(bytes);
+        CHECK(bytes.substr(second).starts_with("HTTP/1.1 200 OK"));
+        CHECK(bytes.ends_with("body"));
+    });
+}
