--- a/src/kernel/memory_reserve.cpp
+++ b/src/kernel/memory_reserve.cpp
@@ -35,7 +35,9 @@
     return only;
 }
 
-/// Uses only functions that don't call the handler of failed allocations.
+// Operator new would call the handler of failed allocations.
+// NOLINTBEGIN(cppcoreguidelines-no-malloc,cppcoreguidelines-owning-memory)
+
 void fill(reserve_block& block) {
     if (block.whole) {
         return;
@@ -57,6 +59,8 @@
     return true;
 }
 
+// NOLINTEND(cppcoreguidelines-no-malloc,cppcoreguidelines-owning-memory)
+
 /// The handler of failed allocations: these are tried again when it returns.
 void release_some() {
     auto& own = reserve();
@@ -90,8 +94,10 @@
     if (!fill_memory_reserve()) {
         return false;
     }
+    // NOLINTBEGIN(cppcoreguidelines-no-malloc,cppcoreguidelines-owning-memory): as above
     void* attempt = std::malloc(bytes);
     std::free(attempt);
+    // NOLINTEND(cppcoreguidelines-no-malloc,cppcoreguidelines-owning-memory)
     return attempt != nullptr;
 }
 
--- a/src/loop/received_body.hpp
+++ b/src/loop/received_body.hpp
@@ -84,8 +84,8 @@
 
     class reader {
     public:
-        template <bool is_request, class fields>
-        reader(boost::beast::http::header<is_request, fields>& /*head*/, value_type& body)
+        template <bool IsRequest, class Fields>
+        reader(boost::beast::http::header<IsRequest, Fields>& /*head*/, value_type& body)
             : body_(&body) {}
 
         /// Refuses a body that has no room now before it is read.
@@ -97,8 +97,8 @@
             }
         }
 
-        template <class const_buffer_sequence>
-        std::size_t put(const const_buffer_sequence& buffers, boost::system::error_code& ec) {
+        template <class ConstBufferSequence>
+        std::size_t put(const ConstBufferSequence& buffers, boost::system::error_code& ec) {
             ec = make_room(boost::beast::buffer_bytes(buffers));
             if (ec) {
                 return 0;
