Leave a host descriptors for its own work when there are few

What callers saw: with 64 or 128 descriptors, connections of callers took them all; /ready, metrics and other hosts got no answer until callers closed, and nothing was logged. The process didn't end, the listener neither stopped nor spun (2 and 0 ticks of processor time in a second, a trial).

Cause: connections of callers were bounded by the settings alone, whatever the system allows, and to at least 100.

Change: the bound is taken from the smaller of the settings and RLIMIT_NOFILE; all but 400 descriptors, or half if there are few.

--- a/src/front/process.cpp
+++ b/src/front/process.cpp
@@ -23,6 +23,7 @@
 
 #include <boost/asio/signal_set.hpp>
 
+#include <sys/resource.h>
 #include <unistd.h>
 
 #include <csignal>
@@ -59,8 +60,9 @@
 /// A loop that does not go on for so many checks is logged as blocked.
 constexpr loop::milliseconds progress_check_interval{1000};
 constexpr int max_checks_without_progress = 3;
-/// File descriptors reserved for files, the log and the process's own sockets.
-constexpr int reserved_descriptors = 400;
+/// File descriptors reserved for files, the log and the process's own sockets, or half of them if
+/// there are few.
+constexpr std::size_t reserved_descriptors = 400;
 /// Calls between hosts are small, but a peer may relay a complete batch submission to the store.
 constexpr std::size_t max_peer_body_bytes = 64U << 20U;
 /// Longer than any pause between two calls, so that connections between hosts stay open.
@@ -210,6 +212,21 @@
     };
 }
 
+/// The descriptors that the process may open: those of the settings, unless the system allows less.
+std::size_t allowed_descriptors(int settings) {
+    const auto wanted = static_cast<std::size_t>(std::max(settings, 0));
+    rlimit system{};
+    const bool known = ::getrlimit(RLIMIT_NOFILE, &system) == 0;
+    return known ? std::min<std::size_t>(wanted, system.rlim_cur) : wanted;
+}
+
+/// Callers leave descriptors for targets, the store and the other hosts.
+std::size_t max_caller_connections(int settings) {
+    const auto descriptors = allowed_descriptors(settings);
+    const auto shared = descriptors / 2;
+    return std::max(descriptors - std::min(descriptors, reserved_descriptors), shared);
+}
+
 listener_ptr listen_for_callers(const std::shared_ptr<batch_registry>& registry) {
     auto self = registry->self;
     auto server = std::make_shared<loop::listener>();
@@ -225,8 +242,7 @@
     server->has_memory = kernel::fill_memory_reserve;
     server->retry_headers = {self->platform_adapter.retry_after(shortage_retry_delay)};
     report_refusals(self, *server, "callers");
-    server->open_connections_most = static_cast<std::size_t>(
-        std::max(self->settings.file_descriptors - reserved_descriptors, 100));
+    server->open_connections_most = max_caller_connections(self->settings.file_descriptors);
     loop::keep_listening(server, self->settings.caller_endpoint);
     return server;
 }
--- a/tests/soak/child_process.cpp
+++ b/tests/soak/child_process.cpp
@@ -58,7 +58,14 @@
     std::filesystem::remove(file("err"));
     // `limit_handles` lets this function return before the program runs, so it comes last.
     process = bp::child(
-        program, bp::args = arguments, bp::extend::on_exec_setup = [](auto&) { reset_signals(); },
+        program, bp::args = arguments,
+        bp::extend::on_exec_setup =
+            [this](auto&) {
+                reset_signals();
+                for (const auto& [resource, limit] : limits) {
+                    ::setrlimit(resource, &limit);
+                }
+            },
         bp::std_out > file("out").string(), bp::std_err > file("err").string(), bp::limit_handles);
 }
 
--- a/tests/soak/child_process.hpp
+++ b/tests/soak/child_process.hpp
@@ -8,11 +8,14 @@
 
 #include <filesystem>
 #include <functional>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
+#include <sys/resource.h>
+
 namespace cornelloom::soak {
 
 /// A program that a test starts, with its output in files. Is killed when the test ends.
@@ -37,6 +40,8 @@
     [[nodiscard]] std::optional<int> status();
     [[nodiscard]] std::optional<int> wait_for_end(loop::milliseconds patience);
 
+    /// Resource limits, such as RLIMIT_NOFILE, that the program starts with.
+    std::map<__rlimit_resource, rlimit> limits{};
     std::filesystem::path folder;
     std::string name;
     boost::process::child process{};
--- a/tests/soak/resource_end_tests.cpp
+++ b/tests/soak/resource_end_tests.cpp
@@ -99,3 +99,26 @@
     CHECK(answers(one));
     CHECK_FALSE(has_event(one, "process_terminated"));
 }
+
+TEST_CASE("callers that take all descriptors they can leave the host able to work",
+          "[soak][ends]") {
+    // Guards against a host that answers neither /ready nor other hosts since callers have all
+    // descriptors.
+    const int descriptors = GENERATE(64, 128);
+    INFO(descriptors << " descriptors");
+    lone_daemon one(9);
+    write_settings(one);
+    const rlimit few{static_cast<rlim_t>(descriptors), static_cast<rlim_t>(descriptors)};
+    one.limits = {{RLIMIT_NOFILE, few}};
+    start(one, metrics_port);
+    REQUIRE(eventually([&] { return answers(one); }));
+    {
+        caller_crowd crowd;
+        crowd.connect(one.settings.caller_endpoint, callers);
+        CHECK(eventually([&] { return has_event(one, "listener_refused"); }));
+        CHECK(answers(one));
+        CHECK(get_status({"127.112.1.9", metrics_port}, "/metrics") == 200);
+    }
+    CHECK(eventually([&] { return get_status(one.settings.caller_endpoint, "/") != 0; }));
+    CHECK_FALSE(one.status());
+}
