--- a/src/kernel/packed_json.cpp
+++ b/src/kernel/packed_json.cpp
@@ -12,7 +12,7 @@
 /// Builds the value and ends the parse where it is nested too deeply.
 class bounded_builder : public value_builder {
 public:
-    explicit bounded_builder(json& root) : value_builder(root, false) {}
+    explicit bounded_builder(json& value) : value_builder(value, false) {}
 
     bool start_object(std::size_t members) {
         return ++depth_ <= max_packed_depth && value_builder::start_object(members);
--- a/src/kernel/process_end.cpp
+++ b/src/kernel/process_end.cpp
@@ -40,6 +40,9 @@
 
 constexpr std::array fatal_signals{SIGSEGV, SIGBUS, SIGFPE, SIGILL, SIGABRT};
 
+/// Signals of operators and of the system that end a process that does not handle them.
+constexpr std::array ending_signals{SIGQUIT, SIGUSR1, SIGUSR2, SIGALRM, SIGXCPU};
+
 /// Of a connection that is closed, and of a file that reaches the limit of its size.
 constexpr std::array write_signals{SIGPIPE, SIGXFSZ};
 
@@ -226,6 +229,12 @@
     for (const int signal : fatal_signals) {
         ::sigaction(signal, &action, nullptr);
     }
+    for (const int signal : ending_signals) {
+        struct sigaction before{};
+        if (::sigaction(signal, nullptr, &before) == 0 && before.sa_handler == SIG_DFL) {
+            ::sigaction(signal, &action, nullptr);
+        }
+    }
     std::set_terminate(on_terminate);
 }
 
@@ -283,6 +292,16 @@
         return "SIGILL";
     case SIGABRT:
         return "SIGABRT";
+    case SIGQUIT:
+        return "SIGQUIT";
+    case SIGUSR1:
+        return "SIGUSR1";
+    case SIGUSR2:
+        return "SIGUSR2";
+    case SIGALRM:
+        return "SIGALRM";
+    case SIGXCPU:
+        return "SIGXCPU";
     case SIGTERM:
         return "SIGTERM";
     case SIGINT:
--- a/tests/soak/resource_end_tests.cpp
+++ b/tests/soak/resource_end_tests.cpp
@@ -106,7 +106,7 @@
     // descriptors.
     const int descriptors = GENERATE(64, 128);
     INFO(descriptors << " descriptors");
-    lone_daemon one(9);
+    lone_daemon one(92);
     write_settings(one);
     const rlimit few{static_cast<rlim_t>(descriptors), static_cast<rlim_t>(descriptors)};
     one.limits = {{RLIMIT_NOFILE, few}};
--- a/tests/soak/start_tests.cpp
+++ b/tests/soak/start_tests.cpp
@@ -243,14 +243,16 @@
 
 TEST_CASE("a process that gets a fatal signal says so in its output", "[soak][starts]") {
     // Guards against a process that ends without a line that says why.
+    const int signal = GENERATE(SIGSEGV, SIGQUIT, SIGUSR1, SIGUSR2, SIGALRM, SIGXCPU);
+    INFO("signal " << signal);
     lone_daemon one(5);
     write_settings(one);
     start(one);
     REQUIRE(eventually([&] { return answers(one); }));
-    one.signal(SIGSEGV);
+    one.signal(signal);
     const auto status = one.wait_for_end(usual_patience);
     REQUIRE(status);
     CHECK(WIFSIGNALED(*status));
-    CHECK(WTERMSIG(*status) == SIGSEGV);
+    CHECK(WTERMSIG(*status) == signal);
     CHECK(has_event(one, "process_crashed"));
 }
