--- a/tests/soak/resource_end_tests.cpp
+++ b/tests/soak/resource_end_tests.cpp
@@ -117,7 +117,8 @@
         crowd.connect(one.settings.caller_endpoint, callers);
         CHECK(eventually([&] { return has_event(one, "listener_refused"); }));
         CHECK(answers(one));
-        CHECK(get_status({"127.112.1.9", metrics_port}, "/metrics") == 200);
+        CHECK(get_status({one.settings.readiness_endpoint.address, metrics_port}, "/metrics") ==
+              200);
     }
     CHECK(eventually([&] { return get_status(one.settings.caller_endpoint, "/") != 0; }));
     CHECK_FALSE(one.status());
