--- a/tests/kernel/memory_reserve_tests.cpp
+++ b/tests/kernel/memory_reserve_tests.cpp
@@ -15,7 +15,7 @@
     kernel::keep_memory_reserve();
     for (int round = 0; round < 3; ++round) {
         CHECK(kernel::fill_memory_reserve());
-        volatile std::size_t too_much = std::numeric_limits<std::ptrdiff_t>::max();
+        const volatile std::size_t too_much = std::numeric_limits<std::ptrdiff_t>::max();
         CHECK_THROWS_AS(::operator new(too_much), std::bad_alloc);
     }
     std::set_new_handler(before);
