--- a/src/loop/loop.hpp
+++ b/src/loop/loop.hpp
@@ -8,3 +8,6 @@
 #include "loop/listener.hpp"
 #include "loop/spawn.hpp"
 #include "loop/task.hpp"
+
+// For programs that spawn tasks of their own.
+#include <boost/asio/detached.hpp>
