--- a/review/source-2/rig.cc
+++ b/review/source-2/rig.cc
@@ -71,9 +71,10 @@
     return '"' + transport::to_string(where) + '"';
 }
 
-/// The settings of a `front` machine of the site herbaloom, with this case's addresses.
+/// The settings of a `front` machine of herbaloom or lentbell, which have the same bounds, with
+/// this case's addresses.
 std::string settings_text(const front& one, const std::vector<std::unique_ptr<front>>& all,
-                          const endpoint& platform) {
+                          const endpoint& platform, int memory_mb) {
     std::ostringstream out;
     out << "node = \"" << one.name << "\"\nrole = \"front\"\nmachine-class = \"front\"\n"
         << "serves = [\"front\",\"control\"]\nip-address = \"" << one.peers.address << "\"\n"
@@ -90,7 +91,8 @@
         << "[zones]\nkrakow-a = \"malopolska\"\ngdansk-a = \"pomorze\"\n"
         << "[listen]\nfront = " << quoted(one.callers) << "\nready = " << quoted(one.readiness)
         << "\ncontrol = " << quoted(one.peers) << "\n"
-        << "[limits]\ncpu-share = 0.25\ncores = 1\nmemory-mb = 260\nfile-descriptors = 4100\n"
+        << "[limits]\ncpu-share = 0.25\ncores = 1\nmemory-mb = " << memory_mb
+        << "\nfile-descriptors = 4100\n"
         << "link-mbps = 1000.0\ndisk-mb = 0\n"
         << "[fault-tolerance]\nmachines = 1\nzones = 0\nregions = 0\n"
         << "[bounds]\nseed-lag-s = 3\nreuse-delay-s = 2\nstable-window-ms = 4000\n"
@@ -185,7 +187,7 @@
 }
 
 void rig::start(front& one) {
-    std::ofstream(one.settings_file) << settings_text(one, fronts, platform_at);
+    std::ofstream(one.settings_file) << settings_text(one, fronts, platform_at, memory_mb);
     const auto port = std::to_string(metrics_port);
     const pid_t parent = ::getpid();
     one.process = ::fork();
--- a/review/source-2/rig.h
+++ b/review/source-2/rig.h
@@ -71,6 +71,7 @@
     std::vector<std::unique_ptr<front>> fronts;
     std::vector<std::shared_ptr<standins::target>> targets;
     std::string manifest_host = "ficu95.example";
+    int memory_mb = 260; ///< `memory-mb` of the settings; that of herbaloom by default.
 
     /// The next address of this case's own loopback network.
     endpoint next_address(std::uint16_t port);
