--- a/review/source-2/case_large_batch.cc
+++ b/review/source-2/case_large_batch.cc
@@ -22,9 +22,9 @@
 constexpr int items = 512;
 constexpr milliseconds work{220};        // the largest of roster-sync
 constexpr milliseconds time_limit{1500}; // of roster-sync
-constexpr int channels = 12;
-constexpr int pause_most_ms = 60; // of a client between two requests
-constexpr int cut_most = 3;       // "more than three times"
+constexpr int channels = 30;             // of each host; the three workers have 18 slots together
+constexpr int pause_most_ms = 60;        // of a client between two requests
+constexpr int cut_most = 3;              // "more than three times"
 
 struct world {
     rig* all;
@@ -126,12 +126,12 @@
 
 task<verdict> play(world& here) {
     auto& all = *here.all;
-    const route_entry sync{"/sync/", "bellhouse", "safe", 1500, 250, 4, false};
+    const route_entry sync{"/sync/", "bellhouse", "safe", 1500, 250, 1, false};
     const route_entry rollout{"/tune/", "wordsmith", "rollout", 10000, 500, 3, true};
     standins::put(
         *all.store, "config", "main",
         manifest(3, all.manifest_host, {sync, rollout}, {"bellhouse"}, {"wordsmith"}, {"m0"}));
-    for (int number = 1; number <= 2; ++number) {
+    for (int number = 1; number <= 3; ++number) {
         auto plain =
             all.add_target("i-bell-" + std::to_string(number), "bellhouse", "krakow-a", {});
         plain->work = work;
--- a/review/source-2/rig.cc
+++ b/review/source-2/rig.cc
@@ -54,7 +54,7 @@
     for (int attempt = 0; attempt < 50; ++attempt) {
         const int network = static_cast<int>(random() % 20000);
         bool free = true;
-        for (int host = 1; host <= 12 && free; ++host) {
+        for (int host = 1; host <= 40 && free; ++host) {
             for (const auto port :
                  {metrics_port, front_port, ready_port, control_port, store_port, target_port}) {
                 free = free && can_bind(address_in(network, host), port);
