--- a/review/source-2/case_stale_manifest.cc
+++ b/review/source-2/case_stale_manifest.cc
@@ -23,9 +23,9 @@
 constexpr milliseconds stale_by{5000};
 constexpr milliseconds after_ack{2600}; // config-apply-ms is 2,500
 constexpr milliseconds after_submission{300};
-constexpr milliseconds restart_delay{200}; // "restarted after a short delay"
-constexpr milliseconds read_pause{500};    // clients read about twice per second
-constexpr milliseconds read_limit{2500};   // X-Wait-Ms and 1.5 s more
+constexpr milliseconds restart_delay{1300}; // kill_all of herbaloom: down_s = 1.3
+constexpr milliseconds read_pause{500};     // clients read about twice per second
+constexpr milliseconds read_limit{2500};    // X-Wait-Ms and 1.5 s more
 
 /// What a list of the manifest showed since some moment.
 struct shown_list {
@@ -233,6 +233,9 @@
         std::ranges::count_if(trainer->completed, [](const auto& each) { return !each.second; });
     all.note("results " + std::to_string(trainer->completed.size()) + " of " +
              std::to_string(groups * group_size) + ", terminated " + std::to_string(terminated));
+    if (all.worker_errors > 0) {
+        co_return verdict::not_run; // items may be given up then
+    }
     // No worker answered 422 or 500, retention-s is 40, nobody ended the batch submission, and the
     // route is in force: an item that is `terminated` breaks MIXED.
     if (terminated > 0) {
--- a/review/source-2/rig.cc
+++ b/review/source-2/rig.cc
@@ -75,6 +75,8 @@
 /// this case's addresses.
 std::string settings_text(const front& one, const std::vector<std::unique_ptr<front>>& all,
                           const endpoint& platform, int memory_mb) {
+    // True only when the whole system starts for the first time.
+    const auto* bootstrap = one.started_before ? "false" : "true";
     std::ostringstream out;
     out << "node = \"" << one.name << "\"\nrole = \"front\"\nmachine-class = \"front\"\n"
         << "serves = [\"front\",\"control\"]\nip-address = \"" << one.peers.address << "\"\n"
@@ -84,7 +86,7 @@
     for (std::size_t index = 0; index < all.size() && index < 3; ++index) {
         out << (index > 0 ? "," : "") << quoted(all[index]->peers);
     }
-    out << "]\nbootstrap = true\ncounts-as-loss = false\ndiscovery = \"platform\"\n"
+    out << "]\nbootstrap = " << bootstrap << "\ncounts-as-loss = false\ndiscovery = \"platform\"\n"
         << "entry = \"virtual_ip\"\nheartbeat-interval-ms = 1200\n"
         << "contracts = [\"base\",\"drain\",\"config\",\"cost\",\"recover\",\"samples\","
         << "\"stream\",\"engine\",\"batch\",\"platform\"]\n"
@@ -188,6 +190,7 @@
 
 void rig::start(front& one) {
     std::ofstream(one.settings_file) << settings_text(one, fronts, platform_at, memory_mb);
+    one.started_before = true;
     const auto port = std::to_string(metrics_port);
     const pid_t parent = ::getpid();
     one.process = ::fork();
@@ -264,6 +267,7 @@
         note("run at " + run.target + ": " + run.request + " " + run.path);
     };
     one->observer.answered = [this, id](const standins::answer_seen& answer) {
+        worker_errors += answer.status >= 400 ? 1 : 0;
         note("answer of " + id + " to " + answer.request + ": " + std::to_string(answer.status));
     };
     one->observer.ordered = [](const standins::order_seen&) {};
--- a/review/source-2/rig.h
+++ b/review/source-2/rig.h
@@ -52,6 +52,7 @@
     std::string settings_file;
     std::string log_file;
     pid_t process = -1;
+    bool started_before = false;
 };
 
 /// All that one case has.
@@ -71,7 +72,8 @@
     std::vector<std::unique_ptr<front>> fronts;
     std::vector<std::shared_ptr<standins::target>> targets;
     std::string manifest_host = "ficu95.example";
-    int memory_mb = 260; ///< `memory-mb` of the settings; that of herbaloom by default.
+    int worker_errors = 0; ///< Answers of workers with a status from 400 on.
+    int memory_mb = 260;   ///< `memory-mb` of the settings; that of herbaloom by default.
 
     /// The next address of this case's own loopback network.
     endpoint next_address(std::uint16_t port);
