Give an item up only by a configuration that is as new as its batch

Cause: a starting host reads the configuration with stale-ok, and for half a second knows no other. dispatch_item gave up each item whose route it did not find. A request on the same route is answered 503 in that time, since refusals ask for the age of the configuration; results, which can't be taken back, did not. attempts and retention-s come from the same configuration.

Change: an item is given up for its route, its attempts, its retention or a 422 only if the configuration was confirmed after this host came to know the batch and is not too old to refuse a request. Until then it waits, without being sent. The batch was accepted under a configuration that the store had by then, so one confirmed later that lacks the route shows that the route was dropped. A 422 counts only from the service that the route has now. item_given_up logs the version and the age of the configuration.

"a host that has read an old configuration gives up no item by it" on the code before: 0 of 6 items completed in both sections; with the change all are.

--- a/src/front/batch.hpp
+++ b/src/front/batch.hpp
@@ -31,6 +31,7 @@
     std::int64_t last_logged_event = 0;    ///< The last event that the batch's log contains.
     int failures = 0;                      ///< Failed attempts, counted as the platform does.
     int logged_failures = 0;               ///< Those that the batch's log contains.
+    std::string refused_by;                ///< Service that can never process it; empty: none.
     time_point not_before{};               ///< No new attempt is made earlier.
     std::string last_target;               ///< The target of the latest attempt.
     std::vector<std::string> left_targets; ///< Targets that it left because they were slow.
--- a/src/front/batch_drive.cpp
+++ b/src/front/batch_drive.cpp
@@ -125,7 +125,8 @@
 void give_up_expired(live_batch& batch) {
     const auto* batch_route = route_of(batch);
     if (batch_route == nullptr || batch_route->retention == milliseconds::zero() ||
-        batch.local_host->now() < batch.state.submitted + batch_route->retention) {
+        batch.local_host->now() < batch.state.submitted + batch_route->retention ||
+        !may_give_up_by_configuration(batch)) {
         return;
     }
     for (std::size_t index = 0; index < batch.state.items.size(); ++index) {
--- a/src/front/item_dispatch.cpp
+++ b/src/front/item_dispatch.cpp
@@ -118,6 +118,21 @@
     }
 }
 
+/// Why the item can't be completed, if the known configuration is right; empty: it can.
+std::string_view reason_to_give_up(const batch_item& item, const item_state& state,
+                                   const route* item_route) {
+    if (item_route == nullptr) {
+        return "no route for the item";
+    }
+    if (state.failures >= item_route->attempts) {
+        return "failed attempts";
+    }
+    if (!state.refused_by.empty() && state.refused_by == choose_service(*item_route, item.id)) {
+        return "status 422";
+    }
+    return {};
+}
+
 /// Starts the item on a target if one has capacity for it.
 void dispatch_item(const live_batch_ptr& batch, std::size_t index, placement_round& round) {
     auto& self = *batch->local_host;
@@ -131,9 +146,10 @@
         return;
     }
     const auto* item_route = route_of_item(*batch, item);
-    if (item_route == nullptr) {
-        if (self.routes) {
-            give_up_item(*batch, index, "no route for the item");
+    const auto reason = reason_to_give_up(item, state, item_route);
+    if (!reason.empty()) {
+        if (may_give_up_by_configuration(*batch)) {
+            give_up_item(*batch, index, reason);
         }
         return;
     }
--- a/src/front/item_run.cpp
+++ b/src/front/item_run.cpp
@@ -352,17 +352,24 @@
                {"age_ms", ms_between(batch.state.submitted, batch.local_host->now())}});
 }
 
-void record_failure(live_batch& batch, std::size_t index, const route& item_route,
-                    std::string_view reason) {
+/// Counts a failed attempt. The dispatcher gives the item up if no attempt is left.
+void record_failure(live_batch& batch, std::size_t index, const route& item_route) {
     auto& item = batch.state.items[index];
     ++item.failures;
     if (item.failures >= item_route.attempts) {
-        give_up_item(batch, index, reason);
+        item.phase = item_phase::waiting;
     } else {
         requeue_item(batch, index);
     }
 }
 
+/// Remembers the service that can't process the item, for the dispatcher to give the item up.
+void record_unprocessable(live_batch& batch, std::size_t index, const route& item_route) {
+    auto& item = batch.state.items[index];
+    item.refused_by = choose_service(item_route, batch.state.spec.items[index].id);
+    item.phase = item_phase::waiting;
+}
+
 std::uint64_t digest_of_scoring(const scoring_call& scoring) {
     const std::string_view target = scoring.path;
     const auto mark = std::min(target.find('?'), target.size());
@@ -406,12 +413,15 @@
 }
 
 void give_up_item(live_batch& batch, std::size_t index, std::string_view reason) {
-    log_event(*batch.local_host, item_given_up,
+    auto& self = *batch.local_host;
+    log_event(self, item_given_up,
               {{"id", batch.state.spec.items[index].id},
                {"batch", batch.state.header.id},
                {"why", reason},
                {"failures", batch.state.items[index].failures},
-               {"age_ms", ms_between(batch.state.submitted, batch.local_host->now())}});
+               {"configuration", self.routes ? self.routes->config.version : 0},
+               {"configuration_age_ms", configuration_age(self).count()},
+               {"age_ms", ms_between(batch.state.submitted, self.now())}});
     item_result final_result;
     final_result.id = batch.state.spec.items[index].id;
     final_result.text = batch.state.items[index].output.text;
@@ -518,10 +528,10 @@
         }
         break;
     case run_outcome::failed:
-        record_failure(*batch, index, item_route, result.reason);
+        record_failure(*batch, index, item_route);
         break;
     case run_outcome::unprocessable:
-        give_up_item(*batch, index, result.reason);
+        record_unprocessable(*batch, index, item_route);
         break;
     }
     batch->changed.open();
@@ -556,10 +566,18 @@
             co_await loop::pause_for(self->io, scoring_retry_delay);
             continue;
         }
-        auto call = make_scoring_call(*batch, *scoring, *scoring_route);
         const auto* batch_route = route_of(*batch);
         const int max_failures =
             std::max(scoring_route->attempts, batch_route != nullptr ? batch_route->attempts : 1);
+        if (failures >= max_failures) {
+            if (may_give_up_by_configuration(*batch)) {
+                give_up_item(*batch, index, "scoring failed");
+                co_return;
+            }
+            co_await loop::pause_for(self->io, scoring_retry_delay);
+            continue;
+        }
+        auto call = make_scoring_call(*batch, *scoring, *scoring_route);
         const auto outcome = co_await run_scoring_call(batch, index, std::move(call));
         if (batch->state.items[index].phase != item_phase::scoring) {
             co_return;
@@ -579,8 +597,7 @@
         }
         failures += outcome.failures;
         if (failures >= max_failures) {
-            give_up_item(*batch, index, "scoring failed");
-            co_return;
+            continue;
         }
         const bool quarantined = outcome.quarantine.has_value();
         if (quarantined) {
--- a/src/front/live_batch.cpp
+++ b/src/front/live_batch.cpp
@@ -1,5 +1,7 @@
 #include "front/live_batch.hpp"
 
+#include "front/access.hpp"
+
 namespace cornelloom::front {
 
 namespace {
@@ -20,6 +22,12 @@
     return find_batch_route(batch, item.path);
 }
 
+bool may_give_up_by_configuration(const live_batch& batch) {
+    const auto& self = *batch.local_host;
+    return self.configuration_confirmed_at >= batch.known_since &&
+           configuration_age(self) <= age_limits_of(self.settings).max_refusal_age;
+}
+
 bool may_send_items(const live_batch& batch) {
     return may_send_items(batch.log, batch.local_host->now(),
                           batch.local_host->settings.cancel_bound);
--- a/src/front/live_batch.hpp
+++ b/src/front/live_batch.hpp
@@ -32,6 +32,7 @@
 
     std::shared_ptr<host> local_host;
     batch state;
+    time_point known_since = local_host->clock.boot_now(); ///< A time of `boot_now`.
     loop::gate changed;        ///< Opened when results are added, runs end or the owner changes.
     bool owned = false;        ///< This process runs its items.
     bool handing_over = false; ///< The runs are stopped, to continue on another host.
@@ -52,6 +53,11 @@
 /// The route of one of its items; null if the current configuration has none.
 [[nodiscard]] const route* route_of_item(const live_batch& batch, const batch_item& item);
 
+/// Whether an item may be given up for what the configuration says: its result is stored and can't
+/// be taken back. The known configuration must include all changes made before this host knew the
+/// batch, and not be too old to refuse a request.
+[[nodiscard]] bool may_give_up_by_configuration(const live_batch& batch);
+
 /// Whether its items and their scoring calls may be sent to targets.
 [[nodiscard]] bool may_send_items(const live_batch& batch);
 
--- a/tests/soak/batch_calls.cpp
+++ b/tests/soak/batch_calls.cpp
@@ -66,6 +66,8 @@
     if (const auto page = standins::read_page(outcome.answer.body)) {
         std::ranges::transform(page->results, std::back_inserter(out.items),
                                &front::item_result::id);
+        out.completed = static_cast<std::size_t>(
+            std::ranges::count_if(page->results, &front::item_result::completed));
     }
     co_return out;
 }
--- a/tests/soak/batch_calls.hpp
+++ b/tests/soak/batch_calls.hpp
@@ -15,6 +15,7 @@
 struct results_read {
     int status = 0;
     std::vector<std::string> items{}; ///< Ids of the results, in their order.
+    std::size_t completed = 0;        ///< Results that are completed, not given up.
 };
 
 loop::task<results_read> read_results(crash_rig& rig, std::size_t host,
