Check the texts of others where they enter and where they are written

Cause: paths and headers of items were checked for line ends, ids, hosts and the paths of scoring calls were not, and loop::exchange wrote what it was given.

Change: an item that can't be sent as it is has a fault, and its submission is refused with 400; that includes blanks around an id, which a target would drop. An exchange does not send a request whose method, target or header could be read as something else (malformed_request), the listener leaves such a header out of an answer, and both write the framing headers themselves. The id of a batch is encoded in calls between hosts, where "&at=" in it named another owner. The name of a target's entry is checked as it is read. An item that an earlier version has accepted is given up, and the others of its batch run. The problem of a refused submission is logged and no longer a label of a metric, which it made grow without bound.

--- a/src/front/answers.cpp
+++ b/src/front/answers.cpp
@@ -6,6 +6,9 @@
 
 namespace {
 
+/// Bytes of a caller's text in a log line.
+constexpr std::size_t max_logged_detail = 300;
+
 void count_refusal(host& self, std::string_view reason, std::string_view state) {
     const std::array labels{kernel::label{"reason", reason}, kernel::label{"state", state}};
     self.metrics.count("cornelloom_refusals_total", labels);
@@ -58,9 +61,13 @@
 }
 
 loop::task<void> reject(host& self, loop::served_request& request, std::string_view id,
-                        std::string_view reason, int status) {
+                        std::string_view reason, int status, std::string_view detail) {
     count_refusal(self, reason, "not_run");
-    log_event(self, request_refused, {{"id", id}, {"why", reason}, {"status", status}});
+    log_event(self, request_refused,
+              {{"id", id},
+               {"why", reason},
+               {"status", status},
+               {"detail", detail.substr(0, max_logged_detail)}});
     co_await answer_status(request, status);
 }
 
--- a/src/front/answers.hpp
+++ b/src/front/answers.hpp
@@ -25,8 +25,9 @@
                       std::string_view reason, bool deadline_passed);
 
 /// Refuses a request for which a retry is pointless: status 400, 401, 404, 405 or 413.
+/// `detail`, which may quote the request, is logged, and is not a label of a metric.
 loop::task<void> reject(host& self, loop::served_request& request, std::string_view id,
-                        std::string_view reason, int status);
+                        std::string_view reason, int status, std::string_view detail = {});
 
 /// Retry delay when no target was free: the duration of a typical plain request.
 inline constexpr milliseconds no_target_retry_delay{100};
--- a/src/front/batch_desk.cpp
+++ b/src/front/batch_desk.cpp
@@ -158,7 +158,7 @@
     transport::http_request peer_request;
     peer_request.method = "POST";
     peer_request.path = path;
-    peer_request.query = "id=" + id;
+    peer_request.query = "id=" + transport::encode_path(id);
     peer_request.headers.push_back({"Host", "peer"});
     return peer_request;
 }
--- a/src/front/batch_owner.cpp
+++ b/src/front/batch_owner.cpp
@@ -25,6 +25,7 @@
                                                const std::string& account) {
     auto out = received;
     out.path.insert(0, forward_path);
+    out.body.clear(); // calls on batches have none
     std::erase_if(out.headers, [](const transport::http_header& header) {
         return header.name == account_header;
     });
--- a/src/front/batch_submit.cpp
+++ b/src/front/batch_submit.cpp
@@ -9,6 +9,8 @@
 #include "loop/gather.hpp"
 #include "loop/spawn.hpp"
 
+#include <algorithm>
+
 namespace cornelloom::front {
 
 namespace {
@@ -87,13 +89,19 @@
                               std::string account) {
     auto self = registry->self;
     if (!is_utf8(caller.id)) {
-        co_await reject(*self, request, {}, "the id is not UTF-8", 400);
+        co_await reject(*self, request, {}, "malformed", 400, "the id is not UTF-8");
         co_return;
     }
     auto& submission = request.message.body;
     const auto spec = self->platform_adapter.submission(parse_json(submission, submission_limits));
     if (!spec) {
-        co_await reject(*self, request, caller.id, spec.error().detail, 400);
+        co_await reject(*self, request, caller.id, "malformed", 400, spec.error().detail);
+        co_return;
+    }
+    const auto unsendable = std::ranges::find_if(
+        spec.value().items, [](const batch_item& item) { return !item.fault.empty(); });
+    if (unsendable != spec.value().items.end()) {
+        co_await reject(*self, request, caller.id, "malformed", 400, unsendable->fault);
         co_return;
     }
     const auto received = self->now();
--- a/src/front/crash_watch.cpp
+++ b/src/front/crash_watch.cpp
@@ -270,6 +270,7 @@
     case loop::exchange_fault::garbled:
     case loop::exchange_fault::too_large:
     case loop::exchange_fault::no_memory:
+    case loop::exchange_fault::malformed_request:
         return run_end::unknown;
     }
     return run_end::unknown;
--- a/src/front/gateway.cpp
+++ b/src/front/gateway.cpp
@@ -198,6 +198,10 @@
         co_await refuse(*self, request, request_info.id, "not_ready", unavailable_retry_delay);
         co_return;
     }
+    if (!transport::check_request(request.message)) {
+        co_await reject(*self, request, request_info.id, "malformed", 400);
+        co_return;
+    }
     auto call = self->platform_adapter.batch(request.message);
     auto access = decide_access(*self, request_info, request.message.path, call.has_value());
     if (access.verdict == access_verdict::no_key && request_info.key_hash) {
--- a/src/front/item_dispatch.cpp
+++ b/src/front/item_dispatch.cpp
@@ -141,6 +141,10 @@
     if (state.phase != item_phase::waiting) {
         return;
     }
+    if (!item.fault.empty()) {
+        give_up_item(*batch, index, item.fault);
+        return;
+    }
     if (state.output.whole) {
         start_scoring(batch, index);
         return;
--- a/src/front/plain_call.cpp
+++ b/src/front/plain_call.cpp
@@ -130,6 +130,8 @@
         fault = co_await exchange->read_rest(deadline, answer.body);
     }
     if (fault != loop::exchange_fault::none) {
+        const bool sent = fault != loop::exchange_fault::malformed_request;
+        result.end = sent ? attempt_end::no_valid_answer : attempt_end::not_sent;
         result.reason = to_string(fault);
         result.end_of_run = run_end_of(fault);
         co_return result;
--- a/src/front/types.hpp
+++ b/src/front/types.hpp
@@ -171,6 +171,7 @@
     int expected_output_tokens =
         0; ///< The caller's estimate, accurate only at the median; 0: none.
     std::optional<scoring_call> scoring;
+    std::string fault; ///< Why it, or its scoring call, can't be sent to a target; empty: it can.
 };
 
 /// A batch as submitted by its caller.
--- a/src/loop/exchange.cpp
+++ b/src/loop/exchange.cpp
@@ -63,7 +63,9 @@
     out.method_string(request.method);
     out.target(request.query.empty() ? request.path : request.path + "?" + request.query);
     for (const auto& header : request.headers) {
-        out.insert(header.name, header.value);
+        if (!transport::is_framing_header(header.name)) {
+            out.insert(header.name, header.value);
+        }
     }
     if (!request.body.empty() || (request.method != "GET" && request.method != "DELETE")) {
         out.body() = request.body;
@@ -114,6 +116,8 @@
         return "timed_out";
     case exchange_fault::aborted:
         return "aborted";
+    case exchange_fault::malformed_request:
+        return "malformed_request";
     }
     return "unknown";
 }
@@ -215,6 +219,9 @@
 }
 
 task<exchange_fault> exchange::send(const transport::http_request& request, deadline until) {
+    if (!transport::check_request(request)) {
+        co_return note(exchange_fault::malformed_request);
+    }
     auto message = std::make_shared<request_message>(encode(request));
     answer_has_body_ = request.method != "HEAD";
     start_parser();
@@ -353,8 +360,8 @@
     if (out.fault != exchange_fault::none) {
         co_return out;
     }
-    out.sent = true;
     out.fault = co_await one.send(request, until);
+    out.sent = out.fault != exchange_fault::malformed_request;
     if (out.fault == exchange_fault::none) {
         out.fault = co_await one.read_head(until);
     }
--- a/src/loop/exchange.hpp
+++ b/src/loop/exchange.hpp
@@ -20,13 +20,14 @@
 /// Why an exchange with a server ended without its whole answer.
 enum class exchange_fault {
     none,
-    not_connected, ///< No connection, so nothing was sent.
-    broken,        ///< The connection ended early: what was sent may have run.
-    garbled,       ///< What came back is not an answer to this request.
-    too_large,     ///< More came back than an answer may have, in its head, framing or body.
-    no_memory,     ///< Other answers take all the memory for answers.
-    timed_out,     ///< The deadline of the step passed.
-    aborted,       ///< This side gave it up.
+    not_connected,     ///< No connection, so nothing was sent.
+    broken,            ///< The connection ended early: what was sent may have run.
+    garbled,           ///< What came back is not an answer to this request.
+    too_large,         ///< More came back than an answer may have, in its head, framing or body.
+    no_memory,         ///< Other answers take all the memory for answers.
+    timed_out,         ///< The deadline of the step passed.
+    aborted,           ///< This side gave it up.
+    malformed_request, ///< Its bytes could be read as another request; nothing was sent.
 };
 
 [[nodiscard]] std::string_view to_string(exchange_fault fault);
--- a/src/loop/listener.cpp
+++ b/src/loop/listener.cpp
@@ -17,6 +17,7 @@
 #include <array>
 #include <limits>
 #include <optional>
+#include <span>
 
 namespace cornelloom::loop {
 
@@ -117,6 +118,16 @@
            ec != http::error::end_of_stream && ec != http::error::partial_message;
 }
 
+/// Headers that can be read as something else are left out, as are those that this side writes.
+void add_headers(http::fields& out, std::span<const transport::http_header> headers) {
+    for (const auto& header : headers) {
+        if (!transport::is_framing_header(header.name) && transport::is_token(header.name) &&
+            transport::is_header_value(header.value)) {
+            out.insert(header.name, header.value);
+        }
+    }
+}
+
 transport::http_request to_request(http::request<received_body>&& in) {
     transport::http_request out;
     out.method = std::string(in.method_string());
@@ -156,9 +167,7 @@
     http::response<http::string_body> out;
     out.version(11);
     out.result(static_cast<unsigned>(response.status));
-    for (const auto& header : response.headers) {
-        out.insert(header.name, header.value);
-    }
+    add_headers(out, response.headers);
     if (response.ends_with_connection) {
         end_with_connection();
     } else {
@@ -189,9 +198,7 @@
     http::response<http::empty_body> out;
     out.version(11);
     out.result(static_cast<unsigned>(status));
-    for (const auto& header : headers) {
-        out.insert(header.name, header.value);
-    }
+    add_headers(out, headers);
     if (framing == body_framing::ends_with_connection || !takes_chunks_) {
         end_with_connection();
     }
--- a/src/transport/http.cpp
+++ b/src/transport/http.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/ip/address.hpp>
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 
 namespace cornelloom::transport {
@@ -12,6 +13,8 @@
 namespace {
 
 constexpr int hexadecimal = 16;
+constexpr unsigned char first_printable = 0x21;
+constexpr unsigned char delete_character = 0x7f;
 
 kernel::error bad_endpoint(std::string_view text, std::string_view problem) {
     return {kernel::error_code::invalid_input,
@@ -19,6 +22,10 @@
                 ", allowed is IP-NUMBER:PORT such as 127.0.0.1:8080 or [::1]:8080"};
 }
 
+kernel::error bad_request(std::string_view problem) {
+    return {kernel::error_code::invalid_input, "request: " + std::string(problem)};
+}
+
 /// Decodes `%XX`, and `+` if it stands for a space.
 std::string decode(std::string_view text, bool plus_is_space) {
     std::string decoded;
@@ -98,6 +105,51 @@
     return (v6 ? "[" + where.address + "]" : where.address) + ":" + std::to_string(where.port);
 }
 
+bool is_header_value(std::string_view value) {
+    return std::ranges::all_of(
+        value, [](unsigned char c) { return c == '\t' || (c >= ' ' && c != delete_character); });
+}
+
+bool is_token(std::string_view text) {
+    constexpr std::string_view separators = "()<>@,;:\\\"/[]?={}";
+    return !text.empty() && std::ranges::all_of(text, [&](char c) {
+        const auto byte = static_cast<unsigned char>(c);
+        return byte >= first_printable && byte < delete_character &&
+               separators.find(c) == std::string_view::npos;
+    });
+}
+
+bool is_target(std::string_view text) {
+    return std::ranges::all_of(text, [](unsigned char c) {
+        return c >= first_printable && c != delete_character && c != '#';
+    });
+}
+
+bool is_framing_header(std::string_view name) {
+    constexpr std::array<std::string_view, 4> framing = {"Content-Length", "Transfer-Encoding",
+                                                         "TE", "Trailer"};
+    return std::ranges::any_of(framing,
+                               [&](auto each) { return internal::equal_without_case(each, name); });
+}
+
+kernel::result<void> check_request(const http_request& request) {
+    if (!is_token(request.method)) {
+        return bad_request("the method is not a token");
+    }
+    if (!request.path.starts_with('/') || !is_target(request.path)) {
+        return bad_request("the path has bytes that are not allowed");
+    }
+    if (!is_target(request.query)) {
+        return bad_request("the query has bytes that are not allowed");
+    }
+    for (const auto& header : request.headers) {
+        if (!is_token(header.name) || !is_header_value(header.value)) {
+            return bad_request("header '" + header.name + "' has bytes that are not allowed");
+        }
+    }
+    return boost::outcome_v2::success();
+}
+
 std::optional<std::string_view> find_header(const std::vector<http_header>& headers,
                                             std::string_view name) {
     const auto found = std::ranges::find_if(headers, [&](const auto& header) {
--- a/src/transport/http.hpp
+++ b/src/transport/http.hpp
@@ -48,6 +48,22 @@
     bool ends_with_connection = false;
 };
 
+/// Whether the bytes are a token: a method or a header's name.
+[[nodiscard]] bool is_token(std::string_view text);
+
+/// Whether the bytes may stand in a header's value.
+[[nodiscard]] bool is_header_value(std::string_view text);
+
+/// Whether the bytes may stand as a request's path or query.
+[[nodiscard]] bool is_target(std::string_view text);
+
+/// Whether the header says where a message ends, which whoever writes the message decides.
+[[nodiscard]] bool is_framing_header(std::string_view name);
+
+/// `invalid_input` if a name, a value or the target could be read as the start of another header
+/// or request.
+[[nodiscard]] kernel::result<void> check_request(const http_request& request);
+
 /// The first header of that name, compared without case.
 [[nodiscard]] std::optional<std::string_view> find_header(const std::vector<http_header>& headers,
                                                           std::string_view name);
--- a/src/transport/internal/http_message.cpp
+++ b/src/transport/internal/http_message.cpp
@@ -7,9 +7,6 @@
 
 namespace {
 
-constexpr unsigned char first_printable = 0x21;
-constexpr unsigned char delete_character = 0x7f;
-
 /// Headers that this side writes itself: a copy given by the caller would contradict it.
 constexpr std::array<std::string_view, 4> own_headers = {"Host", "Connection", "Content-Length",
                                                          "Transfer-Encoding"};
@@ -19,28 +16,6 @@
                                [&](auto own) { return equal_without_case(own, name); });
 }
 
-kernel::error bad_request(std::string_view problem) {
-    return {kernel::error_code::invalid_input, "request: " + std::string(problem)};
-}
-
-kernel::result<void> check_request(const http_request& request) {
-    if (!is_token(request.method)) {
-        return bad_request("the method is not a token");
-    }
-    if (!request.path.starts_with('/') || !is_target(request.path)) {
-        return bad_request("the path has bytes that are not allowed");
-    }
-    if (!is_target(request.query)) {
-        return bad_request("the query has bytes that are not allowed");
-    }
-    for (const auto& header : request.headers) {
-        if (!is_token(header.name) || !is_header_value(header.value)) {
-            return bad_request("header '" + header.name + "' has bytes that are not allowed");
-        }
-    }
-    return boost::outcome_v2::success();
-}
-
 } // namespace
 
 bool equal_without_case(std::string_view left, std::string_view right) {
@@ -48,26 +23,6 @@
     return std::ranges::equal(left, right, {}, lower, lower);
 }
 
-bool is_header_value(std::string_view value) {
-    return std::ranges::all_of(
-        value, [](unsigned char c) { return c == '\t' || (c >= ' ' && c != delete_character); });
-}
-
-bool is_token(std::string_view text) {
-    constexpr std::string_view separators = "()<>@,;:\\\"/[]?={}";
-    return !text.empty() && std::ranges::all_of(text, [&](char c) {
-        const auto byte = static_cast<unsigned char>(c);
-        return byte >= first_printable && byte < delete_character &&
-               separators.find(c) == std::string_view::npos;
-    });
-}
-
-bool is_target(std::string_view text) {
-    return std::ranges::all_of(text, [](unsigned char c) {
-        return c >= first_printable && c != delete_character && c != '#';
-    });
-}
-
 kernel::result<std::string> format_request(const endpoint& to, const http_request& request,
                                            bool keep_alive) {
     BOOST_OUTCOME_TRY(check_request(request));
--- a/src/transport/internal/http_message.hpp
+++ b/src/transport/internal/http_message.hpp
@@ -16,15 +16,6 @@
 [[nodiscard]] http_response
 read_head(const boost::beast::http::header<false, boost::beast::http::fields>& head);
 
-/// Whether the bytes may stand in a header's value.
-[[nodiscard]] bool is_header_value(std::string_view value);
-
-/// Whether the bytes are a token: a method or a header's name.
-[[nodiscard]] bool is_token(std::string_view text);
-
-/// Whether the bytes may stand as a request's path or query.
-[[nodiscard]] bool is_target(std::string_view text);
-
 [[nodiscard]] bool equal_without_case(std::string_view left, std::string_view right);
 
 } // namespace cornelloom::transport::internal
--- a/tests/front/give_up_tests.cpp
+++ b/tests/front/give_up_tests.cpp
@@ -101,6 +101,13 @@
     CHECK(world.is_given_up());
 }
 
+TEST_CASE("an item that can't be sent is given up at once", "[front][give_up]") {
+    // Guards against an item that an earlier version has accepted and that waits for ever.
+    const hopeless_item world;
+    world.batch->state.spec.items[0].fault = "items/0/id: is no value of a header";
+    CHECK(world.is_given_up());
+}
+
 TEST_CASE("an item that one service can't process is not given up when its route has another",
           "[front][give_up]") {
     // Guards against an answer of a service to which an old configuration sent the item.
--- a/tests/platform/adapter_tests.cpp
+++ b/tests/platform/adapter_tests.cpp
@@ -237,6 +237,66 @@
     CHECK(read.error().detail.find(place) != std::string::npos);
 }
 
+TEST_CASE("an item that can't be sent as it is has a fault", "[platform][batches]") {
+    // Guards against a second request in the id of an item or of its scoring call.
+    auto body = json::parse(submission_text);
+    const std::string place =
+        GENERATE("/items/0/id", "/items/0/scoring-endpoint/id", "/items/0/scoring-endpoint/host",
+                 "/items/0/scoring-endpoint/path");
+    auto& field = body[json::json_pointer(place)];
+    const auto sound = field.get<std::string>();
+    const auto odd = GENERATE_COPY(sound + "\r\nX-Evil: 1", sound + "\n", "\r" + sound,
+                                   sound + '\0', sound + '\x7f', sound + " ", "\t" + sound,
+                                   sound + "\r\n\r\nPOST /q/5 HTTP/1.1\r\n\r\n", std::string());
+    field = odd;
+    CAPTURE(body["items"][0].dump(-1, ' ', true));
+    const auto read = decode_submission(body);
+    REQUIRE(read);
+    CHECK_FALSE(read.value().items[0].fault.empty());
+}
+
+TEST_CASE("a header or a path with other odd bytes is a fault of its item, too",
+          "[platform][batches]") {
+    // Guards against texts in which a target sees other names or another request.
+    auto body = json::parse(submission_text);
+    auto& item = body["items"][0];
+    CHECK(decode_submission(body).value().items[0].fault.empty());
+    SECTION("a header") {
+        const auto name = GENERATE("X-\x01", "X(A", "X\x7f", "");
+        item["headers"][name] = "1";
+    }
+    SECTION("a header's value") {
+        const auto value = GENERATE("a\x01", "a\x7f");
+        item["headers"]["X-Model"] = value;
+    }
+    SECTION("the path") {
+        const auto path = GENERATE("/p\x01", "/p\x7f", "/p#q", "/p\t");
+        item["path"] = path;
+    }
+    SECTION("the path of the scoring call") {
+        const auto path = GENERATE("p", "/p q", "/p#q", "http://h/p");
+        item["scoring-endpoint"]["path"] = path;
+    }
+    CAPTURE(body["items"][0].dump(-1, ' ', true));
+    const auto read = decode_submission(body);
+    REQUIRE(read);
+    CHECK_FALSE(read.value().items[0].fault.empty());
+}
+
+TEST_CASE("an entry whose name is no value of a header names no target", "[platform][documents]") {
+    // Guards against headers that the name of an entry adds to each request to its target.
+    front::stored_object object;
+    object.specification = {{"service", "s"},
+                            {"address", "10.0.0.1:80"},
+                            {"zone", "z"},
+                            {"slots", 1},
+                            {"state", "ready"}};
+    object.name = "i-1";
+    CHECK(decode_target(object));
+    object.name = GENERATE("i-1\r\nX-Evil: 1", "i-1\n", "i-1 ", " i-1", "i\x01", "i\x7f", "");
+    CHECK_FALSE(decode_target(object));
+}
+
 TEST_CASE("an entry of another writer names no target", "[platform][documents]") {
     CHECK(decode_target(object_with(target_text)).has_value());
     auto entry = json::parse(target_text);
