Take a time without answers of the store for an outage, not a failed call

Cause: after an outage, removals are deferred by 2.25 s from when a host learns of them, since entries of running targets expire in an outage and come back. Any failed call counted as an outage, also a waiting watch that the store has cut, which it may at any time; and a change before delays the next poll by 0.5 s.

Change: an outage is a time of at least one heartbeat interval in which no call was answered, directly or through a peer, counted from the first failed call or from the cut. Entries expire after three intervals. Both ways to a deferral ask for it, and its limit counts from the last call that failed in the outage.

--- a/src/front/follower.cpp
+++ b/src/front/follower.cpp
@@ -80,9 +80,9 @@
 
 void apply_target_changes(host& self, std::span<const object_change> changes) {
     const auto deleted_count = std::ranges::count_if(changes, &object_change::deleted);
-    const auto since_failure = std::chrono::duration_cast<milliseconds>(
-        loop::steady_clock::now() - self.store.paths.last_direct_failure);
-    if (are_expired_entries(static_cast<std::size_t>(deleted_count), since_failure,
+    const auto since_outage = std::chrono::duration_cast<milliseconds>(
+        loop::steady_clock::now() - self.store.paths.last_outage_failure);
+    if (are_expired_entries(static_cast<std::size_t>(deleted_count), since_outage,
                             self.settings.stable_window)) {
         defer_removals(self);
     }
--- a/src/front/process.cpp
+++ b/src/front/process.cpp
@@ -156,6 +156,9 @@
 void configure_store_client(const std::shared_ptr<host>& self) {
     // The host owns the store client, so the callbacks must not own the host.
     auto* owner = self.get();
+    // A target's entry expires after three heartbeat intervals. A host may notice an outage later
+    // than targets do, but not by two of them.
+    self->store.paths.min_outage = self->settings.heartbeat_interval;
     self->store.peers = [owner] {
         std::vector<transport::endpoint> endpoints;
         endpoints.reserve(owner->peers.size() + owner->settings.seeds.size());
--- a/src/front/store_client.cpp
+++ b/src/front/store_client.cpp
@@ -61,13 +61,13 @@
     const auto started = loop::steady_clock::now();
     auto outcome = co_await loop::call(*client.connections, client.address, request.message,
                                        std::min(loop::after(timeout), until), connect_timeout, use);
+    const bool was_cut = outcome.fault == loop::exchange_fault::broken;
     auto response = to_store_response(std::move(outcome));
     client.count_call(request, to_string(response.fault));
     if (store_responded(response.fault)) {
-        record_response(client.paths, false);
+        record_response(client.paths, false, loop::steady_clock::now());
     } else {
-        record_failure(client.paths, false, loop::steady_clock::now());
-        client.paths.last_failure_started = std::max(client.paths.last_failure_started, started);
+        record_direct_failure(client.paths, started, was_cut, loop::steady_clock::now());
     }
     co_return response;
 }
@@ -102,7 +102,7 @@
         }
     }
     if (store_responded(peer_response.fault)) {
-        record_response(client.paths, true);
+        record_response(client.paths, true, loop::steady_clock::now());
     } else {
         record_failure(client.paths, true, loop::steady_clock::now());
     }
--- a/src/front/store_ways.cpp
+++ b/src/front/store_ways.cpp
@@ -27,7 +27,13 @@
     return {false, true, !single_path};
 }
 
-void record_response(store_paths& paths, bool by_peer) {
+void record_response(store_paths& paths, bool by_peer, loop::deadline now) {
+    if (paths.unavailable_since && now - *paths.unavailable_since >= paths.min_outage) {
+        paths.last_outage_failure = paths.last_direct_failure;
+        paths.last_outage_call = paths.last_failure_started;
+    }
+    paths.unavailable_since.reset();
+    paths.last_response = now;
     if (by_peer) {
         paths.peers_retry_at = {};
     } else {
@@ -50,6 +56,15 @@
     }
 }
 
+void record_direct_failure(store_paths& paths, loop::deadline started, bool was_cut,
+                           loop::deadline now) {
+    record_failure(paths, false, now);
+    paths.last_failure_started = std::max(paths.last_failure_started, started);
+    if (!paths.unavailable_since) {
+        paths.unavailable_since = std::max(was_cut ? now : started, paths.last_response);
+    }
+}
+
 loop::milliseconds retry_delay(const store_paths& paths, loop::milliseconds max_delay,
                                double random_unit) {
     const int doublings = std::clamp(paths.consecutive_failures - 1, 0, max_doublings);
--- a/src/front/targets.hpp
+++ b/src/front/targets.hpp
@@ -78,7 +78,7 @@
 void record_platform_return(target_table& table, time_point now, time_point limit);
 /// Whether entries that were removed together expired because heartbeats could not be stored,
 /// rather than being removed by their targets. `since_trouble`: time since a call to the store last
-/// failed; `stable_window`: after this time without failures, removals take effect at once.
+/// failed in an outage; `stable_window`: after this time, removals take effect at once.
 ///
 /// Scaling a service down and a store outage both remove several targets at once. Keeping targets
 /// that were scaled down sends requests to stopped processes; dropping targets after an outage
--- a/src/front/watch.cpp
+++ b/src/front/watch.cpp
@@ -374,7 +374,7 @@
 }
 
 void defer_removals(host& self) {
-    const auto disturbed_ago = loop::steady_clock::now() - self.store.paths.last_failure_started;
+    const auto disturbed_ago = loop::steady_clock::now() - self.store.paths.last_outage_call;
     record_platform_return(self.targets, self.now(),
                            self.now() - disturbed_ago + self.settings.stable_window -
                                removal_check_time);
--- a/tests/front/store_ways_tests.cpp
+++ b/tests/front/store_ways_tests.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 using namespace cornelloom::front;
+namespace loop = cornelloom::loop;
 using namespace std::chrono_literals;
 
 namespace {
@@ -44,7 +45,7 @@
     CHECK(plan.peers);
     CHECK_FALSE(plan.direct_first);
     CHECK(plan.direct_last);
-    record_response(paths, true);
+    record_response(paths, true, start + 100ms);
     CHECK(retry_delay(paths, max_store_delay, no_jitter) == initial_store_delay);
 }
 
@@ -52,7 +53,7 @@
     store_paths paths;
     record_failure(paths, false, start);
     CHECK(plan_paths(paths, true, start + 1s).direct_first);
-    record_response(paths, false);
+    record_response(paths, false, start + 1s);
     CHECK(plan_paths(paths, true, start + 1s).direct_first);
 }
 
@@ -91,9 +92,53 @@
     // Guards against a host that is cut off from the store, gets a response through a peer and
     // waits on the silent direct path again.
     store_paths paths;
-    record_response(paths, false);
+    record_response(paths, false, start);
     record_failure(paths, false, start + 1s);
-    record_response(paths, true);
+    record_response(paths, true, start + 1s);
     CHECK_FALSE(plan_paths(paths, true, start + 1600ms).direct_first);
     CHECK(plan_paths(paths, true, start + 2s).direct_first);
 }
+
+TEST_CASE("a call that fails while the store is there is no outage", "[front][store][outage]") {
+    // Guards against targets that were removed and go on getting requests, because a watch that
+    // the store has cut, as it may at any time, is taken for an outage in which entries expired.
+    store_paths paths;
+    record_response(paths, false, start);
+    SECTION("a watch that is cut after a long wait") {
+        record_direct_failure(paths, start + 100ms, true, start + 20s);
+        record_response(paths, false, start + 20s + 500ms);
+    }
+    SECTION("all watches of the host are cut") {
+        record_direct_failure(paths, start + 100ms, true, start + 2s);
+        record_direct_failure(paths, start + 1s, true, start + 2s);
+        record_direct_failure(paths, start + 2s, true, start + 2s + 10ms);
+        record_response(paths, true, start + 2s + 600ms);
+    }
+    SECTION("a call whose answer is lost while others are answered") {
+        record_response(paths, false, start + 2s);
+        record_direct_failure(paths, start + 100ms, false, start + 3s);
+        record_response(paths, false, start + 3s + 100ms);
+    }
+    CHECK(paths.last_outage_failure == loop::deadline{});
+    CHECK(paths.last_outage_call == loop::deadline{});
+}
+
+TEST_CASE("a store that does not respond for a heartbeat interval had an outage",
+          "[front][store][outage]") {
+    // Guards against targets that are dropped although their entries expired in an outage.
+    store_paths paths;
+    record_response(paths, false, start);
+    SECTION("it was silent") {
+        record_direct_failure(paths, start + 1s, false, start + 3s);
+        record_response(paths, false, start + 3s + 10ms);
+        CHECK(paths.last_outage_failure == start + 3s);
+        CHECK(paths.last_outage_call == start + 1s);
+    }
+    SECTION("it refused calls, and then responds through a peer") {
+        record_direct_failure(paths, start + 1s, true, start + 1s);
+        record_direct_failure(paths, start + 1900ms, true, start + 2s);
+        record_response(paths, true, start + 2400ms);
+        CHECK(paths.last_outage_failure == start + 2s);
+        CHECK(paths.last_outage_call == start + 1900ms);
+    }
+}
--- a/tests/soak/crash_rig.cpp
+++ b/tests/soak/crash_rig.cpp
@@ -118,7 +118,7 @@
     settings.peer_endpoint = peer_address(rig, index);
     settings.seeds = {peer_address(rig, 0), peer_address(rig, 1)};
     settings.platform = address(rig, store_group, 0, 7001);
-    settings.stable_window = rig_stable_window;
+    settings.stable_window = rig.stable_window;
     settings.duties = rig.duties;
     rig.hosts.push_back(front::start_host(rig.io, front::linked_adapter(), settings));
 }
--- a/tests/soak/crash_rig.hpp
+++ b/tests/soak/crash_rig.hpp
@@ -33,6 +33,7 @@
     explicit crash_rig(int network_number) : network(network_number) {}
 
     int network;
+    milliseconds stable_window = rig_stable_window; ///< Of all hosts.
     milliseconds restart_time{700}; ///< How long a target is away that a request has crashed.
     standins::crash_form crash = standins::crash_form::closes; ///< Of all targets.
     std::optional<front::duty_settings> duties{};              ///< Of all hosts.
