Take an answer that ends by a close only if its request was written

Cause: the system reports a reset once. The write in the background got it and noted only that the connection can't be used again; the read after it saw an end of stream, which ends an answer without a length.

Change: an answer that ends by a close is broken unless its request was written to its end; a write that is still in progress at the close gets half a second, since a server may end its side and read on. This is the one place where cornelloom_frontd reads answers: plain calls, streams, items, scoring calls, other hosts, the store. cornelloomd takes no answer without a length; it took a status below 100, and interim answers without a bound on their number, and refuses both now. Heads with odd names of fields were refused by both already; tests hold it.

--- a/src/loop/exchange.cpp
+++ b/src/loop/exchange.cpp
@@ -88,12 +88,17 @@
     return std::chrono::seconds(seconds) - idle_margin;
 }
 
+/// A server that has ended its answer by a close is given this long to read the rest of a request.
+constexpr milliseconds write_end_limit{500};
+
 /// Keeps the message and the connection alive until the write has ended.
 task<void> write_behind(std::shared_ptr<beast::tcp_stream> stream,
-                        std::shared_ptr<request_message> message, std::shared_ptr<bool> written) {
+                        std::shared_ptr<request_message> message,
+                        std::shared_ptr<request_write> write) {
     boost::system::error_code ec;
     co_await http::async_write(*stream, *message, asio::redirect_error(asio::use_awaitable, ec));
-    *written = !ec;
+    write->progress = ec ? request_write::state::failed : request_write::state::done;
+    write->ended.open();
 }
 
 } // namespace
@@ -124,7 +129,8 @@
 
 exchange::exchange(connection_pool& pool, transport::endpoint server)
     : pool_(&pool), server_(std::move(server)),
-      stream_(std::make_shared<beast::tcp_stream>(*pool.io)), memory_(pool.memory),
+      stream_(std::make_shared<beast::tcp_stream>(*pool.io)),
+      write_(std::make_shared<request_write>(*pool.io)), memory_(pool.memory),
       buffer_(max_buffered_bytes) {
     auto& connections = pool.servers[server_];
     if (!connections) {
@@ -227,9 +233,8 @@
     start_parser();
     stream_->expires_at(until);
     if (request.body.size() > inline_body_bytes) {
-        *body_written_ = false;
-        spawn(stream_->get_executor(), "write request",
-              write_behind(stream_, message, body_written_));
+        write_->progress = request_write::state::running;
+        spawn(stream_->get_executor(), "write request", write_behind(stream_, message, write_));
         co_return exchange_fault::none;
     }
     boost::system::error_code ec;
@@ -285,9 +290,22 @@
         }
         piece = std::exchange(parser_->get().body().text, {});
     }
+    if (complete() && ended_by_close()) {
+        const bool written = co_await is_request_written(until);
+        co_return written ? exchange_fault::none : note(exchange_fault::broken);
+    }
     co_return exchange_fault::none;
 }
 
+/// A reset is reported once: if the write has met it, the read after it sees an orderly end.
+task<bool> exchange::is_request_written(deadline until) {
+    const auto limit = std::min(until, after(write_end_limit));
+    while (write_->progress == request_write::state::running && steady_clock::now() < limit) {
+        co_await write_->ended.wait(limit);
+    }
+    co_return write_->progress == request_write::state::done;
+}
+
 task<exchange_fault> exchange::read_rest(deadline until, std::string& body, std::size_t limit) {
     std::string piece;
     while (!complete()) {
@@ -335,8 +353,8 @@
 
 void exchange::finish() {
     // Bytes after the answer, or a body the server has not read, would be taken for the next one.
-    const bool whole =
-        connected_ && !aborted_ && complete() && *body_written_ && buffer_.size() == 0;
+    const bool whole = connected_ && !aborted_ && complete() &&
+                       write_->progress == request_write::state::done && buffer_.size() == 0;
     const bool kept = whole && parser_->keep_alive() && is_silent(stream_->socket());
     const auto usable =
         kept ? idle_time(parser_->get().base(), connections_->unstated_idle) : milliseconds::zero();
--- a/src/loop/exchange.hpp
+++ b/src/loop/exchange.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "loop/connection_pool.hpp"
+#include "loop/gate.hpp"
 #include "loop/received_body.hpp"
 #include "loop/task.hpp"
 #include "transport/http.hpp"
@@ -32,6 +33,16 @@
 
 [[nodiscard]] std::string_view to_string(exchange_fault fault);
 
+/// The write of a request that goes on while its answer is read.
+struct request_write {
+    enum class state { done, running, failed };
+
+    explicit request_write(io_context& io) : ended(io) {}
+
+    state progress = state::done;
+    gate ended; ///< Opened when the write ends.
+};
+
 /// One request and its answer on one connection. At most one step runs at a time; `abort` may be
 /// called at any moment and ends the running step.
 class exchange {
@@ -50,7 +61,8 @@
     /// Reads the head of the answer, passing over interim answers.
     task<exchange_fault> read_head(deadline until);
 
-    /// The next bytes of the body; none once the body is complete.
+    /// The next bytes of the body; none once the body is complete. An answer that ends by a close
+    /// is broken if the server did not take the whole request: it may have been reset.
     task<exchange_fault> read_piece(deadline until, std::string& piece);
 
     /// What is left of the body, at most `limit` bytes and what the pool's `answer_memory` allows.
@@ -78,6 +90,8 @@
 
 private:
     task<exchange_fault> connect(deadline until, bool reuse);
+    /// Whether the server took the whole request, for which a write in progress is awaited.
+    task<bool> is_request_written(deadline until);
     void start_parser();
     exchange_fault note(exchange_fault fault);
     void release_memory();
@@ -88,13 +102,13 @@
     transport::endpoint server_;
     std::shared_ptr<server_connections> connections_;  ///< All connections to the server.
     std::shared_ptr<boost::beast::tcp_stream> stream_; ///< Shared with a write in the background.
+    std::shared_ptr<request_write> write_;             ///< Of a long body.
     std::shared_ptr<answer_memory> memory_;            ///< Of the pool.
     std::size_t reserved_bytes_ = 0;                   ///< Of that memory.
     boost::beast::flat_buffer buffer_; ///< Bounded: a head or framing may come without end.
     std::optional<boost::beast::http::response_parser<received_body>> parser_;
     bool answer_has_body_ = true; ///< Unless to a HEAD request.
     std::vector<transport::http_header> headers_;
-    std::shared_ptr<bool> body_written_ = std::make_shared<bool>(true);
     bool aborted_ = false;
     bool connected_ = false;
     exchange_fault last_fault_ = exchange_fault::none;
--- a/src/transport/internal/http_transaction.cpp
+++ b/src/transport/internal/http_transaction.cpp
@@ -17,6 +17,9 @@
 namespace {
 
 constexpr std::uint32_t max_reply_header_bytes = 64U << 10U;
+constexpr unsigned least_status = 100;
+/// Interim answers (status 1xx) before the answer itself.
+constexpr int max_interim_answers = 16;
 constexpr std::size_t stream_piece_bytes = 16U << 10U;
 /// Largest part of an answer that is kept unparsed: a header, or the framing between two pieces of
 /// a body, and one read beyond it. The limits of the parser count neither chunk extensions nor
@@ -34,7 +37,7 @@
 kernel::result<void> read_header(http_exchange& exchange, beast::flat_buffer& buffer,
                                  std::optional<Parser>& parser, const http_request& request,
                                  std::size_t max_body_bytes) {
-    while (true) {
+    for (int interim_answers = 0;; ++interim_answers) {
         parser.emplace();
         parser->header_limit(max_reply_header_bytes);
         parser->body_limit(max_body_bytes);
@@ -49,6 +52,9 @@
             return exchange.failure("read the header of the answer", outcome);
         }
         const auto status = parser->get().result_int();
+        if (status < least_status || interim_answers > max_interim_answers) {
+            return kernel::error{kernel::error_code::unknown, "what came back is no answer"};
+        }
         const bool interim = status / 100 == 1 && status != 101;
         if (!interim) {
             break;
--- a/tests/transport/http_client_tests.cpp
+++ b/tests/transport/http_client_tests.cpp
@@ -46,6 +46,9 @@
         ok + "Content-Length: 3\r\nContent-Length: 2\r\n\r\nabc",
         ok + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
         ok + "X: a\rb\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 100 Continue\r\n\r\n",
+        "HTTP/1.1 000 OK\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 099 OK\r\nContent-Length: 0\r\n\r\n", ok + "X A: 1\r\nContent-Length: 0\r\n\r\n",
+        ok + "X\x01: 1\r\nContent-Length: 0\r\n\r\n", ok + "Content-Length : 0\r\n\r\n",
         "SSH-2.0-x\r\n");
     CAPTURE(reply);
     const auto outcome = call_raw(reply);
