Refuse at once what a stopping host can't complete in time

Cause: new requests were served until 0.8 of the grace period whatever time they might take, and the process ends at 0.95 of it.

Change: a stopping host takes a request only if its time limit, that of its caller or of its route, ends before the process does, and refuses any other at once with 503, so that its caller turns to another host. A submission is taken if three seconds are left to store it, and its storing ends in time; a call on a batch needs three seconds and waits no longer than a forwarded one.

--- a/src/front/batch_submit.cpp
+++ b/src/front/batch_submit.cpp
@@ -107,7 +107,11 @@
     const auto received = self->now();
     const auto header = make_header(*self, caller, request.message.path, std::move(account));
     const auto prepared = prepare_runner(registry, header, submission);
-    const auto deadline = received + storage_timeout(caller.time_left);
+    auto deadline = received + storage_timeout(caller.time_left);
+    if (self->stopping) {
+        // The last call may begin at the deadline.
+        deadline = std::min(deadline, self->serves_until - store_call_timeout);
+    }
     const auto stored = co_await store_submission(self, header, submission, prepared, deadline);
     if (choose_submission_answer(stored.outcome) != submission_answer::accept) {
         co_await answer_not_stored(registry, request, header, prepared, stored.outcome);
--- a/src/front/gateway.cpp
+++ b/src/front/gateway.cpp
@@ -2,6 +2,7 @@
 
 #include "front/access.hpp"
 #include "front/answers.hpp"
+#include "front/batch_owner.hpp"
 #include "front/batch_start.hpp"
 #include "front/batch_submit.hpp"
 #include "front/count_exchange.hpp"
@@ -11,6 +12,7 @@
 #include "front/plain_call.hpp"
 #include "front/slot_exchange.hpp"
 #include "front/stream_call.hpp"
+#include "front/submission_answer.hpp"
 #include "kernel/number.hpp"
 #include "loop/spawn.hpp"
 
@@ -107,6 +109,15 @@
     co_await request.answer(std::move(answer));
 }
 
+/// Limit of a call on a batch, which has none of its own: loading a batch takes several calls to
+/// the store.
+constexpr milliseconds max_batch_call_time{3000};
+
+/// Whether a request that may take until `deadline` is refused, since this process ends before.
+bool ends_before(const host& self, time_point deadline) {
+    return self.stopping && deadline > self.serves_until;
+}
+
 /// Waits until this host can serve callers. Returns false if it can't and is not about to.
 loop::task<bool> wait_for_start(std::shared_ptr<host> self) {
     const auto arrived_at = self->now();
@@ -219,7 +230,12 @@
         co_return;
     }
     if (is_batch_call) {
+        if (ends_before(*self, self->now() + max_batch_call_time)) {
+            co_await refuse(*self, request, request_info.id, "shutting_down", milliseconds(0));
+            co_return;
+        }
         call->account = access.account.value_or("");
+        call->wait = self->stopping ? std::min(call->wait, max_forwarded_wait) : call->wait;
         co_await serve_batch_call(registry, request, *call, false);
         co_return;
     }
@@ -229,6 +245,13 @@
         co_await reject(*self, request, request_info.id, "malformed", 400);
         co_return;
     }
+    const auto deadline = request_route.kind == route_kind::rollout
+                              ? self->now() + min_storage_timeout
+                              : deadline_of(*self, request_route, request_info);
+    if (ends_before(*self, deadline)) {
+        co_await refuse(*self, request, request_info.id, "shutting_down", milliseconds(0));
+        co_return;
+    }
     co_await serve_route(registry, request, request_route, request_info, access.account);
 }
 
--- a/src/front/host.hpp
+++ b/src/front/host.hpp
@@ -128,6 +128,7 @@
     bool sends_load_orders =
         false; ///< This host sends load orders to targets, or may soon have to.
     bool stopping = false;
+    time_point serves_until{}; ///< When a process that is stopping ends what it still serves.
     bool refusing_requests =
         false;         ///< New requests are refused because the process is about to exit.
     int in_flight = 0; ///< Caller requests in progress.
--- a/src/front/process.cpp
+++ b/src/front/process.cpp
@@ -50,9 +50,9 @@
 constexpr milliseconds connection_cleanup_interval{1000};
 /// Event loop delays from this on are logged. Peers consider a host lost after three times as long.
 constexpr double min_logged_delay_ms = 200;
-/// Shares of the grace period. Requests are served normally until the first; from then until the
-/// second, new requests are refused and open ones are completed, because a request that is accepted
-/// and not answered is lost to its caller.
+/// Shares of the grace period. Requests that may take beyond the second are refused at once,
+/// because a request that is accepted and not answered is lost to its caller. From the first on,
+/// all new requests are refused.
 constexpr double serving_share = 0.8;
 constexpr double draining_share = 0.95;
 /// Other hosts may take until then to receive the counts. The rest is for the log.
@@ -349,16 +349,17 @@
 
 loop::task<void> shut_down(std::shared_ptr<batch_registry> registry) {
     auto self = registry->self;
-    self->stopping = true;
-    log_event(*self, front_stopping, {{"host", self->settings.host}});
-    hand_over_all_batches(registry);
     const auto shutdown_started = self->now();
     const auto grace_share = [self](double share) {
         return std::chrono::duration_cast<loop::milliseconds>(self->settings.grace_period * share);
     };
+    self->serves_until = shutdown_started + grace_share(draining_share);
+    self->stopping = true;
+    log_event(*self, front_stopping, {{"host", self->settings.host}});
+    hand_over_all_batches(registry);
     co_await loop::pause_for(self->io, grace_share(serving_share));
     self->refusing_requests = true;
-    while (self->in_flight > 0 && self->now() < shutdown_started + grace_share(draining_share)) {
+    while (self->in_flight > 0 && self->now() < self->serves_until) {
         co_await loop::pause_for(self->io, drain_poll_interval);
     }
     const auto used =
--- a/src/front/submission_answer.hpp
+++ b/src/front/submission_answer.hpp
@@ -18,6 +18,9 @@
 
 [[nodiscard]] submission_answer choose_submission_answer(store_outcome stored);
 
+/// A host that is about to stop accepts a submission only if it has this long to store it.
+inline constexpr milliseconds min_storage_timeout{3000};
+
 /// How long to retry storing a submission: as long as its caller waits, because the caller's next
 /// attempt would depend on the same store. A few seconds if the caller sets no timeout.
 [[nodiscard]] milliseconds storage_timeout(std::optional<milliseconds> caller_timeout);
--- a/tests/soak/process_rig.cpp
+++ b/tests/soak/process_rig.cpp
@@ -66,6 +66,7 @@
     settings.stable_window = rig.stable_window;
     settings.config_apply_bound = rig.config_apply_bound;
     settings.drain_bound = rig.drain_bound;
+    settings.grace_period = rig.grace_period;
     one->executable = CORNELLOOM_FRONTD;
     one->folder =
         std::filesystem::temp_directory_path() /
--- a/tests/soak/process_rig.hpp
+++ b/tests/soak/process_rig.hpp
@@ -44,6 +44,7 @@
     milliseconds stable_window{4000};
     milliseconds config_apply_bound{2500};
     milliseconds drain_bound{2500};
+    milliseconds grace_period{8000};
     loop::io_context io{1};
     standins::store_ptr platform = std::make_shared<standins::store>(io);
     std::vector<std::unique_ptr<program>> hosts{}; ///< In the order in which they feed the zone.
