Bound answers and bodies of a host whose memory is not stated

With limits.memory-mb, answers and bodies that a host reads share parts of it, and the [endless] tests hold that. Without the setting there was no bound on their sum.

Change: a host whose settings don't state its memory bounds both as one of 256 MiB does.

Evidence: "a host whose memory is not stated bounds what it keeps of others" fails on the code before in the form without the setting.

--- a/src/front/host.cpp
+++ b/src/front/host.cpp
@@ -20,6 +20,8 @@
 
 namespace {
 
+/// Memory of a process whose settings don't state it.
+constexpr std::size_t default_memory_bytes = std::size_t{256} << 20U;
 /// Answers that are being read may take a quarter of the memory of the process.
 constexpr std::size_t answer_memory_divisor = 4;
 /// Answers of the largest size for which there is room.
@@ -36,13 +38,12 @@
       random(kernel::hash64(settings.host) ^ static_cast<std::uint64_t>(clock.wall_now().unix_ms)),
       startup_changed(loop), caches(loop), lead(loop), crashes(loop) {
     crashes.rules = default_quarantine_rules();
-    if (settings.memory_bytes > 0) {
-        connections.memory->max_total_bytes = settings.memory_bytes / answer_memory_divisor;
-        connections.memory->max_answer_bytes =
-            connections.memory->max_total_bytes / answers_in_memory;
-        caller_bodies->max_bytes = settings.memory_bytes / body_memory_divisor;
-        peer_bodies->max_bytes = settings.memory_bytes / body_memory_divisor;
-    }
+    const auto memory_bytes =
+        settings.memory_bytes > 0 ? settings.memory_bytes : default_memory_bytes;
+    connections.memory->max_total_bytes = memory_bytes / answer_memory_divisor;
+    connections.memory->max_answer_bytes = connections.memory->max_total_bytes / answers_in_memory;
+    caller_bodies->max_bytes = memory_bytes / body_memory_divisor;
+    peer_bodies->max_bytes = memory_bytes / body_memory_divisor;
     if (settings.duties) {
         usage.window_length = settings.duties->usage_window;
         demand.window_length = settings.duties->usage_window;
--- a/src/front/types.hpp
+++ b/src/front/types.hpp
@@ -147,7 +147,7 @@
     std::optional<milliseconds> revocation_bound;
     std::optional<duty_settings> duties;
     int file_descriptors = 1024;
-    std::size_t memory_bytes = 0; ///< Of a process; 0: unknown.
+    std::size_t memory_bytes = 0; ///< Of a process; 0: not stated, and 256 MiB are assumed.
     double cpu_share = 1;         ///< CPU share, in cores.
 };
 
--- a/tests/front/message_limit_tests.cpp
+++ b/tests/front/message_limit_tests.cpp
@@ -168,3 +168,19 @@
     world.io.run_for(300ms);
     CHECK(status == 400);
 }
+
+TEST_CASE("a host whose memory is not stated bounds what it keeps of others", "[front][limits]") {
+    // Guards against answers without end that fill the memory of a host without that setting.
+    cornelloom::loop::io_context io;
+    const adapter platform{};
+    host_settings settings;
+    settings.host = "h1";
+    const auto bytes = GENERATE(std::size_t{0}, std::size_t{100} << 20U);
+    settings.memory_bytes = bytes;
+    const host self(io, platform, settings);
+    const auto most = bytes == 0 ? std::size_t{256} << 20U : bytes;
+    CHECK(self.connections.memory->max_total_bytes <= most / 4);
+    CHECK(self.connections.memory->max_answer_bytes <= most / 32);
+    CHECK(self.caller_bodies->max_bytes <= most / 8);
+    CHECK(self.peer_bodies->max_bytes <= most / 8);
+}
