Split the scoring of an item into functions of their own

Its route, its limit of failures and what counts as a score are functions of their own now. No behaviour is changed.

--- a/src/front/item_run.cpp
+++ b/src/front/item_run.cpp
@@ -547,6 +547,23 @@
     co_return outcome;
 }
 
+/// The route of a scoring call; null if the current configuration has none.
+const route* find_scoring_route(const host& self, const scoring_call& scoring) {
+    const auto path = scoring.path.substr(0, scoring.path.find('?'));
+    return self.routes ? find_route(*self.routes, scoring.host, path) : nullptr;
+}
+
+/// Failed scoring calls after which their item is given up.
+int max_scoring_failures(const live_batch& batch, const route& scoring_route) {
+    const auto* batch_route = route_of(batch);
+    return std::max(scoring_route.attempts, batch_route != nullptr ? batch_route->attempts : 1);
+}
+
+bool is_score(const plain_outcome& outcome) {
+    return outcome.result == plain_outcome::state::answered && outcome.answer.status >= 200 &&
+           outcome.answer.status < 300 && outcome.answer_info.stamped;
+}
+
 loop::task<void> try_score(live_batch_ptr batch, std::size_t index) {
     auto self = batch->local_host;
     const auto scoring = batch->state.spec.items[index].scoring;
@@ -559,16 +576,12 @@
     int sends = 0;
     while (batch->owned && !is_over(batch->state) &&
            batch->state.items[index].phase == item_phase::scoring) {
-        const auto path = scoring->path.substr(0, scoring->path.find('?'));
-        const auto* scoring_route =
-            self->routes ? find_route(*self->routes, scoring->host, path) : nullptr;
+        const auto* scoring_route = find_scoring_route(*self, *scoring);
         if (scoring_route == nullptr || !may_send_items(*batch)) {
             co_await loop::pause_for(self->io, scoring_retry_delay);
             continue;
         }
-        const auto* batch_route = route_of(*batch);
-        const int max_failures =
-            std::max(scoring_route->attempts, batch_route != nullptr ? batch_route->attempts : 1);
+        const int max_failures = max_scoring_failures(*batch, *scoring_route);
         if (failures >= max_failures) {
             if (may_give_up_by_configuration(*batch)) {
                 give_up_item(*batch, index, "scoring failed");
@@ -583,10 +596,7 @@
             co_return;
         }
         sends += outcome.sends;
-        const int status = outcome.answer.status;
-        const bool success = outcome.result == plain_outcome::state::answered && status >= 200 &&
-                             status < 300 && outcome.answer_info.stamped;
-        if (success) {
+        if (is_score(outcome)) {
             release_item(*batch, index);
             auto result = completed_result(*batch, index);
             result.score = outcome.answer_info.stamp;
